Add the design page, the base modules and the protocol layer

Cause: the project starts; every later part needs the messages, the data packet, the placement function and the error tree. Change: design page, package layout, defaults, exception tree, registries, logging, metrics, UDP and framed TCP sockets, thrift messages, keyed envelopes, data packets, refusal table, weighted rendezvous placement.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+export PYTHONPATH = src
+
+.PHONY: venv check format lint test demo binary bench clean
+
+venv:
+	@test -x $(PYTHON) || python3 -m venv $(VENV)
+	@cmp -s requirements-dev.txt $(VENV)/installed.txt || { \
+	  $(PYTHON) -m pip install --quiet -r requirements-dev.txt && \
+	  cp requirements-dev.txt $(VENV)/installed.txt; }
+
+format: venv
+	$(PYTHON) -m black --quiet src tests features tools
+
+lint: venv
+	$(PYTHON) -m black --quiet --check src tests features tools
+	$(PYTHON) -m flake8 src tests features tools
+
+test: venv
+	$(PYTHON) tools/runtests.py
+
+check: lint test
+
+demo: venv
+	$(PYTHON) -m limpetlift demo
+
+binary: venv
+	$(PYTHON) tools/binary.py
+
+bench: venv
+	$(PYTHON) -m limpetlift bench
+
+clean:
+	rm -rf build dist
--- /dev/null
+++ b/src/limpetlift/__main__.py
@@ -0,0 +1,12 @@
+"""Entry point of the ``limpetlift`` command and of the zipapp."""
+
+from limpetlift import cli
+
+
+def main():
+    """Run the command line."""
+    cli.main()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/limpetlift/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What processes agree on: placement, membership, store, configuration."""
--- /dev/null
+++ b/src/limpetlift/logs.py
@@ -0,0 +1,82 @@
+"""Logging with one line of key=value pairs for each event."""
+
+import logging
+import sys
+
+_QUOTED = set(" =\"'\\")
+
+
+def _format_value(value):
+    text = str(value)
+    if text and not _QUOTED.intersection(text) and text.isprintable():
+        return text
+    escaped = text.encode("unicode_escape").decode("ascii")
+    return '"%s"' % escaped.replace('"', '\\"')
+
+
+class KeyValueFormatter(logging.Formatter):
+    """Formats a record as ``time= level= logger= event=`` and its fields."""
+
+    def format(self, record):
+        fields = {
+            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S"),
+            "level": record.levelname.lower(),
+            "logger": record.name,
+            "event": record.getMessage(),
+        }
+        fields.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            fields["exception"] = repr(record.exc_info[1])
+            fields["traceback"] = self.formatException(record.exc_info)
+        return " ".join(
+            "%s=%s" % (name, _format_value(value))
+            for name, value in fields.items()
+        )
+
+
+class EventLogger:
+    """Logs events with fields: ``log.info("flow_opened", key=key)``.
+
+    :param name: the name of the logger below ``limpetlift``.
+    """
+
+    def __init__(self, name):
+        self._logger = logging.getLogger("limpetlift." + name)
+
+    def _log(self, level, event, fields, exc_info=None):
+        if self._logger.isEnabledFor(level):
+            self._logger.log(
+                level, event, extra={"fields": fields}, exc_info=exc_info
+            )
+
+    def debug(self, event, **fields):
+        """Log an event that matters only to a developer."""
+        self._log(logging.DEBUG, event, fields)
+
+    def info(self, event, **fields):
+        """Log an event of ordinary operation."""
+        self._log(logging.INFO, event, fields)
+
+    def warning(self, event, **fields):
+        """Log an event that an operator may need to look into."""
+        self._log(logging.WARNING, event, fields)
+
+    def error(self, event, exc_info=None, **fields):
+        """Log a failure."""
+        self._log(logging.ERROR, event, fields, exc_info)
+
+
+def configure(level, target):
+    """Set up logging for the process.
+
+    :param level: a level name of :mod:`logging`, in any case.
+    :param target: ``stderr``, ``stdout`` or a file path.
+    """
+    if target in ("stderr", "stdout"):
+        handler = logging.StreamHandler(getattr(sys, target))
+    else:
+        handler = logging.FileHandler(target, delay=True)
+    handler.setFormatter(KeyValueFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
--- /dev/null
+++ b/src/limpetlift/metrics.py
@@ -0,0 +1,60 @@
+"""Prometheus metrics of a process."""
+
+import prometheus_client
+
+REGISTRY = prometheus_client.CollectorRegistry()
+
+
+def _counter(name, text, labels=()):
+    return prometheus_client.Counter(
+        "limpetlift_" + name, text, labels, registry=REGISTRY
+    )
+
+
+def _gauge(name, text, labels=()):
+    return prometheus_client.Gauge(
+        "limpetlift_" + name, text, labels, registry=REGISTRY
+    )
+
+
+def _histogram(name, text, labels=(), buckets=()):
+    return prometheus_client.Histogram(
+        "limpetlift_" + name,
+        text,
+        labels,
+        registry=REGISTRY,
+        buckets=buckets or prometheus_client.Histogram.DEFAULT_BUCKETS,
+    )
+
+
+PACKETS = _counter("packets", "Packets forwarded.", ("direction",))
+PACKETS_DROPPED = _counter(
+    "packets_dropped", "Packets dropped, by reason.", ("reason",)
+)
+FLOWS_OPENED = _counter("flows_opened", "Flows accepted by this agent.")
+FLOWS_ENDED = _counter("flows_ended", "Flows ended, by reason.", ("reason",))
+FLOWS = _gauge("flows", "Flows open at this agent.")
+REDIRECTS = _gauge("redirects", "Redirect entries held by this agent.")
+REQUESTS = _counter("requests", "Requests answered.", ("service",))
+REFUSALS = _counter("refusals", "Requests refused, by code.", ("code",))
+RETRIES = _counter("retries", "Requests sent again, by reason.", ("reason",))
+SLOTS_BUSY = _gauge("slots_busy", "Slots in use at this agent.")
+QUEUE_SECONDS = _histogram("queue_seconds", "Time spent in the queue.")
+CONTROL_BYTES = _counter(
+    "control_bytes", "Bytes of control messages.", ("direction",)
+)
+CONTROL_REJECTED = _counter(
+    "control_rejected", "Control messages rejected, by code.", ("code",)
+)
+CONFIG_REVISION = _gauge("config_revision", "Configuration in force.")
+VIEW_SIZE = _gauge("view_size", "Members known, by state.", ("state",))
+STORE_CALLS = _counter(
+    "store_calls",
+    "Calls on the store, by call and result.",
+    ("call", "result"),
+)
+
+
+def exposition():
+    """Return the metrics in the Prometheus text format, as bytes."""
+    return prometheus_client.generate_latest(REGISTRY)
--- /dev/null
+++ b/src/limpetlift/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, packets, envelopes and refusal codes."""
--- /dev/null
+++ b/src/limpetlift/registry.py
@@ -0,0 +1,34 @@
+"""Registries are plain dicts that a decorator fills."""
+
+from limpetlift import exceptions
+
+
+def register(entries_by_name, name):
+    """Return a decorator that stores its target under ``name``.
+
+    :param entries_by_name: the registry.
+    :param name: the key; a second entry under it is an error.
+    """
+
+    def decorate(target):
+        if name in entries_by_name:
+            raise exceptions.StateError("%s is registered twice" % name)
+        entries_by_name[name] = target
+        return target
+
+    return decorate
+
+
+def lookup(entries_by_name, name, kind):
+    """Return the entry for ``name``.
+
+    :param kind: what the registry holds, for the error message.
+    :raises StateError: when there is no such entry.
+    """
+    try:
+        return entries_by_name[name]
+    except KeyError:
+        raise exceptions.StateError(
+            "unknown %s %r, expected one of %s"
+            % (kind, name, ", ".join(sorted(entries_by_name)))
+        ) from None
--- /dev/null
+++ b/src/limpetlift/state/__init__.py
@@ -0,0 +1,1 @@
+"""What one process decides and owns."""
--- /dev/null
+++ b/src/limpetlift/state/actions.py
@@ -0,0 +1,76 @@
+"""Actions that decision modules return and tasks carry out."""
+
+import attrs
+
+
+@attrs.frozen
+class Send:
+    """Send a control message to another process.
+
+    :param agent_id: id of the receiver.
+    :param message: one of ``messages.structs``.
+    """
+
+    agent_id: str
+    message: object
+
+
+@attrs.frozen
+class Deliver:
+    """Hand the payload of a packet to the backend server.
+
+    :param key: flow key.
+    :param packet: a :class:`limpetlift.protocol.packet.Packet`.
+    """
+
+    key: bytes
+    packet: object
+
+
+@attrs.frozen
+class Forward:
+    """Pass a packet on to another agent, one hop further.
+
+    :param agent_id: id of the receiver.
+    :param incarnation: incarnation that must own the flow, or 0 for any.
+    """
+
+    agent_id: str
+    incarnation: int
+    packet: object
+
+
+@attrs.frozen
+class Drop:
+    """Drop a packet and count the reason."""
+
+    reason: str
+
+
+@attrs.frozen
+class Close:
+    """Release what the task holds for a flow that has ended.
+
+    :param key: flow key.
+    :param reason: for the counter of ended flows.
+    """
+
+    key: bytes
+    reason: str
+
+
+@attrs.frozen
+class Reset:
+    """Tell the caller of ``packet`` that its flow has ended."""
+
+    packet: object
+
+
+@attrs.frozen
+class Announce:
+    """Publish a new version of this process's own record.
+
+    :param member: a :class:`limpetlift.coordination.member.Member`.
+    """
+
+    member: object
--- /dev/null
+++ b/src/limpetlift/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Asynchronous tasks that own sockets and state."""
--- /dev/null
+++ b/src/limpetlift/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the store, the fabric and a backend server."""
--- /dev/null
+++ b/src/limpetlift/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: datagrams, framed connections."""
--- /dev/null
+++ b/src/limpetlift/transport/udp.py
@@ -0,0 +1,84 @@
+"""A non-blocking UDP socket that reads in batches."""
+
+import socket
+
+from tornado import ioloop
+
+from limpetlift import defaults
+from limpetlift import exceptions
+
+
+class UdpSocket:
+    """A bound UDP socket on the current event loop.
+
+    :param address: ``(ip, port)``; port 0 picks a free one.
+    :param receive: called with ``(data, (ip, port))`` for each datagram.
+    :param connect_to: only exchange datagrams with this ``(ip, port)``.
+    :raises TransportError: when the address cannot be bound.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, address, receive, connect_to=None):
+        self._receive = receive
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, option, defaults.UDP_BUFFER_BYTES
+            )
+        try:
+            self._socket.bind(address)
+            if connect_to is not None:
+                self._socket.connect(connect_to)
+        except OSError as error:
+            self._socket.close()
+            raise exceptions.TransportError(
+                "cannot bind UDP %s:%d: %s" % (*address, error)
+            ) from error
+        self.address = self._socket.getsockname()
+        self._loop = ioloop.IOLoop.current()
+        self._loop.add_handler(
+            self._socket, self._on_readable, ioloop.IOLoop.READ
+        )
+
+    def _on_readable(self, _socket, _events):
+        recvfrom = self._socket.recvfrom
+        receive = self._receive
+        for _ in range(defaults.UDP_BATCH):
+            try:
+                data, address = recvfrom(65535)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An ICMP error of an earlier datagram; the next read works.
+                continue
+            receive(data, address)
+            if self._socket.fileno() < 0:
+                return
+
+    def send(self, data, address):
+        """Send one datagram; return whether the kernel took it."""
+        try:
+            self._socket.sendto(data, address)
+        except OSError:
+            return False
+        return True
+
+    def send_connected(self, data):
+        """Send one datagram to the connected peer.
+
+        :raises TransportError: when the peer's port is closed.
+        """
+        try:
+            self._socket.send(data)
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            raise exceptions.TransportError(str(error)) from error
+
+    def close(self):
+        """Stop receiving and close the socket."""
+        if self._socket.fileno() >= 0:
+            self._loop.remove_handler(self._socket)
+            self._socket.close()
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,47 @@
+"""Weighted rendezvous placement."""
+
+import collections
+
+from limpetlift.coordination import placement
+from limpetlift import defaults
+
+
+def _targets(count, weight=1.0):
+    return [placement.Target("agent-%d" % i, weight) for i in range(count)]
+
+
+def _owners(targets):
+    table = placement.build_table(targets)
+    return [targets[index].agent_id for index in table]
+
+
+def test_table_agrees_with_order():
+    """A balancer's table and an agent's order must name the same owner."""
+    targets = [
+        placement.Target("agent-%d" % i, 1.0 + 0.2 * i) for i in range(7)
+    ]
+    orders = placement.Placement(targets)
+    owners = _owners(targets)
+    for bucket in range(0, defaults.BUCKETS, 13):
+        assert orders.order(bucket)[0].agent_id == owners[bucket]
+
+
+def test_join_and_leave_move_only_the_share_of_the_member():
+    """A change must move at most 1.2 / n of new placements."""
+    before = _owners(_targets(7))
+    after = _owners(_targets(8))
+    moved = [b for b in range(len(before)) if before[b] != after[b]]
+    assert len(moved) <= 1.2 / 8 * defaults.BUCKETS
+    assert {after[b] for b in moved} == {"agent-7"}
+
+
+def test_weight_sets_the_share():
+    """A target of half the weight must get half the share."""
+    targets = _targets(4) + [placement.Target("half", 0.5)]
+    share = collections.Counter(_owners(targets))["half"]
+    assert abs(share / defaults.BUCKETS - 0.5 / 4.5) < 0.02
+
+
+def test_no_targets_give_an_empty_table():
+    """A service without backend servers must not fail the balancer."""
+    assert placement.build_table([]) == b""
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,68 @@
+"""Codecs, envelopes and data packets."""
+
+import pytest
+
+from limpetlift import exceptions
+from limpetlift.protocol import envelope
+from limpetlift.protocol import messages
+from limpetlift.protocol import packet
+
+KEY = b"k" * 16
+
+
+def _sealer(name, keys=(KEY,)):
+    return envelope.Sealer(name, 1, list(keys))
+
+
+def _ask():
+    return messages.structs.Ask(flow_key=b"x" * 14, ask_id=4)
+
+
+def test_envelope_is_opened_once_only():
+    """A replayed control message must not act a second time."""
+    data = _sealer("a").seal(_ask(), 100.0)
+    receiver = _sealer("b")
+    assert receiver.open(data, 100.0)[1] == _ask()
+    with pytest.raises(exceptions.ReplayedMessage):
+        receiver.open(data, 100.0)
+
+
+def test_envelope_rejects_old_foreign_and_truncated_messages():
+    """Forged or stale control messages must be rejected with a code."""
+    data = _sealer("a").seal(_ask(), 100.0)
+    with pytest.raises(exceptions.ReplayedMessage):
+        _sealer("b").open(data, 200.0)
+    with pytest.raises(exceptions.BadDigest):
+        _sealer("b", [b"j" * 16]).open(data, 100.0)
+    for length in range(len(data)):
+        with pytest.raises(exceptions.ProtocolError):
+            _sealer("b").open(data[:length], 100.0)
+
+
+def test_envelope_opens_with_a_second_key_during_rotation():
+    """Key rotation must not cut processes off from each other."""
+    data = _sealer("a", [b"j" * 16, KEY]).seal(_ask(), 1.0)
+    assert _sealer("b", [KEY, b"j" * 16]).open(data, 1.0)
+
+
+def test_packet_round_trip_and_bad_digest():
+    """A packet with a changed header must not be delivered."""
+    service = packet.service_id("job-desk")
+    caller = ("127.0.0.9", 4242)
+    sent = packet.Packet(
+        kind=packet.KIND_TO_AGENT,
+        hops=1,
+        service_id=service,
+        flow_hash=packet.flow_hash(packet.flow_key(service, caller)),
+        caller=caller,
+        balancer=("127.0.0.1", 7000),
+        incarnation=7,
+        payload=b"hello",
+    )
+    data = packet.encode(sent, KEY)
+    assert packet.decode(data, [KEY]) == sent
+    changed = bytes([data[0], data[1], 3]) + data[3:]
+    with pytest.raises(exceptions.BadDigest):
+        packet.decode(changed, [KEY])
+    with pytest.raises(exceptions.MalformedMessage):
+        packet.decode(data[:43], [KEY])
