--- a/src/limpetlift/coordination/placement.py
+++ b/src/limpetlift/coordination/placement.py
@@ -5,6 +5,7 @@
 """
 
 import array
+import functools
 import hashlib
 import math
 import sys
@@ -28,6 +29,9 @@
     weight: float = 1.0
 
 
+# A service rebuilds its placement at each change of one member; 256 columns
+# take 4 MB.
+@functools.lru_cache(maxsize=256)
 def _draws(agent_id):
     """Return one pseudo-random 32-bit number for each bucket."""
     data = hashlib.shake_128(agent_id.encode("utf-8")).digest(
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -8,16 +8,33 @@
 REDIRECT_COPIES = 2
 REDIRECT_BATCH_S = 0.05
 SETTLE_S = 2.0
-PAUSE_S = 1.0
+# Shorter than ASK_RETRY_S * ASK_ATTEMPTS: after that time another agent may
+# accept a flow without the answer of a paused agent, which must then ask.
+PAUSE_S = 0.05
 ASK_RETRY_S = 0.02
 ASK_ATTEMPTS = 3
+# Longest wait for answers when more members are silent than may be.
+ASK_LIMIT_S = 1.0
+# Members asked when in doubt. A service has 7 backend servers on average.
+ASK_MEMBERS = 8
+REDIRECT_RETRY_MAX_S = 1.0
+# 48 entries of 24 bytes and the envelope fit in DATAGRAM_BYTES.
+REDIRECTS_PER_BATCH = 48
+# Lifetime of an entry that the owner has not confirmed.
+HINT_S = 2.0
+RENEWED_BUCKETS_PER_TICK = 256
 PENDING_PACKETS = 16
 PREPARE_S = 1.0
+PREPARE_RETRY_S = 0.05
+# A prepared record that is not announced within this time is forgotten.
+PREPARED_S = 3.0
 FLOW_IDLE_S = 4 * 3600.0
 TARGET_CONNECTIONS = 2000
 SHARING_BOUND = 1.02
 SLOW_START_S = 10.0
 SLOW_START_WEIGHT = 0.1
+SLOW_START_STEPS = 10
+IDLE_SLOTS = 128
 
 # Requests.
 TARGET_SLOTS = 2
--- a/src/limpetlift/protocol/messages.thrift
+++ b/src/limpetlift/protocol/messages.thrift
@@ -51,39 +51,57 @@
   1: required i64 sequence,
 }
 
+// What a member tells of its load. The count covers the open flows that were
+// accepted under the placement that "placement_id" names.
+struct Load {
+  1: required i32 flow_count,
+  2: required bool has_room,
+  3: required i64 placement_id,
+}
+
+// The sender owns the flow (age_ms >= 0) or asks to accept it (age_ms = -1).
 struct Redirect {
   1: required binary flow_key,
-  2: required string owner,
-  3: required i64 owner_incarnation,
+  2: required i64 age_ms,
 }
 
 struct RedirectBatch {
   1: required i64 batch_id,
-  2: required list<Redirect> redirects,
-  3: required list<binary> released,
-  4: required i32 flow_count,
+  2: required i64 incarnation,
+  3: required list<Redirect> redirects,
+  4: required list<binary> released,
+  5: required Load load,
 }
 
-struct RedirectAck {
-  1: required i64 batch_id,
-  2: required i32 flow_count,
+// The answer to a redirect that the receiver did not store. The status says
+// whether the flow has an owner ("owned"), whether the owner is still asking
+// ("asking"), or whether the flow ended with its owner ("ended").
+struct Conflict {
+  1: required binary flow_key,
+  2: required string owner,
+  3: required i64 owner_incarnation,
+  4: required string status,
 }
 
-struct Ask {
-  1: required binary flow_key,
-  2: required i64 ask_id,
+struct RedirectAck {
+  1: required i64 batch_id,
+  2: required i64 incarnation,
+  3: required list<Conflict> conflicts,
+  4: required Load load,
 }
 
-struct AskReply {
+// The sender does not own the flow, as of its batch "batch_id".
+struct NotOwner {
   1: required binary flow_key,
-  2: required i64 ask_id,
-  3: required string answer,
-  4: required string owner,
-  5: required i64 owner_incarnation,
+  2: required i64 incarnation,
+  3: required i64 batch_id,
 }
 
-struct NotOwner {
+// The sender told the caller that the flow has ended with its owner.
+struct FlowEnded {
   1: required binary flow_key,
+  2: required string owner,
+  3: required i64 owner_incarnation,
 }
 
 // At-most-once keys.
--- a/src/limpetlift/protocol/packet.py
+++ b/src/limpetlift/protocol/packet.py
@@ -18,6 +18,7 @@
 VERSION = 0xA1
 KIND_TO_AGENT = 1
 KIND_TO_CALLER = 2
+_PASSED = 1
 
 _HEADER = struct.Struct("!BBBB8sQ4sH4sHI")
 HEADER_BYTES = _HEADER.size + defaults.PACKET_DIGEST_BYTES
@@ -36,6 +37,8 @@
     :param incarnation: low 32 bits of the incarnation of the addressed
         agent, or 0 for any.
     :param payload: the caller's bytes.
+    :param passed: an agent chose the addressed agent for a new flow, which
+        then does not look for the first member in order again.
     """
 
     kind: int
@@ -46,6 +49,7 @@
     balancer: tuple
     incarnation: int
     payload: bytes
+    passed: bool = False
 
     @property
     def key(self):
@@ -83,7 +87,7 @@
         VERSION,
         packet.kind,
         packet.hops,
-        0,
+        _PASSED if packet.passed else 0,
         packet.service_id,
         packet.flow_hash,
         socket.inet_aton(packet.caller[0]),
@@ -124,4 +128,5 @@
         balancer=(socket.inet_ntoa(fields[8]), fields[9]),
         incarnation=fields[10],
         payload=data[HEADER_BYTES:],
+        passed=bool(fields[3] & _PASSED),
     )
--- a/src/limpetlift/state/actions.py
+++ b/src/limpetlift/state/actions.py
@@ -33,11 +33,13 @@
 
     :param agent_id: id of the receiver.
     :param incarnation: incarnation that must own the flow, or 0 for any.
+    :param passed: value of the packet's ``passed`` flag.
     """
 
     agent_id: str
     incarnation: int
     packet: object
+    passed: bool = False
 
 
 @attrs.frozen
