--- a/src/limpetlift/state/flowview.py
+++ b/src/limpetlift/state/flowview.py
@@ -59,7 +59,10 @@
     def is_live(self, agent_id):
         """Whether the agent is known and neither dead nor gone."""
         member = self.members_by_id.get(agent_id)
-        return member is not None and member.state not in _GONE
+        if member is None:
+            # Its ``Prepare`` may come before its record.
+            return agent_id in self.prepared_by_id
+        return member.state not in _GONE
 
     def live_ids(self):
         """Return the ids of the other members that may be reached."""
--- a/src/limpetlift/state/ownership.py
+++ b/src/limpetlift/state/ownership.py
@@ -188,9 +188,11 @@
             return [actions.Drop("full")]
         if taker != self.id:
             return self._pass(now, key, taker, packet)
-        asked = self.view.asked(bucket, self.is_in_doubt(now, bucket))
+        in_doubt = self.is_in_doubt(now, bucket)
+        asked = self.view.asked(bucket, in_doubt)
         opening = self.openings.start(now, key, bucket, packet, asked)
-        return [] if asked else self.decide(now, opening)
+        # After a pause the news of other members may still be unread.
+        return [] if asked or in_doubt else self.decide(now, opening)
 
     def _taker(self, order, passed, is_last_hop):
         """Return the id of the member that takes a flow, or None."""
@@ -216,6 +218,8 @@
             return self.leave(now, opening, *hinted)
         if not self.transition.effective.takes_new:
             return self.pass_opening(now, opening)
+        if self._ask_more(now, opening):
+            return []
         self.openings.finish(opening)
         self.redirects.drop(opening.key)
         self.own.open(
@@ -229,6 +233,23 @@
             actions.Deliver(opening.key, packet) for packet in opening.packets
         ]
 
+    def _ask_more(self, now, opening):
+        """Ask members that became known; return whether there are any."""
+        if now >= opening.limit:
+            return False
+        in_doubt = self.is_in_doubt(now, opening.bucket)
+        asked = opening.asked
+        more = [
+            peer_id
+            for peer_id in self.view.asked(opening.bucket, in_doubt)
+            if peer_id not in asked
+        ]
+        for peer_id in more:
+            self.openings.ask(now, opening, peer_id)
+        if more:
+            self.openings.extend(now, opening)
+        return bool(more)
+
     def leave(self, now, opening, owner, incarnation):
         """Leave a flow to the owner that another member named."""
         self.openings.withdraw(now, opening)
--- a/src/limpetlift/testing/flowsim.py
+++ b/src/limpetlift/testing/flowsim.py
@@ -115,7 +115,6 @@
 
     def drain(self, agent_id):
         """Let an agent leave."""
-        self._leaving.add(agent_id)
         self._call(agent_id, "drain")
 
     def set_weight(self, agent_id, weight):
@@ -172,7 +171,10 @@
 
     def _learn(self, agent_id, record):
         agent = self.agents_by_id[agent_id]
-        if _merge(agent.view, record):
+        if agent.paused_until > self.now:
+            delay = agent.paused_until - self.now + self._delay()
+            self._at(delay, lambda: self._learn(agent_id, record))
+        elif _merge(agent.view, record):
             self._call(agent_id, "on_members", list(agent.view.values()))
 
     # Traffic.
@@ -251,6 +253,8 @@
                     delay, lambda: self._call(agent_id, method, *arguments)
                 )
             return
+        if method == "drain":
+            self._leaving.add(agent_id)
         for step in getattr(agent.table, method)(self.now, *arguments):
             self._perform(agent_id, step)
 
