--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -30,7 +30,10 @@
 PREPARED_S = 3.0
 FLOW_IDLE_S = 4 * 3600.0
 TARGET_CONNECTIONS = 2000
+# With 1 flow of slack the noise of small counts made policy "bounded" pass
+# on 6% of the flows and a join move 0.198 instead of 0.15 of them.
 SHARING_BOUND = 1.02
+SHARING_SLACK_FLOWS = 32
 SLOW_START_S = 10.0
 SLOW_START_WEIGHT = 0.1
 SLOW_START_STEPS = 10
--- a/src/limpetlift/state/flows.py
+++ b/src/limpetlift/state/flows.py
@@ -141,10 +141,8 @@
         """Take no new flow from now on; open flows stay until they end."""
         self._parts.transition.drain()
         self._parts.rebuild(now)
-        steps = []
-        for opening in self._parts.openings:
-            steps += self._parts.pass_opening(now, opening)
-        return self._flush(now, steps + self._advance(now))
+        # Flows that wait for answers are passed on when these arrive.
+        return self._flush(now, self._advance(now))
 
     def on_message(self, now, sender_id, message):
         """Decide on a control message of another agent.
--- a/src/limpetlift/state/openings.py
+++ b/src/limpetlift/state/openings.py
@@ -99,7 +99,10 @@
         """Forget an opening and let the asked members forget it."""
         self._openings_by_key.pop(opening.key, None)
         for peer_id in sorted(opening.asked):
-            self.mail.add(now, peer_id, opening.key, handover.RELEASE)
+            # The packets of the flow must not come back from the peer.
+            self.mail.add(
+                now, peer_id, opening.key, handover.RELEASE, urgent=True
+            )
 
     def finish(self, opening):
         """Forget an opening whose flow is accepted."""
--- a/src/limpetlift/state/ownership.py
+++ b/src/limpetlift/state/ownership.py
@@ -134,15 +134,14 @@
             if self.redirects.is_ended(entry):
                 self.redirects.drop(key)
                 entry = None
-        if entry is None:
-            if must_own:
-                return [actions.Drop("not_owner")] + self.deny(key)
-            return self.place(now, key, packet)
-        return self._follow(key, entry, packet) + (
-            self.deny(key) if must_own else []
-        )
+        denial = self._deny(key) if must_own else []
+        if entry is not None:
+            return denial + self._follow(key, entry, packet)
+        if must_own and packet.incarnation != self.incarnation & 0xFFFFFFFF:
+            return denial + [actions.Drop("other_incarnation")]
+        return denial + self._place(now, key, packet)
 
-    def deny(self, key):
+    def _deny(self, key):
         """Tell the holders of entries that this agent isn't the owner."""
         return self.broadcast(
             messages.structs.NotOwner(
@@ -171,7 +170,7 @@
         )
         return [actions.Reset(packet)] + self.broadcast(message)
 
-    def place(self, now, key, packet):
+    def _place(self, now, key, packet):
         """Find the member that takes a new flow."""
         bucket = placement.bucket_of(packet.flow_hash)
         order = self.view.order(bucket)
@@ -235,8 +234,6 @@
 
     def _ask_more(self, now, opening):
         """Ask members that became known; return whether there are any."""
-        if now >= opening.limit:
-            return False
         in_doubt = self.is_in_doubt(now, opening.bucket)
         asked = opening.asked
         more = [
--- a/src/limpetlift/state/sharing.py
+++ b/src/limpetlift/state/sharing.py
@@ -78,7 +78,9 @@
     When a member is over the bound because of old reports, every member may
     seem to be; then the one with the lowest count takes the flow.
     """
-    bound = defaults.SHARING_BOUND * loads.mean() + 1
+    bound = (
+        defaults.SHARING_BOUND * loads.mean() + defaults.SHARING_SLACK_FLOWS
+    )
     able = list(filter(loads.has_room, order))
     for agent_id in able:
         if loads.relative(agent_id) <= bound:
