--- a/src/limpetlift/state/handover.py
+++ b/src/limpetlift/state/handover.py
@@ -141,13 +141,21 @@
         )
 
     def on_ack(self, batch_id):
-        """Return the acknowledged ``(key, entry)`` pairs."""
+        """Return the acknowledged ``(key, entry)`` pairs.
+
+        An answer is left out when a newer entry for the key is queued: it
+        would be taken for the answer to that one.
+        """
         batch = self._in_flight
         if batch is None or batch.batch_id != batch_id:
             return []
         self._in_flight = None
         self.acked += len(batch.entries_by_key)
-        return list(batch.entries_by_key.items())
+        return [
+            (key, entry)
+            for key, entry in batch.entries_by_key.items()
+            if key not in self._entries_by_key
+        ]
 
 
 @attrs.define
--- a/src/limpetlift/testing/flowsim.py
+++ b/src/limpetlift/testing/flowsim.py
@@ -136,6 +136,14 @@
             )
             self._at(seconds, lambda: self.refute(agent_id))
 
+    @property
+    def any_paused(self):
+        """Whether an agent is paused now."""
+        return any(
+            agent.paused_until > self.now
+            for agent in self.agents_by_id.values()
+        )
+
     def suspect(self, agent_id, seconds=1.0):
         """Suspect a working agent, which refutes after a time."""
         self._mark(agent_id, members.SUSPECT)
