Add admission, retries and choice of agent with a load model

First version of the decision classes and of the virtual-time model that measures them. Lint no longer fails when a source folder does not exist yet.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 export PYTHONPATH = src
+# A folder that does not exist yet would fail black.
+SOURCES = $(wildcard src tests features tools)
 
 .PHONY: venv check format lint test demo binary bench clean
 
@@ -11,11 +13,11 @@
 	  cp requirements-dev.txt $(VENV)/installed.txt; }
 
 format: venv
-	$(PYTHON) -m black --quiet src tests features tools
+	$(PYTHON) -m black --quiet $(SOURCES)
 
 lint: venv
-	$(PYTHON) -m black --quiet --check src tests features tools
-	$(PYTHON) -m flake8 src tests features tools
+	$(PYTHON) -m black --quiet --check $(SOURCES)
+	$(PYTHON) -m flake8 $(SOURCES)
 
 test: venv
 	$(PYTHON) tools/runtests.py
--- a/src/limpetlift/protocol/refusal.py
+++ b/src/limpetlift/protocol/refusal.py
@@ -41,6 +41,7 @@
 _refusal(
     "deadline_unreachable", NOT_RUN, 503, "The deadline cannot be met.", True
 )
+_refusal("peer_free", NOT_RUN, 503, "Another agent has a free slot.", True)
 _refusal("deadline_passed", NOT_RUN, 504, "The deadline passed in the queue.")
 _refusal("retry_budget", NOT_RUN, 503, "The retry budget is used up.")
 _refusal("claim_conflict", NOT_RUN, 409, "The key is being claimed.", True)
--- a/src/limpetlift/state/actions.py
+++ b/src/limpetlift/state/actions.py
@@ -74,3 +74,27 @@
     """
 
     member: object
+
+
+@attrs.frozen
+class Admit:
+    """Run a request now; it holds a slot until it finishes.
+
+    :param request_id: id of the request.
+    """
+
+    request_id: str
+
+
+@attrs.frozen
+class Refused:
+    """Answer a request that was never admitted with a refusal.
+
+    :param request_id: id of the request.
+    :param code: a key of ``refusal.refusals_by_code`` that says ``not_run``.
+    :param retry_at: address of an agent that may have room, or empty.
+    """
+
+    request_id: str
+    code: str
+    retry_at: str = ""
--- /dev/null
+++ b/src/limpetlift/testing/loadmodel.py
@@ -0,0 +1,358 @@
+"""Requests through the real decision classes on virtual time.
+
+The model has arrivals, balancers, agents with slots, service times and a
+one-way latency between them. Admission, retries and choice of agent are the
+classes that the processes use; nothing else of the system is modelled.
+"""
+
+import heapq
+import itertools
+import random
+
+import attrs
+
+from limpetlift.coordination import member
+from limpetlift import defaults
+from limpetlift.protocol import refusal
+from limpetlift.state import actions
+from limpetlift.state import admission
+from limpetlift.state import balancing
+from limpetlift.state import retries
+
+
+@attrs.frozen
+class Deployment:
+    """Size and policies of one run.
+
+    :param latency: one-way seconds between a balancer and an agent.
+    :param notice: seconds after which an agent sees the loads of its peers.
+    """
+
+    agents: int
+    slots: int
+    balancers: int = 2
+    latency: float = 0.0005
+    notice: float = defaults.PEER_LOAD_S
+    policy: str = "deadline"
+    choice: str = "least"
+    retries: bool = True
+
+
+@attrs.define(eq=False)
+class Request:
+    """One request and what became of it.
+
+    :param at: arrival at the balancer.
+    :param seconds: run time.
+    :param long: whether it is a straggler.
+    :param answered_at: time of the whole answer at the balancer, or None.
+    :param code: the final refusal, or empty.
+    :param starts: how often it began to run.
+    """
+
+    request_id: str
+    at: float
+    deadline: float
+    seconds: float
+    long: bool = False
+    work_class: str = ""
+    route: str = "POST /orders"
+    key: str = ""
+    answered_at: float | None = None
+    code: str = ""
+    starts: int = 0
+    attempt: object = None
+
+    @property
+    def in_time(self):
+        """Whether the answer came before the deadline."""
+        return (
+            self.answered_at is not None and self.answered_at <= self.deadline
+        )
+
+    @property
+    def latency(self):
+        """Seconds from arrival to answer."""
+        return self.answered_at - self.at
+
+
+@attrs.define
+class _Agent:
+    queue: admission.AdmissionQueue
+    member: member.Member
+    failed: bool = False
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    attempt_id: str
+    request: Request
+    balancer: object
+    agent: _Agent
+    tried: tuple
+    sent_at: float
+    movable: bool = False
+    settled: bool = False
+    started_at: float | None = None
+
+
+@attrs.define
+class _Balancer:
+    chooser: balancing.Chooser
+    budget: retries.RetryBudget
+    backoff: retries.Backoff
+
+
+def arrivals(rng, rate_at, until, make):
+    """Return requests of a Poisson process with a varying rate.
+
+    :param rate_at: function of the time that returns requests a second.
+    :param make: function of (rng, number, time) that returns a request.
+    """
+    requests = []
+    now = 0.0
+    while True:
+        now += rng.expovariate(rate_at(now))
+        if now >= until:
+            return requests
+        requests.append(make(rng, len(requests), now))
+
+
+@attrs.define
+class Model:
+    """One run; ``requests`` hold the results.
+
+    :param requests: what arrives.
+    :param fail_at: time at which the agents in ``fail`` begin to fail.
+    :param fail: ids of agents that refuse connections.
+    """
+
+    deployment: Deployment
+    seed: int
+    requests: list
+    fail_at: float = float("inf")
+    fail: tuple = ()
+    attempts: int = 0
+    trace: list = attrs.field(factory=list)
+    _agents_by_id: dict = attrs.field(factory=dict, init=False)
+    _balancers: list = attrs.field(factory=list, init=False)
+    _events: list = attrs.field(factory=list, init=False)
+    _numbers: object = attrs.field(factory=itertools.count, init=False)
+    _attempts_by_id: dict = attrs.field(factory=dict, init=False)
+
+    def __attrs_post_init__(self):
+        rng = random.Random(self.seed)
+        size = self.deployment
+        for number in range(size.agents):
+            record = member.Member(
+                agent_id="agent-%d" % number,
+                kind=member.AGENT,
+                address="127.0.0.1:%d" % (7000 + number),
+                incarnation=1,
+                state=member.ACTIVE,
+            )
+            queue = admission.AdmissionQueue(
+                size.slots, random.Random(rng.random()), size.policy
+            )
+            self._agents_by_id[record.agent_id] = _Agent(queue, record)
+        for _ in range(size.balancers):
+            self._balancers.append(
+                _Balancer(
+                    balancing.Chooser(
+                        random.Random(rng.random()), size.choice
+                    ),
+                    retries.RetryBudget(),
+                    retries.Backoff(random.Random(rng.random())),
+                )
+            )
+
+    def run(self):
+        """Run until every request has ended; return the requests."""
+        balancers = itertools.cycle(self._balancers)
+        for request in self.requests:
+            self._at(request.at, self._arrive, request, next(balancers))
+        end = max(request.deadline for request in self.requests) + 1.0
+        for agent in self._agents_by_id.values():
+            self._at(defaults.TICK_S, self._tick, agent, end)
+        self._at(self.deployment.notice, self._exchange, end)
+        while self._events:
+            now, _, function, arguments = heapq.heappop(self._events)
+            function(now, *arguments)
+        return self.requests
+
+    def queued(self):
+        """Return how many requests wait at all agents."""
+        return sum(a.queue.queued for a in self._agents_by_id.values())
+
+    def _at(self, when, function, *arguments):
+        heapq.heappush(
+            self._events, (when, next(self._numbers), function, arguments)
+        )
+
+    def _tick(self, now, agent, end):
+        self._apply(now, agent.queue.tick(now))
+        if now < end:
+            self._at(now + defaults.TICK_S, self._tick, agent, end)
+
+    def _exchange(self, now, end):
+        loads = [
+            agent.queue.load(now, agent.member.agent_id, agent.member.address)
+            for agent in self._agents_by_id.values()
+        ]
+        self.trace.append((now, loads))
+        for agent in self._agents_by_id.values():
+            others = [
+                load
+                for load in loads
+                if load.agent_id != agent.member.agent_id
+            ]
+            # The loads arrive one latency after they were read.
+            self._at(
+                now + self.deployment.latency, agent.queue.on_peers, others
+            )
+        if now < end:
+            self._at(now + self.deployment.notice, self._exchange, end)
+
+    def _arrive(self, now, request, balancer):
+        balancer.budget.on_request(now)
+        self._at(request.deadline, self._give_up, request)
+        self._send(now, request, balancer, (), "")
+
+    def _give_up(self, now, request):
+        """Cancel a request whose caller no longer waits."""
+        if request.answered_at is None and not request.code:
+            request.code = "timeout"
+            attempt = request.attempt
+            if not attempt.settled:
+                self._settle(now, attempt, balancing.CANCELLED)
+                self._later(now, self._cancel, attempt)
+
+    def _cancel(self, now, attempt):
+        # A backend server does not notice that the caller has gone, so
+        # running work keeps its slot.
+        if attempt.started_at is None:
+            queue = attempt.agent.queue
+            self._apply(now, queue.on_cancel(now, attempt.attempt_id))
+
+    def _send(self, now, request, balancer, tried, hint):
+        if request.code:
+            return
+        members = [agent.member for agent in self._agents_by_id.values()]
+        chosen = balancer.chooser.pick(now, members, request.key, tried, hint)
+        chosen = chosen or balancer.chooser.pick(now, members, request.key)
+        self.attempts += 1
+        attempt = _Attempt(
+            "%s/%d" % (request.request_id, len(tried)),
+            request,
+            balancer,
+            self._agents_by_id[chosen.agent_id],
+            tried + (chosen.agent_id,),
+            now,
+        )
+        attempt.movable = (
+            self.deployment.retries
+            and len(attempt.tried) < defaults.RETRY_ATTEMPTS
+            and balancer.budget.may_retry(now)
+        )
+        request.attempt = attempt
+        self._attempts_by_id[attempt.attempt_id] = attempt
+        balancer.chooser.on_sent(now, chosen.agent_id)
+        self._later(now, self._receive, attempt)
+
+    def _receive(self, now, attempt):
+        if now >= self.fail_at and attempt.agent.member.agent_id in self.fail:
+            self._later(now, self._refused, attempt, "connect_failed", "")
+            return
+        request = attempt.request
+        self._apply(
+            now,
+            attempt.agent.queue.on_request(
+                now,
+                attempt.attempt_id,
+                request.deadline - self.deployment.latency,
+                request.work_class,
+                0,
+                request.route,
+                attempt.movable,
+            ),
+        )
+
+    def _apply(self, now, results):
+        for action in results:
+            attempt = self._attempts_by_id[action.request_id]
+            if isinstance(action, actions.Admit):
+                attempt.started_at = now
+                attempt.request.starts += 1
+                self._later(now, self._admitted, attempt)
+                end = now + attempt.request.seconds
+                self._at(end, self._finish, attempt)
+            else:
+                self._later(
+                    now, self._refused, attempt, action.code, action.retry_at
+                )
+
+    def _finish(self, now, attempt):
+        self._apply(
+            now,
+            attempt.agent.queue.on_finished(
+                now, attempt.attempt_id, attempt.request.seconds
+            ),
+        )
+        self._later(now, self._answered, attempt)
+
+    def _admitted(self, now, attempt):
+        if attempt.movable:
+            attempt.movable = False
+            attempt.balancer.budget.give_back(now)
+
+    def _answered(self, now, attempt):
+        if not attempt.settled:
+            attempt.request.answered_at = now
+            self._settle(now, attempt, balancing.OK)
+
+    def _refused(self, now, attempt, code, retry_at):
+        if attempt.settled:
+            return
+        request = attempt.request
+        failed = code == "connect_failed"
+        movable, attempt.movable = attempt.movable, False
+        self._settle(
+            now, attempt, balancing.FAILED if failed else balancing.REFUSED
+        )
+        budget = attempt.balancer.budget
+        again = (
+            self.deployment.retries
+            and refusal.refusals_by_code[code].retryable
+            and len(attempt.tried) < defaults.RETRY_ATTEMPTS
+            and (movable or budget.may_retry(now))
+        )
+        if not again:
+            request.code = code
+            return
+        hint = ""
+        when = attempt.balancer.backoff.next_at(now, len(attempt.tried))
+        if retry_at:
+            hint = "agent-%d" % (int(retry_at.rpartition(":")[2]) - 7000)
+            when = now
+        self._at(
+            when, self._send, request, attempt.balancer, attempt.tried, hint
+        )
+
+    def _settle(self, now, attempt, outcome):
+        attempt.settled = True
+        self._admitted(now, attempt)
+        attempt.balancer.chooser.on_outcome(
+            now,
+            attempt.agent.member.agent_id,
+            outcome,
+            now - attempt.sent_at,
+        )
+
+    def _later(self, now, function, *arguments):
+        self._at(now + self.deployment.latency, function, *arguments)
+
+
+def percentile(values, share):
+    """Return the value below which ``share`` of ``values`` lie."""
+    ordered = sorted(values)
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
