Choose by waits seen, estimate the time left to running work

Short work waited behind other short work while a slot was free elsewhere. The wait estimate now uses the mean time left to the running requests given how long they ran, and a request moves to a peer when it would wait half of its run time. A balancer counts waits that it saw at an agent, and spreads requests with a key like the others, in placement order among equals.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -46,6 +46,8 @@
 HISTORY_ROUTES = 256
 HISTORY_MIN_RUNS = 3
 FAIR_SHARE_S = 10.0
+# A request moves to a peer when it would wait this share of its run time.
+MOVE_FACTOR = 0.5
 PEER_LOAD_S = 0.25
 PEER_LOAD_AGE_S = 2.0
 PEER_LOAD_FANOUT = 8
@@ -56,6 +58,8 @@
 AVOID_FAILED_S = 0.5
 AVOID_FAILED_MAX_S = 10.0
 LATENCY_MEMORY_S = 10.0
+# How long a wait seen at an agent counts, in ordinary run times.
+WAIT_MEMORY_RUNS = 5.0
 SLOW_FACTOR = 2.0
 
 # Membership.
--- a/src/limpetlift/state/admission.py
+++ b/src/limpetlift/state/admission.py
@@ -259,7 +259,9 @@
 
     def _should_move(self, now, entry, wait):
         """Whether a peer is likely to start the request much earlier."""
-        if not self._rules.early or wait < entry.seconds or wait == 0.0:
+        if not self._rules.early or wait == 0.0:
+            return False
+        if wait < defaults.MOVE_FACTOR * entry.seconds:
             return False
         peer = self._best_peer(now, entry)
         return peer is not None and self._peer_wait(peer, entry) < wait / 2
@@ -301,9 +303,7 @@
 
     def _charge(self, now, long, seconds):
         """Add run time to a class; old run time fades away."""
-        fade = math.exp(
-            min(self._used_at - now, 0.0) / defaults.FAIR_SHARE_S
-        )
+        fade = math.exp(min(self._used_at - now, 0.0) / defaults.FAIR_SHARE_S)
         self._used_at = now
         self._used_short *= fade
         self._used_long *= fade
@@ -321,9 +321,7 @@
         return max(self.slots - 1, 1)
 
     def _long_running(self):
-        return sum(
-            entry.holds_long for entry in self._running_by_id.values()
-        )
+        return sum(entry.holds_long for entry in self._running_by_id.values())
 
     def _wait(self, now, deadline, long):
         """Estimate the seconds until a request of this class starts."""
@@ -336,7 +334,16 @@
         ahead = waiting.seconds_before(now, deadline)
         if long or servers < 1:
             return self._next_end(now) + ahead / max(servers, 1)
-        return (ahead + self._history.estimate(None, False)) / servers
+        return (ahead + self._short_residual(now) / servers) / servers
+
+    def _short_residual(self, now):
+        """Return the run time left to running short work."""
+        history = self._history
+        return sum(
+            history.short.residual(now - entry.started_at, history.long_after)
+            for entry in self._running_by_id.values()
+            if not entry.holds_long
+        )
 
     def _next_end(self, now):
         """Estimate the seconds until the next slot of long work is free."""
--- a/src/limpetlift/state/balancing.py
+++ b/src/limpetlift/state/balancing.py
@@ -34,6 +34,8 @@
     :param log_latency: mean of the logarithm of recent run times; a few
         stragglers hardly move it.
     :param answered_at: time of the last answer.
+    :param wait: seconds that recent requests waited for a slot.
+    :param waited_at: time of the last admission.
     """
 
     in_flight: int = 0
@@ -42,6 +44,8 @@
     avoid_until: float = -math.inf
     log_latency: float | None = None
     answered_at: float = -math.inf
+    wait: float = 0.0
+    waited_at: float = -math.inf
 
 
 @registry.register(choices_by_name, "random")
@@ -84,6 +88,7 @@
     _placement: placement.Placement | None = attrs.field(
         default=None, init=False, repr=False
     )
+    _fastest: float = attrs.field(default=math.inf, init=False)
 
     def __attrs_post_init__(self):
         self._choose = registry.lookup(
@@ -113,6 +118,14 @@
         """Note that a request was sent."""
         self._seen(agent_id).in_flight += 1
 
+    def on_admitted(self, now, agent_id, seconds):
+        """Note that a request got its slot ``seconds`` after it was sent."""
+        seen = self._seen(agent_id)
+        self._fastest = min(self._fastest, seconds)
+        waited = seconds - self._fastest
+        seen.wait = (self._faded_wait(now, seen) + waited) / 2
+        seen.waited_at = now
+
     def on_outcome(self, now, agent_id, outcome, seconds):
         """Note how a request that was sent ended.
 
@@ -152,7 +165,9 @@
     def cost(self, now, member):
         """Return a sort key; the member with the lowest one is best."""
         seen = self._seen(member.agent_id)
-        load = (seen.in_flight + 1) / member.weight
+        # A wait seen a moment ago counts like up to one more request.
+        waits = min(self._faded_wait(now, seen) / self._typical(), 1.0)
+        load = (seen.in_flight + 1 + waits) / member.weight
         return (
             self._is_avoided(now, member),
             seen.failures > 0,
@@ -181,32 +196,37 @@
         seen.log_latency += (value - seen.log_latency) / 16
         seen.answered_at = now
 
+    def _typical(self):
+        """Return the run time of an ordinary request, in seconds."""
+        known = sorted(
+            seen.log_latency
+            for seen in self._seen_by_id.values()
+            if seen.log_latency is not None
+        )
+        return math.exp(known[len(known) // 2]) if known else 1.0
+
+    def _faded_wait(self, now, seen):
+        memory = defaults.WAIT_MEMORY_RUNS * self._typical()
+        return seen.wait * math.exp((seen.waited_at - now) / memory)
+
     def _slowness(self, now, seen):
         """Return how many times slower than the others an agent is."""
         if now - seen.answered_at > defaults.LATENCY_MEMORY_S:
             return 1.0
-        known = sorted(
-            other.log_latency
-            for other in self._seen_by_id.values()
-            if other.log_latency is not None
-        )
-        factor = math.exp(seen.log_latency - known[len(known) // 2])
+        factor = math.exp(seen.log_latency) / self._typical()
         return factor if factor > defaults.SLOW_FACTOR else 1.0
 
     def _pick_keyed(self, now, members, left, key):
-        """Return the first usable member in the placement order of a key."""
-        by_id = {member.agent_id: member for member in left}
-        ordered = [
-            by_id[target.agent_id]
-            for target in self._order(members, key)
-            if target.agent_id in by_id
-        ]
+        """Return the best member, by placement order among equals."""
+        ids = {member.agent_id for member in left}
+        by_id = {member.agent_id: member for member in members}
         return min(
-            ordered,
-            key=lambda member: (
-                self._is_avoided(now, member),
-                self._seen(member.agent_id).failures > 0,
+            (
+                by_id[target.agent_id]
+                for target in self._order(members, key)
+                if target.agent_id in ids
             ),
+            key=lambda member: self.cost(now, member),
         )
 
     def _order(self, members, key):
--- a/src/limpetlift/state/history.py
+++ b/src/limpetlift/state/history.py
@@ -52,6 +52,17 @@
         count = bisect.bisect_right(self._sorted, limit)
         return sum(self._sorted[:count]) / count if count else 0.0
 
+    def residual(self, elapsed, limit):
+        """Return the mean time left to runs that lasted ``elapsed`` already.
+
+        :param limit: longer runs are left out.
+        """
+        first = bisect.bisect_right(self._sorted, elapsed)
+        last = bisect.bisect_right(self._sorted, limit)
+        if first >= last:
+            return 0.0
+        return sum(self._sorted[first:last]) / (last - first) - elapsed
+
     @property
     def median(self):
         """The median, or 0 without runs."""
--- a/src/limpetlift/testing/loadmodel.py
+++ b/src/limpetlift/testing/loadmodel.py
@@ -301,6 +301,10 @@
         self._later(now, self._answered, attempt)
 
     def _admitted(self, now, attempt):
+        if not attempt.settled:
+            attempt.balancer.chooser.on_admitted(
+                now, attempt.agent.member.agent_id, now - attempt.sent_at
+            )
         if attempt.movable:
             attempt.movable = False
             attempt.balancer.budget.give_back(now)
