Widen the estimates of wait and run time in early refusal

With plain means, requests admitted at the edge of their deadline ended late and their slot time was lost.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -46,6 +46,12 @@
 HISTORY_ROUTES = 256
 HISTORY_MIN_RUNS = 3
 FAIR_SHARE_S = 10.0
+# Estimates are means, and a request that is likely to end late takes the slot
+# of one that would end in time. These factors widen the estimates of the wait
+# and the run time on arrival, and of the run time before the start.
+WAIT_MARGIN = 1.5
+RUN_MARGIN = 2.0
+START_MARGIN = 1.5
 # A request moves to a peer when it would wait this share of its run time.
 MOVE_FACTOR = 0.5
 PEER_LOAD_S = 0.25
--- a/src/limpetlift/state/admission.py
+++ b/src/limpetlift/state/admission.py
@@ -253,7 +253,8 @@
             return "", wait
         if self.queued >= self.limit:
             return "queue_full", wait
-        if self._rules.early and now + wait + entry.seconds > entry.deadline:
+        latest = entry.deadline - defaults.RUN_MARGIN * entry.seconds
+        if self._rules.early and now + defaults.WAIT_MARGIN * wait > latest:
             return "deadline_unreachable", wait
         return "", wait
 
@@ -297,7 +298,8 @@
             return "deadline_passed"
         # Without others waiting, a small chance is better than an idle slot.
         if self._rules.early and self._backlog_of(entry):
-            if now + entry.seconds > entry.deadline:
+            margin = defaults.START_MARGIN * entry.seconds
+            if now + margin > entry.deadline:
                 return "deadline_unreachable"
         return ""
 
