Move waiting requests away from slots found to hold long work

A request that waited behind a straggler stayed there although a peer had a free slot. When running work is recognised as long, waiting requests whose sender can still move them are refused with the address of a free peer.

--- a/src/limpetlift/state/admission.py
+++ b/src/limpetlift/state/admission.py
@@ -162,6 +162,7 @@
             code = "peer_free"
         if code:
             return due + [self._refuse(now, entry, code, wait)]
+        entry.movable = movable
         self._backlog_of(entry).push(now, entry)
         return due + self._start(now)
 
@@ -210,12 +211,29 @@
                     actions.Refused(entry.request_id, "deadline_passed")
                 )
                 entry = waiting.pop_expired(now)
-        if self._rules.separates:
-            for entry in self._running_by_id.values():
-                if now - entry.started_at > self._history.long_after:
-                    entry.overdue = True
+        if self._rules.separates and self._recognise(now):
+            refused += self._move_waiting(now)
         return refused
 
+    def _recognise(self, now):
+        """Mark running long work; return whether there is more of it."""
+        found = False
+        for entry in self._running_by_id.values():
+            ran = now - entry.started_at
+            if not entry.holds_long and ran > self._history.long_after:
+                entry.overdue = found = True
+        return found
+
+    def _move_waiting(self, now):
+        """Send waiting requests away from slots that long work holds."""
+        moved = []
+        for entry in self._short.movable():
+            wait = self._wait(now, entry.deadline, long=False)
+            if self._should_move(now, entry, wait):
+                self._short.remove(entry.request_id)
+                moved.append(self._refuse(now, entry, "peer_free", wait))
+        return moved
+
     def _knows(self, request_id):
         return (
             request_id in self._running_by_id
@@ -248,9 +266,9 @@
             return "draining", math.inf
         if entry.deadline <= now:
             return "deadline_passed", 0.0
+        if self._has_room(entry.long):
+            return "", 0.0
         wait = self._wait(now, entry.deadline, entry.long)
-        if wait == 0.0:
-            return "", wait
         if self.queued >= self.limit:
             return "queue_full", wait
         latest = entry.deadline - defaults.RUN_MARGIN * entry.seconds
@@ -325,14 +343,19 @@
     def _long_running(self):
         return sum(entry.holds_long for entry in self._running_by_id.values())
 
+    def _has_room(self, long):
+        """Whether a request of this class would start at once."""
+        if self.busy >= self.slots or (self._long if long else self._short):
+            return False
+        return not long or self._long_running() < self._long_slots()
+
     def _wait(self, now, deadline, long):
         """Estimate the seconds until a request of this class starts."""
+        if self._has_room(long):
+            return 0.0
         waiting = self._long if long else self._short
         held = self._long_running()
         servers = self._long_slots() if long else self.slots - held
-        full = self.busy >= self.slots or (long and held >= servers)
-        if not full and not waiting:
-            return 0.0
         ahead = waiting.seconds_before(now, deadline)
         if long or servers < 1:
             return self._next_end(now) + ahead / max(servers, 1)
--- a/src/limpetlift/state/backlog.py
+++ b/src/limpetlift/state/backlog.py
@@ -17,6 +17,7 @@
     :param route: key of the run time history.
     :param started_at: start time, or None while it waits.
     :param overdue: whether it was recognised as long work while running.
+    :param movable: whether its sender can send it to another agent.
     """
 
     request_id: str
@@ -27,6 +28,7 @@
     route: tuple
     started_at: float | None = None
     overdue: bool = False
+    movable: bool = False
     sequence: int = 0
     quantum: int = 0
 
@@ -80,6 +82,7 @@
     """
 
     _entries_by_id: dict = attrs.field(factory=dict)
+    _movable_by_id: dict = attrs.field(factory=dict)
     _by_rank: list = attrs.field(factory=list)
     _by_deadline: list = attrs.field(factory=list)
     _sums: _Sums = attrs.field(factory=_Sums)
@@ -100,6 +103,8 @@
         entry.sequence = self._sequence
         entry.quantum = _clamped_quantum(now, entry.deadline)
         self._entries_by_id[entry.request_id] = entry
+        if entry.movable:
+            self._movable_by_id[entry.request_id] = entry
         heapq.heappush(self._by_rank, (entry.rank, entry.sequence, entry))
         heapq.heappush(
             self._by_deadline, (entry.deadline, entry.sequence, entry)
@@ -110,6 +115,7 @@
         """Return the entry after removing it, or None."""
         entry = self._entries_by_id.pop(request_id, None)
         if entry is not None:
+            self._movable_by_id.pop(request_id, None)
             self._sums.add(entry.quantum, -entry.seconds)
             self._by_rank = self._compact(self._by_rank)
             self._by_deadline = self._compact(self._by_deadline)
@@ -127,6 +133,10 @@
             return None
         return self.remove(entry.request_id)
 
+    def movable(self):
+        """Return the entries that can be sent to another agent."""
+        return list(self._movable_by_id.values())
+
     def seconds_before(self, now, deadline):
         """Return the run time of all entries due until ``deadline``."""
         return self._sums.between(
