Add the whole path as separate processes, and the demo

Cause: packets and requests have to be served end to end before anything can be proved under change. Change: node socket, flow path, request path, gateway, administration API, process life cycle, minimal membership by heartbeats, stand-ins for backend server and fabric, and a demo that replaces a balancer and drains an agent. Ruled out: the replaced balancer breaks no flow, since the three balancers compute the same table.

--- a/src/limpetlift/exceptions.py
+++ b/src/limpetlift/exceptions.py
@@ -62,6 +62,12 @@
     code = "replayed"
 
 
+class PeerClosed(ProtocolError):
+    """The connection to another process ended."""
+
+    code = "peer_closed"
+
+
 class Refused(ProtocolError):
     """A request was refused.
 
--- a/src/limpetlift/metrics.py
+++ b/src/limpetlift/metrics.py
@@ -2,6 +2,9 @@
 
 import prometheus_client
 
+# The time of creation of each series is of no use here.
+prometheus_client.disable_created_metrics()
+
 REGISTRY = prometheus_client.CollectorRegistry()
 
 
--- /dev/null
+++ b/src/limpetlift/tasks/flowpath.py
@@ -0,0 +1,270 @@
+"""Tasks that carry the packets of flows."""
+
+import time
+
+import attrs
+
+from limpetlift.coordination import placement
+from limpetlift import defaults
+from limpetlift import exceptions
+from limpetlift import logs
+from limpetlift import metrics
+from limpetlift.protocol import packet as packets
+from limpetlift.state import actions
+from limpetlift.transport import udp
+
+LOG = logs.EventLogger("flowpath")
+
+
+@attrs.define
+class ServiceTable:
+    """Where a balancer sends the packets of one service.
+
+    :param service: a :class:`limpetlift.state.config.Service`.
+    :param members: the service's members that take new work.
+    """
+
+    service: object
+    members: list = attrs.field(factory=list)
+    _owner_by_bucket: bytes = b""
+    _endpoints: list = attrs.field(factory=list)
+
+    def set_members(self, members):
+        """Replace the members; the table is built at the next packet."""
+        self.members = [member for member in members if member.takes_new]
+        self._owner_by_bucket = b""
+
+    def endpoint(self, flow_hash):
+        """Return the ``(ip, port)`` of the natural owner, or None."""
+        if not self._owner_by_bucket:
+            if not self.members:
+                return None
+            self._build()
+        bucket = flow_hash % defaults.BUCKETS
+        return self._endpoints[self._owner_by_bucket[bucket]]
+
+    def _build(self):
+        targets = [
+            placement.Target(member.agent_id, member.weight)
+            for member in self.members
+        ]
+        self._owner_by_bucket = placement.build_table(targets)
+        self._endpoints = [member.endpoint for member in self.members]
+
+
+class BalancerFlows:
+    """Owns the sockets at the services' addresses.
+
+    :param node: the :class:`limpetlift.tasks.control.Node`.
+    :param bind_ip: replaces the services' IP when not empty.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, node, bind_ip):
+        self._node = node
+        self._bind_ip = bind_ip
+        self._sockets_by_id = {}
+        self.tables_by_name = {}
+        node.on_packet(self._answer)
+
+    def set_services(self, services):
+        """Open and close sockets so that they match ``services``."""
+        wanted = {service.name: service for service in services}
+        for name in set(self.tables_by_name) - set(wanted):
+            self._close_service(name)
+        for name, service in wanted.items():
+            table = self.tables_by_name.get(name)
+            if table and table.service.address != service.address:
+                self._close_service(name)
+                table = None
+            if table is None:
+                self._open_service(service)
+            else:
+                table.service = service
+
+    def set_members(self, name, members):
+        """Replace the members of a service."""
+        table = self.tables_by_name.get(name)
+        if table is not None:
+            table.set_members(members)
+
+    def _open_service(self, service):
+        ip, port = service.endpoint
+        service_id = packets.service_id(service.name)
+        table = ServiceTable(service)
+
+        def receive(data, caller):
+            self._forward(table, service_id, data, caller)
+
+        try:
+            socket = udp.UdpSocket((self._bind_ip or ip, port), receive)
+        except exceptions.TransportError as error:
+            LOG.error("bind_failed", service=service.name, error=error)
+            return
+        self._sockets_by_id[service_id] = socket
+        self.tables_by_name[service.name] = table
+
+    def _close_service(self, name):
+        del self.tables_by_name[name]
+        self._sockets_by_id.pop(packets.service_id(name)).close()
+
+    def _forward(self, table, service_id, data, caller):
+        flow_hash = packets.flow_hash(packets.flow_key(service_id, caller))
+        endpoint = table.endpoint(flow_hash)
+        if endpoint is None:
+            metrics.PACKETS_DROPPED.labels("no_target").inc()
+            return
+        packet = packets.Packet(
+            kind=packets.KIND_TO_AGENT,
+            hops=0,
+            service_id=service_id,
+            flow_hash=flow_hash,
+            caller=caller,
+            balancer=self._node.address,
+            incarnation=0,
+            payload=data,
+        )
+        self._node.send_packet(
+            packets.encode(packet, self._node.keys[0]), endpoint
+        )
+        metrics.PACKETS.labels("to_agent").inc()
+
+    def _answer(self, packet, _address):
+        socket = self._sockets_by_id.get(packet.service_id)
+        if packet.kind != packets.KIND_TO_CALLER or socket is None:
+            metrics.PACKETS_DROPPED.labels("unexpected").inc()
+            return
+        socket.send(packet.payload, packet.caller)
+        metrics.PACKETS.labels("to_caller").inc()
+
+    def close(self):
+        """Close all sockets."""
+        for name in list(self.tables_by_name):
+            self._close_service(name)
+
+
+@attrs.define
+class _Session:
+    """What the agent holds for an open flow besides its ownership."""
+
+    socket: udp.UdpSocket
+    last_packet: packets.Packet
+
+
+class AgentFlows:
+    """Owns one socket towards the backend server for each open flow.
+
+    :param node: the :class:`limpetlift.tasks.control.Node`.
+    :param table: the :class:`limpetlift.state.flows.FlowTable`.
+    :param backend: ``(ip, port)`` of the backend server.
+    :param perform: carries out actions that this task does not know.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, node, table, backend, perform):
+        self._node = node
+        self._table = table
+        self._backend = backend
+        self._perform_other = perform
+        self._sessions_by_key = {}
+        self.endpoints_by_id = {}
+        node.on_packet(self._receive)
+
+    def perform(self, steps):
+        """Carry out the actions of the flow table."""
+        for step in steps:
+            if isinstance(step, actions.Deliver):
+                self._deliver(step.key, step.packet)
+            elif isinstance(step, actions.Forward):
+                self._forward(step)
+            elif isinstance(step, actions.Drop):
+                metrics.PACKETS_DROPPED.labels(step.reason).inc()
+            elif isinstance(step, actions.Close):
+                self._close_session(step)
+            else:
+                self._perform_other(step)
+
+    def tick(self):
+        """Run the timers of the flow table."""
+        self.perform(self._table.tick(time.monotonic()))
+        metrics.FLOWS.set(self._table.flow_count)
+
+    def _receive(self, packet, _address):
+        if packet.kind != packets.KIND_TO_AGENT:
+            metrics.PACKETS_DROPPED.labels("unexpected").inc()
+            return
+        self.perform(self._table.on_packet(time.monotonic(), packet))
+
+    def _deliver(self, key, packet):
+        session = self._sessions_by_key.get(key)
+        if session is None:
+            session = self._open_session(key, packet)
+            if session is None:
+                return
+        session.last_packet = packet
+        try:
+            session.socket.send_connected(packet.payload)
+        except exceptions.TransportError:
+            self._backend_closed(key)
+
+    def _open_session(self, key, packet):
+        def receive(data, _address):
+            self._answer(key, data)
+
+        try:
+            socket = udp.UdpSocket(
+                (self._backend[0], 0),
+                receive,
+                connect_to=self._backend,
+                on_error=lambda: self._backend_closed(key),
+            )
+        except exceptions.TransportError as error:
+            LOG.error("session_failed", error=error)
+            self._backend_closed(key)
+            return None
+        session = _Session(socket, packet)
+        self._sessions_by_key[key] = session
+        metrics.FLOWS_OPENED.inc()
+        return session
+
+    def _backend_closed(self, key):
+        self.perform(
+            self._table.on_closed(time.monotonic(), key, "backend_down")
+        )
+
+    def _answer(self, key, data):
+        packet = self._sessions_by_key[key].last_packet
+        answer = attrs.evolve(
+            packet, kind=packets.KIND_TO_CALLER, hops=0, payload=data
+        )
+        self._node.send_packet(
+            packets.encode(answer, self._node.keys[0]), packet.balancer
+        )
+
+    def _forward(self, step):
+        endpoint = self.endpoints_by_id.get(step.agent_id)
+        if endpoint is None:
+            metrics.PACKETS_DROPPED.labels("unknown_agent").inc()
+            return
+        packet = attrs.evolve(
+            step.packet,
+            hops=step.packet.hops + 1,
+            incarnation=step.incarnation & 0xFFFFFFFF,
+        )
+        self._node.send_packet(
+            packets.encode(packet, self._node.keys[0]), endpoint
+        )
+
+    def _close_session(self, step):
+        session = self._sessions_by_key.pop(step.key, None)
+        if session is not None:
+            session.socket.close()
+            metrics.FLOWS_ENDED.labels(step.reason).inc()
+
+    def close(self):
+        """Close all sockets."""
+        for session in self._sessions_by_key.values():
+            session.socket.close()
+        self._sessions_by_key.clear()
--- /dev/null
+++ b/src/limpetlift/tasks/gateway.py
@@ -0,0 +1,333 @@
+"""Balancer side of requests: HTTP/1.1 from callers, frames to agents."""
+
+import asyncio
+import time
+import uuid
+
+from tornado import httpserver
+from tornado import iostream
+from tornado import web
+
+from limpetlift.coordination import placement
+from limpetlift import defaults
+from limpetlift import exceptions
+from limpetlift import logs
+from limpetlift import metrics
+from limpetlift.protocol import exchange as exchanges
+from limpetlift.protocol import messages
+from limpetlift.protocol import packet as packets
+from limpetlift.protocol import refusal
+from limpetlift.tasks import backend
+from limpetlift.tasks import requestpath
+from limpetlift.transport import stream
+
+LOG = logs.EventLogger("gateway")
+
+_CONNECT_S = 1.0
+_MAX_ATTEMPTS = 3
+_MAX_ID_LENGTH = 64
+
+KEY_HEADER = "Idempotency-Key"
+ATTEMPT_HEADER = "Idempotency-Attempt"
+ID_HEADER = "X-Request-Id"
+TIMEOUT_HEADER = "X-Request-Timeout-Ms"
+CLASS_HEADER = "X-Work-Class"
+CODE_HEADER = "X-Refusal-Code"
+OUTCOME_HEADER = "X-Request-Outcome"
+
+
+class Gateway:
+    """Accepts requests at the services' addresses.
+
+    :param node: the :class:`limpetlift.tasks.control.Node`.
+    :param bind_ip: replaces the services' IP when not empty.
+    :param tables_by_name: the service tables of the flow path.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, node, bind_ip, tables_by_name):
+        self._node = node
+        self._bind_ip = bind_ip
+        self.tables_by_name = tables_by_name
+        self._servers_by_name = {}
+        self._idle_by_endpoint = {}
+        self.running_by_id = {}
+
+    def set_services(self, services):
+        """Open and close servers so that they match ``services``."""
+        wanted = {service.name: service for service in services}
+        for name in set(self._servers_by_name) - set(wanted):
+            self._servers_by_name.pop(name)[1].stop()
+        for name, service in wanted.items():
+            address, server = self._servers_by_name.get(name, ("", None))
+            if address == service.address:
+                continue
+            if server is not None:
+                server.stop()
+            self._servers_by_name[name] = (
+                service.address,
+                self._listen(service),
+            )
+
+    def _listen(self, service):
+        application = web.Application(
+            [(r".*", RequestHandler, {"gateway": self, "name": service.name})],
+            log_function=lambda handler: None,
+        )
+        server = httpserver.HTTPServer(
+            application,
+            max_body_size=defaults.MAX_REQUEST_BYTES,
+            chunk_size=defaults.BODY_CHUNK_BYTES,
+        )
+        ip, port = service.endpoint
+        server.listen(port, self._bind_ip or ip)
+        return server
+
+    async def open_exchange(self, start, deadline):
+        """Send ``start`` to an agent that admits it.
+
+        :param start: a thrift ``RequestStart`` without its timeout.
+        :returns: the :class:`Exchange` after ``Admit``.
+        :raises Refused: when no agent admits the request.
+        """
+        tried = set()
+        error = exceptions.Refused("no_target")
+        for _attempt in range(_MAX_ATTEMPTS):
+            member = self._choose(start, tried)
+            if member is None:
+                break
+            if tried:
+                metrics.RETRIES.labels(error.refusal).inc()
+            tried.add(member.agent_id)
+            try:
+                return await self._offer(start, member, deadline)
+            except exceptions.Refused as refused:
+                error = refused
+                if not refusal.refusals_by_code[refused.refusal].retryable:
+                    break
+        raise error
+
+    def _choose(self, start, tried):
+        table = self.tables_by_name.get(start.service_name)
+        if table is None:
+            raise exceptions.Refused("unknown_service")
+        members_by_id = {
+            member.agent_id: member
+            for member in table.members
+            if member.agent_id not in tried
+        }
+        targets = [
+            placement.Target(member.agent_id, member.weight)
+            for member in members_by_id.values()
+        ]
+        if not targets:
+            return None
+        seed = start.idempotency_key or start.request_id
+        bucket = placement.bucket_of(packets.flow_hash(seed.encode("utf-8")))
+        first = placement.Placement(targets).order(bucket)[0]
+        return members_by_id[first.agent_id]
+
+    async def _offer(self, start, member, deadline):
+        remaining = deadline - time.monotonic()
+        if remaining <= 0:
+            raise exceptions.Refused("deadline_passed")
+        try:
+            frames = await self._connect(member, min(remaining, _CONNECT_S))
+        except exceptions.TransportError as error:
+            raise exceptions.Refused("connect_failed", str(error)) from error
+        exchange = exchanges.Exchange(frames, start.request_id)
+        start.timeout_ms = int(remaining * 1000)
+        try:
+            await exchanges.write_frame(frames, self._node.seal_frame(start))
+            async with asyncio.timeout(remaining):
+                await exchange.receive("Admit")
+        except (exceptions.PeerClosed, TimeoutError) as error:
+            # The body was not sent, so nothing can have run.
+            frames.close()
+            raise exceptions.Refused("connect_failed") from error
+        except exceptions.Refused:
+            self.release(member, frames)
+            raise
+        exchange.member = member
+        return exchange
+
+    async def _connect(self, member, timeout_s):
+        idle = self._idle_by_endpoint.get(member.endpoint, [])
+        while idle:
+            frames = idle.pop()
+            if not frames.closed:
+                return frames
+        return await stream.connect(*member.endpoint, timeout_s)
+
+    def release(self, member, frames):
+        """Keep a connection whose exchange is complete for the next one."""
+        if not frames.closed:
+            self._idle_by_endpoint.setdefault(member.endpoint, []).append(
+                frames
+            )
+
+    def stop_listening(self):
+        """Accept no further connections."""
+        for _address, server in self._servers_by_name.values():
+            server.stop()
+
+    def close(self):
+        """Close the servers and the idle connections."""
+        self.stop_listening()
+        for idle in self._idle_by_endpoint.values():
+            for frames in idle:
+                frames.close()
+
+
+@web.stream_request_body
+class RequestHandler(web.RequestHandler):
+    """One request of a caller."""
+
+    SUPPORTED_METHODS = web.RequestHandler.SUPPORTED_METHODS
+
+    def initialize(self, gateway, name):
+        """Take the gateway and the name of the service."""
+        self._gateway = gateway
+        self._service_name = name
+        self._exchange = None
+        self._sent = 0
+        self._error = None
+        # Two callers may choose the same id, so frames carry another one.
+        self.request_id = str(uuid.uuid4())
+        self._callers_id = self.request.headers.get(
+            ID_HEADER, self.request_id
+        )[:_MAX_ID_LENGTH]
+
+    async def prepare(self):
+        """Find an agent that admits the request, before its body is read."""
+        try:
+            start, deadline = self._start_message()
+            self._deadline = deadline
+            self._gateway.running_by_id[self.request_id] = self
+            self._exchange = await self._gateway.open_exchange(start, deadline)
+        except exceptions.Refused as error:
+            self._refuse(error)
+
+    def _start_message(self):
+        table = self._gateway.tables_by_name.get(self._service_name)
+        if table is None:
+            raise exceptions.Refused("unknown_service")
+        headers = self.request.headers
+        timeout_ms = _timeout_ms(
+            headers.get(TIMEOUT_HEADER), table.service.request_timeout_s
+        )
+        start = messages.structs.RequestStart(
+            request_id=self.request_id,
+            service_name=self._service_name,
+            method=self.request.method,
+            path=self.request.uri,
+            headers=requestpath.exchange_headers(backend.end_to_end(headers)),
+            timeout_ms=timeout_ms,
+            idempotency_key=_key(headers.get(KEY_HEADER, "")),
+            first_attempt=headers.get(ATTEMPT_HEADER) == "1",
+            work_class=headers.get(CLASS_HEADER, ""),
+            content_length=int(headers.get("Content-Length", 0)),
+        )
+        return start, time.monotonic() + timeout_ms / 1000
+
+    async def data_received(self, chunk):
+        """Pass a part of the body on to the agent."""
+        self._sent += len(chunk)
+        try:
+            await self._exchange.send("BodyChunk", data=chunk)
+        except exceptions.PeerClosed as error:
+            self._refuse(exceptions.Refused("outcome_unknown", str(error)))
+
+    async def _respond(self):
+        exchange = self._exchange
+        try:
+            async with asyncio.timeout(self._deadline - time.monotonic()):
+                await exchange.send("BodyEnd", total=self._sent)
+                await self._relay_answer(exchange)
+        except exceptions.Refused as error:
+            self._gateway.release(exchange.member, exchange.frames)
+            self._refuse(error)
+        except TimeoutError:
+            exchange.frames.close()
+            self._refuse(exceptions.Refused("timeout"))
+        except exceptions.ProtocolError as error:
+            exchange.frames.close()
+            self._refuse(exceptions.Refused("cut", str(error)))
+        except iostream.StreamClosedError:
+            exchange.frames.close()
+
+    get = post = put = delete = patch = head = options = _respond
+
+    async def _relay_answer(self, exchange):
+        start = await exchange.receive("ResponseStart")
+        self.set_status(start.status, start.reason)
+        self.clear_header("Content-Type")
+        for header in start.headers:
+            self.add_header(header.name, header.value)
+        self.set_header(ID_HEADER, self._callers_id)
+        total = 0
+        while True:
+            message = await exchange.receive("BodyChunk", "BodyEnd")
+            if type(message).__name__ == "BodyEnd":
+                break
+            total += len(message.data)
+            self.write(message.data)
+            await self.flush()
+        if message.total != total:
+            raise exceptions.MalformedMessage("answer of another length")
+        self._gateway.release(exchange.member, exchange.frames)
+        self._exchange = None
+        await self.finish()
+
+    def _refuse(self, error):
+        metrics.REFUSALS.labels(error.refusal).inc()
+        if self._headers_written:
+            # The caller must see that the answer is not complete.
+            self.request.connection.stream.close()
+            return
+        entry = refusal.refusals_by_code[error.refusal]
+        self.clear()
+        self.set_status(entry.status)
+        self.set_header(ID_HEADER, self._callers_id)
+        self.set_header(CODE_HEADER, entry.code)
+        self.set_header(OUTCOME_HEADER, entry.outcome)
+        self.finish(
+            {
+                "request_id": self._callers_id,
+                "code": entry.code,
+                "outcome": entry.outcome,
+                "message": str(error),
+            }
+        )
+
+    def on_finish(self):
+        """Forget the request."""
+        self._gateway.running_by_id.pop(self.request_id, None)
+
+    def on_connection_close(self):
+        """Cancel the request when the caller has gone."""
+        self._gateway.running_by_id.pop(self.request_id, None)
+        if self._exchange is not None:
+            self._exchange.frames.close()
+
+
+def _timeout_ms(text, default_s):
+    if text is None:
+        return int(default_s * 1000)
+    if not text.isdecimal() or not 0 < int(text) <= 3_600_000:
+        raise exceptions.Refused(
+            "bad_request", "%s must be 1 to 3600000" % TIMEOUT_HEADER
+        )
+    return int(text)
+
+
+def _key(text):
+    visible = all("!" <= letter <= "~" for letter in text)
+    if len(text) > defaults.MAX_KEY_LENGTH or not visible:
+        raise exceptions.Refused(
+            "bad_request",
+            "%s must be 1 to %d visible ASCII characters"
+            % (KEY_HEADER, defaults.MAX_KEY_LENGTH),
+        )
+    return text
--- /dev/null
+++ b/src/limpetlift/tasks/process.py
@@ -0,0 +1,105 @@
+"""What balancer and agent have in common: start, timers, stop."""
+
+import asyncio
+import contextlib
+import signal
+import time
+
+from tornado import ioloop
+
+from limpetlift import defaults
+from limpetlift import logs
+from limpetlift.tasks import admin
+from limpetlift.tasks import control
+
+LOG = logs.EventLogger("process")
+
+
+class Process:
+    """A process with a node socket, an administration API and timers.
+
+    The exit stack owns all that must be closed.
+
+    :param settings: a :class:`limpetlift.state.settings.Settings`.
+
+    .. versionadded:: 0.1
+    """
+
+    kind = ""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.incarnation = int(time.time() * 1000)
+        self.ready = False
+        self.draining = False
+        self.stack = contextlib.AsyncExitStack()
+        self._stop_requested = asyncio.Event()
+        self._stop_now = asyncio.Event()
+
+    async def run(self):
+        """Run until SIGTERM or SIGINT, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+        async with self.stack:
+            self.node = control.Node(self.settings, self.incarnation)
+            self.stack.callback(self.node.close)
+            await self.start()
+            server = admin.AdminServer(self.settings.admin, self)
+            self.stack.callback(server.close)
+            LOG.info(
+                "started", kind=self.kind, id=self.node.id, node=self.address
+            )
+            await self._stop_requested.wait()
+            self.drain()
+            await self.stop(time.monotonic() + defaults.STOP_S)
+        LOG.info("stopped", kind=self.kind, id=self.node.id)
+
+    @property
+    def address(self):
+        """The node's address as ``ip:port``."""
+        return "%s:%d" % self.node.address
+
+    def every(self, seconds, callback):
+        """Call ``callback`` every ``seconds`` until the process stops."""
+        timer = ioloop.PeriodicCallback(callback, seconds * 1000)
+        timer.start()
+        self.stack.callback(timer.stop)
+
+    def _on_signal(self):
+        if self._stop_requested.is_set():
+            self._stop_now.set()
+        self._stop_requested.set()
+
+    async def finish_or_stop(self, work):
+        """Wait for the coroutine ``work``, or for a second signal."""
+        tasks = [
+            asyncio.ensure_future(work),
+            asyncio.ensure_future(self._stop_now.wait()),
+        ]
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            task.cancel()
+
+    async def start(self):
+        """Open sockets and start timers."""
+        raise NotImplementedError
+
+    async def stop(self, deadline):
+        """Finish the work in progress until ``deadline``."""
+        raise NotImplementedError
+
+    def drain(self):
+        """Take no new work."""
+        raise NotImplementedError
+
+    def status(self):
+        """Return the state as a JSON object."""
+        return {
+            "kind": self.kind,
+            "id": self.node.id,
+            "address": self.address,
+            "incarnation": self.incarnation,
+            "ready": self.ready,
+            "draining": self.draining,
+        }
--- /dev/null
+++ b/src/limpetlift/testing/deployment.py
@@ -0,0 +1,194 @@
+"""Starts a small deployment as processes on loopback."""
+
+import asyncio
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+
+import attrs
+from tornado import httpclient
+
+KEY = "00112233445566778899aabbccddeeff"
+NODE_PORT = 6000
+ADMIN_PORT = 6001
+BACKEND_PORT = 6100
+_READY_S = 15.0
+
+_SETTINGS = """\
+seeds = [{seeds}]
+
+[node]
+id = "{name}"
+ip = "{ip}"
+port = {node_port}
+data_centre = "{data_centre}"
+
+[admin]
+ip = "{ip}"
+port = {admin_port}
+token = "{token}"
+
+[security]
+keys = ["{key}"]
+
+[log]
+level = "info"
+target = "{log}"
+
+[config]
+folder = "{folder}"
+"""
+
+
+@attrs.define
+class Deployment:
+    """Processes of one deployment, by name.
+
+    :param folder: an empty folder for settings and logs.
+    :param network: first three parts of the loopback network used.
+
+    .. versionadded:: 0.1
+    """
+
+    folder: pathlib.Path
+    network: str
+    processes_by_name: dict = attrs.field(factory=dict)
+    ip_by_name: dict = attrs.field(factory=dict)
+    seed_names: list = attrs.field(factory=list)
+    token: str = "demo-token"
+
+    def write_services(self, text, name="10-services.toml"):
+        """Write a file of the operators' folder."""
+        services = self.folder / "services"
+        services.mkdir(exist_ok=True)
+        (services / name).write_text(text, encoding="utf-8")
+
+    def spawn(self, name, *arguments):
+        """Start a ``limpetlift`` process."""
+        log = (self.folder / (name + ".out")).open("wb")
+        self.processes_by_name[name] = subprocess.Popen(
+            [sys.executable, "-m", "limpetlift", *arguments],
+            stdout=log,
+            stderr=log,
+            env=dict(os.environ, PYTHONUNBUFFERED="1"),
+        )
+        log.close()
+
+    def start_balancer(self, name, host):
+        """Start a balancer at host number ``host`` of the network."""
+        self._start("balancer", name, host, '[balancer]\nbind_ip = "{ip}"\n')
+
+    def start_agent(self, name, host, service):
+        """Start a backend server and its agent."""
+        ip = "%s.%d" % (self.network, host)
+        self.spawn(
+            name + "-backend",
+            *("standin", "backend", name, ip, str(BACKEND_PORT)),
+        )
+        extra = '[agent]\nservice = "%s"\nbackend = "{ip}:%d"\n' % (
+            service,
+            BACKEND_PORT,
+        )
+        self._start("agent", name, host, extra)
+
+    def _start(self, role, name, host, extra):
+        ip = "%s.%d" % (self.network, host)
+        self.ip_by_name[name] = ip
+        seeds = ", ".join(
+            '"%s:%d"' % (self.ip_by_name[seed], NODE_PORT)
+            for seed in self.seed_names
+        )
+        text = (_SETTINGS + "\n" + extra).format(
+            seeds=seeds,
+            name=name,
+            ip=ip,
+            node_port=NODE_PORT,
+            data_centre="dc-%d" % (host % 3),
+            admin_port=ADMIN_PORT,
+            token=self.token,
+            key=KEY,
+            log=self.folder / (name + ".log"),
+            folder=self.folder / "services",
+        )
+        path = self.folder / (name + ".toml")
+        path.write_text(text, encoding="utf-8")
+        self.spawn(name, role, str(path))
+
+    def start_fabric(self, service_addresses, balancers, seed):
+        """Start the fabric before ``balancers``, a list of names."""
+        entries = [
+            "%s=%s:%d"
+            % (self.ip_by_name[name], self.ip_by_name[name], ADMIN_PORT)
+            for name in balancers
+        ]
+        self.spawn(
+            "fabric",
+            "standin",
+            "fabric",
+            ",".join(service_addresses),
+            ",".join(entries),
+            str(seed),
+        )
+
+    async def admin(self, name, path, method="GET"):
+        """Call the administration API of a process."""
+        client = httpclient.AsyncHTTPClient()
+        return await client.fetch(
+            "http://%s:%d%s" % (self.ip_by_name[name], ADMIN_PORT, path),
+            method=method,
+            body=b"" if method == "POST" else None,
+            headers={"Authorization": "Bearer " + self.token},
+            request_timeout=2.0,
+        )
+
+    async def wait_ready(self, *names):
+        """Wait until the named processes are ready.
+
+        :raises TimeoutError: when one is not ready in time.
+        """
+        async with asyncio.timeout(_READY_S):
+            for name in names:
+                while not await self._is_ready(name):
+                    await asyncio.sleep(0.05)
+
+    async def _is_ready(self, name):
+        try:
+            await self.admin(name, "/readyz")
+        except (OSError, httpclient.HTTPError):
+            return False
+        return True
+
+    def signal(self, name, number):
+        """Send a signal to a process."""
+        self.processes_by_name[name].send_signal(number)
+
+    async def wait_exit(self, name, timeout_s):
+        """Wait until a process has ended; return its exit code."""
+        async with asyncio.timeout(timeout_s):
+            while self.processes_by_name[name].poll() is None:
+                await asyncio.sleep(0.02)
+        return self.processes_by_name[name].returncode
+
+    def close(self):
+        """Kill every process that still runs."""
+        for process in self.processes_by_name.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes_by_name.values():
+            process.wait()
+
+
+def random_network():
+    """Return the first three parts of a loopback network.
+
+    Runs on the same instance at the same time seldom meet.
+    """
+    generator = random.SystemRandom()
+    return "127.%d.%d" % (
+        generator.randrange(20, 250),
+        generator.randrange(1, 250),
+    )
--- a/src/limpetlift/transport/udp.py
+++ b/src/limpetlift/transport/udp.py
@@ -14,13 +14,16 @@
     :param address: ``(ip, port)``; port 0 picks a free one.
     :param receive: called with ``(data, (ip, port))`` for each datagram.
     :param connect_to: only exchange datagrams with this ``(ip, port)``.
+    :param on_error: called without arguments when the connected peer
+        reports that its port is closed.
     :raises TransportError: when the address cannot be bound.
 
     .. versionadded:: 0.1
     """
 
-    def __init__(self, address, receive, connect_to=None):
+    def __init__(self, address, receive, connect_to=None, on_error=None):
         self._receive = receive
+        self._on_error = on_error
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
@@ -52,6 +55,9 @@
                 return
             except OSError:
                 # An ICMP error of an earlier datagram; the next read works.
+                if self._on_error is not None:
+                    self._on_error()
+                    return
                 continue
             receive(data, address)
             if self._socket.fileno() < 0:
