Prove promises with real processes, and build one binary

Cause: planned stops, kills, pauses and hostile input can only be shown with real processes; operators get one file. The queue of the agent refused requests at once, because tornado's semaphore takes a number as a wall-clock deadline; with a timedelta 20 of 20 requests are answered over either planned stop.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 
 venv:
 	@test -x $(PYTHON) || python3 -m venv $(VENV)
-	@cmp -s requirements-dev.txt $(VENV)/installed.txt || { \
-	  $(PYTHON) -m pip install --quiet -r requirements-dev.txt && \
-	  cp requirements-dev.txt $(VENV)/installed.txt; }
+	@cat requirements.txt requirements-dev.txt | \
+	  cmp -s - $(VENV)/installed.txt || { \
+	  $(PYTHON) -m pip install --quiet --no-deps -r requirements-dev.txt && \
+	  cat requirements.txt requirements-dev.txt > $(VENV)/installed.txt; }
 
 format: venv
 	$(PYTHON) -m black --quiet src tests features tools
--- /dev/null
+++ b/features/processes.feature
@@ -0,0 +1,57 @@
+Feature: Promises hold while processes fail and change
+
+  Real processes on loopback: balancers, agents with a backend server each,
+  and a fabric that hands every datagram to a random balancer.
+
+  Background:
+    Given a service with 3 balancers and 4 agents
+
+  Scenario: A planned replacement of a balancer breaks no flow
+    When 60 flows are opened
+    And balancer-1 gets SIGTERM
+    And every flow sends 10 datagrams
+    Then no flow has changed its backend server
+    And balancer-1 has exited with 0
+
+  Scenario: The death of a balancer breaks no flow
+    When 60 flows are opened
+    And balancer-2 gets SIGKILL
+    And every flow sends 10 datagrams
+    Then no flow has changed its backend server
+
+  Scenario: A drained agent keeps its flows and gets no new ones
+    When 60 flows are opened
+    And desk-1 is drained
+    And every flow sends 10 datagrams
+    Then no flow has changed its backend server
+    When 60 flows are opened
+    Then desk-1 has none of the new flows
+
+  Scenario: The death of an agent ends only its own flows
+    When 60 flows are opened
+    And desk-2 gets SIGKILL
+    And every flow sends 10 datagrams
+    Then only flows of desk-2 have changed their backend server
+
+  Scenario: A paused agent keeps its flows
+    When 60 flows are opened
+    And desk-3 is paused for 5 s under traffic
+    And every flow sends 10 datagrams
+    Then no flow has changed its backend server
+
+  Scenario: A planned stop of an agent cuts no request
+    When 20 requests of 1000 ms are sent
+    And desk-1 gets SIGTERM
+    Then every request is answered and none runs twice
+
+  Scenario: A planned stop of a balancer cuts no request
+    When 20 requests of 1000 ms are sent
+    And balancer-1 gets SIGTERM
+    Then every request is answered and none runs twice
+
+  Scenario: Hostile datagrams and requests stop no process
+    When 60 flows are opened
+    And hostile input reaches every port
+    And every flow sends 10 datagrams
+    Then no flow has changed its backend server
+    And every process is ready
--- /dev/null
+++ b/features/steps/processes.py
@@ -0,0 +1,268 @@
+"""Steps that run a deployment of real processes."""
+
+import asyncio
+import collections
+import json
+import random
+import signal
+import socket
+
+import behave
+from tornado import httpclient
+
+from limpetlift.testing import deployment
+from limpetlift.testing import traffic
+
+_SERVICES = """\
+[services.job-desk]
+address = "{network}.1:7001"
+slots = 3
+"""
+_SERVICE_PORT = 7001
+_ROUND_S = 0.05
+_SETTLE_ROUNDS = 100
+
+
+def _names(prefix, count):
+    return ["%s-%d" % (prefix, index + 1) for index in range(count)]
+
+
+@behave.given("a service with {balancers:d} balancers and {agents:d} agents")
+def start_deployment(context, balancers, agents):
+    """Start all processes and wait until the balancers know the agents."""
+    system = context.system
+    system.write_services(_SERVICES.format(network=system.network))
+    context.balancers = _names("balancer", balancers)
+    context.agents = _names("desk", agents)
+    context.address = (system.network + ".1", _SERVICE_PORT)
+    for index, name in enumerate(context.balancers):
+        system.ip_by_name[name] = "%s.%d" % (system.network, 11 + index)
+    system.seed_names = list(context.balancers)
+    for index, name in enumerate(context.balancers):
+        system.start_balancer(name, 11 + index)
+    for index, name in enumerate(context.agents):
+        system.start_agent(name, 101 + index, "job-desk")
+    system.start_fabric(["%s:%d" % context.address], context.balancers, seed=1)
+    context.runner.run(system.wait_ready(*context.balancers, *context.agents))
+    context.runner.run(_wait_members(context))
+
+
+async def _wait_members(context):
+    async with asyncio.timeout(20):
+        for name in context.balancers:
+            while True:
+                answer = await context.system.admin(name, "/status")
+                known = json.loads(answer.body)["services"]["job-desk"]
+                if len(known) == len(context.agents):
+                    break
+                await asyncio.sleep(0.05)
+
+
+@behave.when("{count:d} flows are opened")
+def open_flows(context, count):
+    """Open flows and send until each has had an answer."""
+
+    async def run():
+        new = []
+        for index in range(count):
+            caller = traffic.FlowCaller(
+                context.address,
+                "%s.%d" % (context.system.network, 2 + index % 8),
+            )
+            caller.open()
+            new.append(caller)
+        for _round in range(_SETTLE_ROUNDS):
+            waiting = [caller for caller in new if not caller.answered]
+            if not waiting:
+                break
+            for caller in waiting:
+                caller.send()
+            await asyncio.sleep(_ROUND_S)
+        context.callers += new
+        context.new_callers = new
+
+    context.runner.run(run())
+    unanswered = [c for c in context.new_callers if not c.answered]
+    assert not unanswered, "%d flows have no answer" % len(unanswered)
+    context.owner_by_caller = {
+        id(caller): next(iter(caller.backends))
+        for caller in context.new_callers
+        if len(caller.backends) == 1
+    }
+
+
+@behave.when("every flow sends {count:d} datagrams")
+def send_datagrams(context, count):
+    """Send on every flow and give answers time to arrive."""
+
+    async def run():
+        for _round in range(count):
+            for caller in context.callers:
+                caller.send()
+            await asyncio.sleep(_ROUND_S)
+        await asyncio.sleep(1.0)
+
+    context.runner.run(run())
+
+
+@behave.when("{name} gets {signal_name}")
+def send_signal(context, name, signal_name):
+    """Send a signal to a process."""
+    context.system.signal(name, getattr(signal, signal_name))
+
+
+@behave.when("{name} is drained")
+def drain(context, name):
+    """Drain a process through its administration API."""
+    context.runner.run(context.system.admin(name, "/drain", "POST"))
+
+
+@behave.when("{name} is paused for {seconds:d} s under traffic")
+def pause(context, name, seconds):
+    """Stop a process with SIGSTOP while all flows send."""
+
+    async def run():
+        context.system.signal(name, signal.SIGSTOP)
+        for _round in range(int(seconds / 0.25)):
+            for caller in context.callers:
+                caller.send()
+            await asyncio.sleep(0.25)
+        context.system.signal(name, signal.SIGCONT)
+
+    context.runner.run(run())
+
+
+@behave.when("{count:d} requests of {work_ms:d} ms are sent")
+def send_requests(context, count, work_ms):
+    """Send requests in the background."""
+    context.counts = traffic.RequestCounts()
+    bases = [
+        "http://%s:%d" % (context.system.ip_by_name[name], _SERVICE_PORT)
+        for name in context.balancers
+    ]
+
+    async def run():
+        context.request_tasks = [
+            asyncio.ensure_future(
+                traffic.send_request(
+                    bases, context.counts, seed, work_ms=work_ms
+                )
+            )
+            for seed in range(count)
+        ]
+        await asyncio.sleep(0.5)
+
+    context.runner.run(run())
+
+
+@behave.when("hostile input reaches every port")
+def send_hostile_input(context):
+    """Send malformed, truncated, oversized and forged input."""
+    generator = random.Random(7)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for ip in context.system.ip_by_name.values():
+            for length in (0, 1, 8, 43, 44, 45, 200, 1400, 9000, 65000):
+                data = generator.randbytes(length)
+                sender.sendto(data, (ip, deployment.NODE_PORT))
+                sender.sendto(b"\xa1" + data[1:], (ip, deployment.NODE_PORT))
+    for name in context.balancers + context.agents:
+        ip = context.system.ip_by_name[name]
+        ports = [deployment.NODE_PORT, deployment.ADMIN_PORT]
+        if name in context.balancers:
+            ports = [_SERVICE_PORT, deployment.ADMIN_PORT]
+        for port in ports:
+            for data in _hostile_streams(generator):
+                _send_stream(ip, port, data)
+
+
+def _hostile_streams(generator):
+    return (
+        b"",
+        b"GET",
+        b"\xff\xff\xff\xff" + generator.randbytes(64),
+        b"\x00\x00\x00\x04abcd",
+        b"POST /work HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+        b"POST /work HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nab",
+        b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"a" * 200_000 + b"\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nIdempotency-Key: \x01\r\n\r\n",
+    )
+
+
+def _send_stream(ip, port, data):
+    with socket.create_connection((ip, port), timeout=5) as stream:
+        try:
+            stream.sendall(data)
+            stream.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The process closed the connection first, which is allowed.
+            pass
+
+
+def _changed(context):
+    return [
+        caller
+        for caller in context.callers
+        if caller.backends != {context.owner_by_caller.get(id(caller))}
+    ]
+
+
+@behave.then("no flow has changed its backend server")
+def check_no_change(context):
+    """Fail when a flow was answered by another backend server."""
+    changed = _changed(context)
+    assert not changed, "%d flows changed: %s" % (
+        len(changed),
+        [sorted(caller.backends) for caller in changed[:5]],
+    )
+
+
+@behave.then("only flows of {name} have changed their backend server")
+def check_only_own(context, name):
+    """Fail when a flow of a living agent moved."""
+    foreign = [c for c in _changed(context) if name not in c.backends]
+    assert not foreign, [sorted(c.backends) for c in foreign[:5]]
+
+
+@behave.then("{name} has none of the new flows")
+def check_none_new(context, name):
+    """Fail when a drained agent accepted a flow."""
+    accepted = [c for c in context.new_callers if name in c.backends]
+    assert not accepted, "%d flows were accepted" % len(accepted)
+
+
+@behave.then("{name} has exited with {code:d}")
+def check_exit(context, name, code):
+    """Fail when the process has not ended with the code."""
+    ended = context.runner.run(context.system.wait_exit(name, 30.0))
+    assert ended == code, "exit code %d" % ended
+
+
+@behave.then("every request is answered and none runs twice")
+def check_requests(context):
+    """Fail when a request was lost, mixed or run twice."""
+
+    async def run():
+        await asyncio.gather(*context.request_tasks)
+        runs = collections.Counter()
+        client = httpclient.AsyncHTTPClient()
+        for name in context.agents:
+            answer = await client.fetch(
+                "http://%s:%d/runs"
+                % (context.system.ip_by_name[name], deployment.BACKEND_PORT)
+            )
+            runs.update(json.loads(answer.body))
+        return runs
+
+    runs = context.runner.run(run())
+    counts = context.counts
+    assert counts.answered == counts.sent, counts
+    assert not counts.wrong, counts
+    assert not [key for key, count in runs.items() if count > 1], runs
+
+
+@behave.then("every process is ready")
+def check_ready(context):
+    """Fail when a process has died or is not ready."""
+    context.runner.run(
+        context.system.wait_ready(*context.balancers, *context.agents)
+    )
--- a/src/limpetlift/cli.py
+++ b/src/limpetlift/cli.py
@@ -4,6 +4,7 @@
 import sys
 
 import fire
+from tornado import httpclient
 
 from limpetlift import exceptions
 from limpetlift import logs
@@ -11,6 +12,8 @@
 from limpetlift.tasks import agent as agents
 from limpetlift.tasks import balancer as balancers
 
+_ADMIN_TIMEOUT_S = 5.0
+
 
 class Commands:
     """Layer-4 load balancer for long flows and at-most-once requests."""
@@ -29,6 +32,22 @@
         """
         _run(agents.Agent, settings)
 
+    def status(self, admin, token=""):
+        """Print the state of a process as JSON.
+
+        :param admin: ``ip:port`` of its administration API.
+        :param token: bearer token, where the process has one.
+        """
+        print(asyncio.run(_call(admin, "/status", "GET", token)), end="")
+
+    def drain(self, admin, token=""):
+        """Make a process take no new work.
+
+        :param admin: ``ip:port`` of its administration API.
+        :param token: bearer token, where the process has one.
+        """
+        print(asyncio.run(_call(admin, "/drain", "POST", token)), end="")
+
     def demo(self, seed=1):
         """Run the whole system on loopback and report the promises.
 
@@ -59,6 +78,24 @@
     asyncio.run(run())
 
 
+async def _call(admin, path, method, token):
+    """Call the administration API; return the answer's text."""
+    headers = {"Authorization": "Bearer " + token} if token else {}
+    try:
+        answer = await httpclient.AsyncHTTPClient().fetch(
+            "http://%s%s" % (admin, path),
+            method=method,
+            headers=headers,
+            body=b"" if method == "POST" else None,
+            request_timeout=_ADMIN_TIMEOUT_S,
+        )
+    except (OSError, ValueError, httpclient.HTTPError) as error:
+        raise exceptions.TransportError(
+            "%s does not answer: %s" % (admin, error)
+        ) from error
+    return answer.body.decode("utf-8")
+
+
 def main():
     """Run the command; print errors of the package as one line each."""
     try:
--- a/src/limpetlift/protocol/messages.py
+++ b/src/limpetlift/protocol/messages.py
@@ -9,12 +9,25 @@
 import io
 
 import thriftpy2
-from thriftpy2.protocol import compact
-from thriftpy2 import utils
+from thriftpy2 import _compat
 
 from limpetlift import exceptions
 
 
+def _has_extensions():
+    folder = resources.files("thriftpy2") / "transport" / "memory"
+    return any(item.name.endswith(".so") for item in folder.iterdir())
+
+
+# Without its compiled extensions, as in the zipapp, thriftpy2 must be told to
+# use its pure-Python transports before they are imported.
+if not _has_extensions():
+    _compat.CYTHON = False
+
+from thriftpy2.protocol import compact  # noqa: E402
+from thriftpy2 import utils  # noqa: E402
+
+
 def _load():
     source = resources.files("limpetlift.protocol") / "messages.thrift"
     text = source.read_text(encoding="utf-8")
--- a/src/limpetlift/tasks/requestpath.py
+++ b/src/limpetlift/tasks/requestpath.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import datetime
 import time
 
 from tornado import locks
@@ -91,7 +92,9 @@
             raise exceptions.Refused("draining")
         queued_at = time.monotonic()
         try:
-            await self._slots.acquire(timeout=deadline - queued_at)
+            await self._slots.acquire(
+                timeout=datetime.timedelta(seconds=deadline - queued_at)
+            )
         except asyncio.TimeoutError as error:
             raise exceptions.Refused("deadline_passed") from error
         stack.callback(self._slots.release)
