Add the membership decisions

Members send heartbeats to three sponsors; balancers spread changes by gossip under a byte budget and repair what it misses by anti-entropy on a two-level digest. A death needs no message after the suspicion: each process runs its own timer. A data centre that is silent as a whole is judged locally, so that its loss or a partition changes no record.

--- a/src/limpetlift/coordination/member.py
+++ b/src/limpetlift/coordination/member.py
@@ -1,5 +1,7 @@
 """The record of one process, as membership spreads it."""
 
+import sys
+
 import attrs
 
 from limpetlift import exceptions
@@ -15,6 +17,9 @@
 DEAD = "dead"
 LEFT = "left"
 
+LIVE_STATES = frozenset((JOINING, ACTIVE, DRAINING))
+ENDED_STATES = frozenset((DEAD, LEFT))
+
 # With equal incarnation and sequence, the higher rank wins.
 _RANK_BY_STATE = {
     JOINING: 0,
@@ -99,15 +104,16 @@
     ip, _, port = message.address.rpartition(":")
     if not ip or not port.isdecimal():
         raise exceptions.MalformedMessage("address %.40r" % message.address)
+    # Thousands of records share these strings; interning halves the view.
     return Member(
         agent_id=message.agent_id,
-        kind=message.kind,
-        data_centre=message.data_centre,
-        region=message.region,
+        kind=sys.intern(message.kind),
+        data_centre=sys.intern(message.data_centre),
+        region=sys.intern(message.region),
         address=message.address,
-        service=message.service_name,
+        service=sys.intern(message.service_name),
         incarnation=message.incarnation,
         sequence=message.sequence,
-        state=message.state,
+        state=sys.intern(message.state),
         weight=message.weight,
     )
--- /dev/null
+++ b/src/limpetlift/coordination/membership.py
@@ -0,0 +1,369 @@
+"""Membership of one process: an agent or a balancer.
+
+``on_message`` and ``tick`` return actions. The caller opens the envelope and
+passes the sender's id and incarnation, and the source address, which is used
+to answer a process that is not in the view.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from limpetlift.coordination import actions
+from limpetlift.coordination import antientropy
+from limpetlift.coordination import budget
+from limpetlift.coordination import dissemination
+from limpetlift.coordination import member
+from limpetlift.coordination import pulse
+from limpetlift.coordination import reach
+from limpetlift.coordination import sponsor
+from limpetlift.coordination import view
+from limpetlift import defaults
+from limpetlift.protocol import messages
+
+# An agent keeps some balancers to fall back on when its sponsors end.
+_AGENT_BALANCERS = 24
+
+
+@attrs.define
+class Membership:
+    """What agents and balancers have in common.
+
+    :param own: the record of this process.
+    :param rng: a ``random.Random``.
+    :param seeds: addresses of balancers, for the start.
+
+    .. versionadded:: 0.1
+    """
+
+    own: member.Member
+    rng: object
+    seeds: list = attrs.field(factory=list)
+    config_revision: int = 0
+    view: view.View = attrs.field(init=False)
+    pulse: pulse.Pulse = attrs.field(init=False)
+    _last_event: float = attrs.field(init=False, default=None)
+    _handlers: dict = attrs.field(init=False, repr=False)
+
+    def __attrs_post_init__(self):
+        scope = self.own.service if self.own.kind == member.AGENT else None
+        self.view = view.View(self.own.agent_id, scope)
+        self.view.set_own(0.0, self.own)
+        self.pulse = pulse.Pulse(self.view, self.rng, list(self.seeds))
+        self._handlers = {
+            messages.structs.HeartbeatReply: self._on_reply,
+            messages.structs.Probe: self._on_probe,
+        }
+
+    def on_message(self, now, sender, incarnation, message, source=""):
+        """Handle a control message of membership.
+
+        :param sender: id in the envelope.
+        :param incarnation: incarnation in the envelope.
+        :param source: ``ip:port`` that the datagram came from.
+        :returns: the actions; none for a message of another part.
+        :raises MalformedMessage: when a part is not readable.
+        """
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return []
+        self._note_time(now)
+        found = []
+        revision = getattr(message, "config_revision", None)
+        if revision is not None and revision > self.config_revision:
+            found.append(actions.RevisionSeen(sender, revision))
+        found += handler(now, sender, incarnation, message)
+        found += self._refute(now)
+        return [self._by_address(action, source) for action in found]
+
+    def tick(self, now):
+        """Run the timers and return the actions."""
+        self._note_time(now)
+        self.view.tick(now)
+        return self._beat(now) if self.pulse.is_due(now) else []
+
+    def update(self, now, **changes):
+        """Publish a change of the own record, such as state or weight.
+
+        :returns: the actions; among them an ``OwnRecord``.
+        """
+        self.own = attrs.evolve(
+            self.own, sequence=self.own.sequence + 1, **changes
+        )
+        return self._publish(now, refuted=False)
+
+    def leave(self, now):
+        """Publish that this process has ended by plan."""
+        return self.update(now, state=member.LEFT)
+
+    def set_config_revision(self, now, revision):
+        """Tell the other processes which configuration is in force here."""
+        self.config_revision = revision
+        return []
+
+    def _publish(self, now, refuted):
+        self.view.set_own(now, self.own)
+        return [actions.OwnRecord(self.own, refuted)] + self._beat(now)
+
+    def _beat(self, now):
+        return self.pulse.beat(now, self.config_revision, self._view_hash())
+
+    def _refute(self, now):
+        challenge, self.view.challenge = self.view.challenge, None
+        if challenge is None or challenge.version <= self.own.version:
+            return []
+        if challenge.incarnation > self.own.incarnation:
+            return [actions.Superseded(challenge.incarnation)]
+        if self.own.state == member.LEFT:
+            return []
+        self.own = attrs.evolve(self.own, sequence=challenge.sequence + 1)
+        return self._publish(now, refuted=True)
+
+    def _note_time(self, now):
+        gap = 0.0 if self._last_event is None else now - self._last_event
+        self._last_event = now
+        if gap > defaults.PAUSE_S:
+            self._on_pause(now, gap)
+
+    def _on_pause(self, now, gap):
+        if gap >= defaults.DEAD_RETENTION_S:
+            # The others have forgotten deaths that this view does not know.
+            for record in self.view.all_records():
+                self.view.forget(record.agent_id)
+        self.view.on_pause(now)
+        self.pulse.on_pause(now)
+
+    def _on_probe(self, now, sender, incarnation, message):
+        return self.pulse.on_probe(
+            now, sender, self.config_revision, self._view_hash()
+        )
+
+    def _on_reply(self, now, sender, incarnation, message):
+        self.pulse.on_reply(now, sender, message)
+        return self._merge_reply(now, sender, message)
+
+    def _view_hash(self):
+        return b""
+
+    def _by_address(self, action, source):
+        if (
+            source
+            and isinstance(action, actions.Send)
+            and self.view.get(action.agent_id) is None
+        ):
+            return actions.SendAddress(source, action.message)
+        return action
+
+
+@attrs.define
+class AgentMembership(Membership):
+    """Membership of an agent: its own service and a few balancers."""
+
+    _silent_since_by_name: dict = attrs.field(init=False, factory=dict)
+
+    def tick(self, now):
+        """Run the timers and return the actions."""
+        found = Membership.tick(self, now)
+        limit = defaults.DEAD_S - defaults.SUSPECT_S
+        for name, since in self._silent_since_by_name.items():
+            if (
+                now - since >= limit
+                and self.view.silent_state(name) != member.DEAD
+            ):
+                self.view.set_silent(name, member.DEAD)
+        return found
+
+    def _view_hash(self):
+        return self.view.hash_for(self.own.service, self.pulse.candidates)
+
+    def _merge_reply(self, now, sender, message):
+        newer = []
+        for content in message.members:
+            record = member.from_message(content)
+            if not self.view.merge(now, record):
+                held = self.view.get(record.agent_id)
+                if held is not None and held.version > record.version:
+                    newer.append(held)
+        if message.sponsors:
+            self.pulse.candidates = tuple(message.sponsors)
+            self._prune()
+        self._note_silent(now, sender, message.silent or ())
+        newer = [record for record in newer if record != self.own]
+        if not newer:
+            return []
+        return [
+            actions.Send(
+                sender,
+                messages.structs.Gossip(
+                    members=[record.to_message() for record in newer[:8]],
+                    config_revision=self.config_revision,
+                ),
+            )
+        ]
+
+    def _prune(self):
+        needed = {*self.pulse.candidates, *self.pulse.sponsors()}
+        known = [
+            agent_id
+            for name in self.view.data_centres()
+            for agent_id in self.view.known_balancers(name)
+        ]
+        for agent_id in known[: max(0, len(known) - _AGENT_BALANCERS)]:
+            if agent_id not in needed:
+                self.view.forget(agent_id)
+
+    def _note_silent(self, now, sender, names):
+        """Follow the sponsors of the own data centre.
+
+        A sponsor elsewhere may be on the other side of a partition.
+        """
+        held = self.view.get(sender)
+        if held is None or held.data_centre != self.own.data_centre:
+            return
+        for name in set(self._silent_since_by_name) - set(names):
+            del self._silent_since_by_name[name]
+            self.view.set_silent(name, None)
+        for name in set(names) - set(self._silent_since_by_name):
+            self._silent_since_by_name[name] = now
+            self.view.set_silent(name, member.SUSPECT)
+
+
+@attrs.define
+class BalancerMembership(Membership):
+    """Membership of a balancer: all members of all services.
+
+    :param strategy: name of the dissemination strategy.
+    """
+
+    strategy: str = "logdistance"
+    bucket: budget.TokenBucket = attrs.field(factory=budget.TokenBucket)
+    reach: reach.Reach = attrs.field(init=False)
+    sponsor: sponsor.Sponsor = attrs.field(init=False)
+    dissemination: dissemination.Dissemination = attrs.field(init=False)
+    antientropy: antientropy.AntiEntropy = attrs.field(init=False)
+    _candidates_version: int = attrs.field(init=False, default=-1)
+
+    def __attrs_post_init__(self):
+        Membership.__attrs_post_init__(self)
+        self.reach = reach.Reach(self.view, self.rng, self.own.data_centre)
+        self.sponsor = sponsor.Sponsor(self.view, self.reach)
+        self.dissemination = dissemination.Dissemination(
+            self.view, self.rng, self.bucket, self.strategy
+        )
+        self.antientropy = antientropy.AntiEntropy(
+            self.view, self.rng, self.bucket
+        )
+        self._handlers.update(
+            {
+                messages.structs.Heartbeat: self._on_heartbeat,
+                messages.structs.Gossip: self._on_gossip,
+                messages.structs.Digest: self._on_digest,
+                messages.structs.Pull: self._on_pull,
+            }
+        )
+
+    def on_message(self, now, sender, incarnation, message, source=""):
+        """Handle a control message; see the base class."""
+        self._note_time(now)
+        self._note_heard(now, sender)
+        found = Membership.on_message(
+            self, now, sender, incarnation, message, source
+        )
+        return self._charge(found)
+
+    def tick(self, now):
+        """Run the timers and return the actions."""
+        found = self._charge(Membership.tick(self, now))
+        silent = self.view.silent()
+        pings = self.reach.tick(now)
+        if self.view.silent() != silent:
+            self.sponsor.forget_silent()
+        for peer in pings:
+            found.append(
+                self.antientropy.ping(peer, self.config_revision, True)
+            )
+        probes, suspects = self.sponsor.tick(now)
+        found += self._charge(probes + self._spread(now, suspects))
+        found += self.dissemination.tick(now)
+        found += self.antientropy.tick(now, self.config_revision)
+        return found
+
+    def set_config_revision(self, now, revision):
+        """Tell the other processes which configuration is in force here."""
+        self.config_revision = revision
+        self.dissemination.set_config_revision(now, revision)
+        return self._charge(self.sponsor.set_config_revision(revision))
+
+    def _beat(self, now):
+        if self._candidates_version != self.view.balancers_version:
+            self._candidates_version = self.view.balancers_version
+            self.pulse.candidates = sponsor.choose_sponsors(
+                self.view, self.own
+            )
+        return Membership._beat(self, now)
+
+    def _publish(self, now, refuted):
+        found = Membership._publish(self, now, refuted)
+        self.dissemination.spread(now, self.own.agent_id)
+        return found
+
+    def _on_pause(self, now, gap):
+        Membership._on_pause(self, now, gap)
+        self.reach.on_pause(now)
+        self.sponsor.on_pause()
+
+    def _note_heard(self, now, sender):
+        record = self.view.get(sender)
+        if record is None:
+            return
+        name = record.data_centre
+        if self.view.silent_state(name) is not None:
+            self.reach.on_heard(now, name)
+            self.sponsor.audit_data_centre(now, name)
+        else:
+            self.reach.on_heard(now, name)
+
+    def _spread(self, now, changed, sender=None):
+        for record in changed:
+            self.dissemination.spread(now, record.agent_id)
+        return self.sponsor.push(changed, sender)
+
+    def _on_heartbeat(self, now, sender, incarnation, message):
+        found = []
+        if message.member is not None:
+            record = member.from_message(message.member)
+            if record.agent_id == sender and self.view.merge(now, record):
+                found += self._spread(now, [record], sender)
+        replies = self.sponsor.on_heartbeat(now, sender, incarnation, message)
+        return found + [actions.Send(sender, reply) for reply in replies]
+
+    def _merge_reply(self, now, sender, message):
+        merged = []
+        for content in message.members:
+            record = member.from_message(content)
+            if self.view.merge(now, record):
+                merged.append(record)
+        return self.sponsor.push(merged)
+
+    def _on_gossip(self, now, sender, incarnation, message):
+        merged = self.dissemination.on_gossip(now, message)
+        found = self.sponsor.push(merged)
+        if message.root is not None:
+            found += self.antientropy.on_ping(
+                sender, message, self.config_revision
+            )
+        return found
+
+    def _on_digest(self, now, sender, incarnation, message):
+        self.antientropy.on_digest(sender, message)
+        return []
+
+    def _on_pull(self, now, sender, incarnation, message):
+        self.antientropy.on_pull(sender, message, self.config_revision)
+        return []
+
+    def _charge(self, found):
+        for action in found:
+            if isinstance(action, (actions.Send, actions.SendAddress)):
+                self.bucket.charge(budget.size_of(action.message))
+        return found
--- /dev/null
+++ b/src/limpetlift/coordination/pulse.py
@@ -0,0 +1,165 @@
+"""The member's side of heartbeats: choosing sponsors and reporting to them."""
+
+import attrs
+
+from limpetlift.coordination import actions
+from limpetlift.coordination import member
+from limpetlift import defaults
+from limpetlift.protocol import messages
+
+
+@attrs.define
+class _Link:
+    """A sponsor of this process."""
+
+    answered_at: float
+    # The sequence of our record that the sponsor has; -1 for none.
+    acknowledged: int = -1
+
+
+@attrs.define
+class Pulse:
+    """Sends the heartbeats of this process.
+
+    :param view: the view, with the record of this process.
+    :param rng: a ``random.Random``.
+    :param seeds: addresses (``ip:port``) to ask while no balancer is known.
+
+    .. versionadded:: 0.1
+    """
+
+    view: object
+    rng: object
+    seeds: list = attrs.field(factory=list)
+    # Ids of the preferred sponsors and spares, best first.
+    candidates: tuple = ()
+    _links_by_id: dict = attrs.field(factory=dict)
+    _leaving_by_id: dict = attrs.field(factory=dict)
+    _avoid_until_by_id: dict = attrs.field(factory=dict)
+    _next_beat: float = None
+
+    def sponsors(self):
+        """Return the ids of the present sponsors."""
+        return list(self._links_by_id)
+
+    def is_due(self, now):
+        """Return whether the next heartbeats are due, and plan those after.
+
+        The first ones are sent at once. A random phase then keeps processes
+        that started together from beating together.
+        """
+        if self._next_beat is None:
+            self._next_beat = now + self.rng.random() * defaults.HEARTBEAT_S
+            return True
+        if now < self._next_beat:
+            return False
+        self._next_beat = max(self._next_beat + defaults.HEARTBEAT_S, now)
+        return True
+
+    def beat(self, now, config_revision, view_hash):
+        """Return one heartbeat to each sponsor."""
+        self._choose(now)
+        sends = [
+            actions.Send(
+                agent_id,
+                self._heartbeat(link.acknowledged, config_revision, view_hash),
+            )
+            for agent_id, link in self._links_by_id.items()
+        ]
+        for agent_id in list(self._leaving_by_id):
+            sends.append(self._farewell(agent_id, config_revision))
+        if not self._links_by_id or all(
+            now - link.answered_at > 2 * defaults.HEARTBEAT_S
+            for link in self._links_by_id.values()
+        ):
+            message = self._heartbeat(-1, config_revision, view_hash)
+            sends += [
+                actions.SendAddress(address, message)
+                for address in self.rng.sample(
+                    self.seeds, min(len(self.seeds), defaults.SPONSORS)
+                )
+            ]
+        return sends
+
+    def on_reply(self, now, sender, message):
+        """Note the answer of a sponsor."""
+        self._leaving_by_id.pop(sender, None)
+        link = self._links_by_id.get(sender)
+        if link is not None:
+            link.answered_at = now
+            if message.sequence is not None:
+                link.acknowledged = message.sequence
+
+    def on_probe(self, now, sender, config_revision, view_hash):
+        """Answer a balancer that asks for a heartbeat."""
+        link = self._links_by_id.get(sender)
+        if link is not None:
+            message = self._heartbeat(-1, config_revision, view_hash)
+        else:
+            message = self._heartbeat(-1, config_revision, b"")
+            message.leaving = True
+        return [actions.Send(sender, message)]
+
+    def on_pause(self, now):
+        """Do not blame the sponsors for a pause of this process."""
+        for link in self._links_by_id.values():
+            link.answered_at = now
+
+    def _choose(self, now):
+        self._avoid_silent(now)
+        usable = [
+            agent_id
+            for agent_id in self.candidates
+            if agent_id not in self._avoid_until_by_id
+            and self._is_usable(agent_id)
+        ]
+        chosen = usable[: defaults.SPONSORS]
+        if not chosen:
+            known = self.view.all_balancers()
+            known = [name for name in known if name != self.view.own_id]
+            chosen = self.rng.sample(known, min(len(known), defaults.SPONSORS))
+        for agent_id in list(self._links_by_id):
+            if agent_id not in chosen:
+                del self._links_by_id[agent_id]
+                # A live sponsor would take the silence for a failure.
+                self._leaving_by_id[agent_id] = defaults.SPONSOR_LEAVE_ATTEMPTS
+        for agent_id in chosen:
+            self._leaving_by_id.pop(agent_id, None)
+            self._links_by_id.setdefault(agent_id, _Link(now))
+
+    def _avoid_silent(self, now):
+        for agent_id, until in list(self._avoid_until_by_id.items()):
+            if now >= until:
+                del self._avoid_until_by_id[agent_id]
+        for agent_id, link in self._links_by_id.items():
+            if now - link.answered_at > defaults.SPONSOR_SILENCE_S:
+                self._avoid_until_by_id[agent_id] = (
+                    now + defaults.SPONSOR_AVOID_S
+                )
+
+    def _is_usable(self, agent_id):
+        record = self.view.get(agent_id)
+        return (
+            record is not None and self.view.state_of(record) == member.ACTIVE
+        )
+
+    def _heartbeat(self, acknowledged, config_revision, view_hash):
+        own = self.view.get(self.view.own_id)
+        record = None
+        if acknowledged != own.sequence:
+            record = own.to_message()
+        return messages.structs.Heartbeat(
+            member=record,
+            config_revision=config_revision,
+            view_hash=view_hash,
+            sequence=own.sequence,
+        )
+
+    def _farewell(self, agent_id, config_revision):
+        self._leaving_by_id[agent_id] -= 1
+        if self._leaving_by_id[agent_id] <= 0:
+            del self._leaving_by_id[agent_id]
+        own = self.view.get(self.view.own_id)
+        message = self._heartbeat(own.sequence, config_revision, b"")
+        message.leaving = True
+        return actions.Send(agent_id, message)
--- /dev/null
+++ b/src/limpetlift/coordination/sponsor.py
@@ -0,0 +1,305 @@
+"""The sponsor's side of heartbeats: watching members and answering them.
+
+A balancer watches the members that send it heartbeats. It also audits, in
+turn, the members that it is the auditor of, because a member whose sponsors
+all ended is watched by nobody.
+"""
+
+import bisect
+import hashlib
+import heapq
+
+import attrs
+
+from limpetlift.coordination import actions
+from limpetlift.coordination import digest
+from limpetlift.coordination import member
+from limpetlift.coordination import records
+from limpetlift import defaults
+from limpetlift.protocol import messages
+
+_OWN_DATA_CENTRE = 4
+_FOREIGN = 2
+_CHECK_S = 0.1
+_HOLD_S = 0.5
+_REPLY_BODY_BYTES = 900
+# One bucket of the digest each second audits all members in two minutes.
+_AUDIT_S = 1.0
+_AUDIT_PROBE_S = 0.75
+
+
+def _score(agent_id, other):
+    return hashlib.blake2b(
+        ("%s %s" % (agent_id, other)).encode("utf-8"), digest_size=8
+    ).digest()
+
+
+def _best(count, agent_id, names):
+    others = [name for name in names if name != agent_id]
+    return heapq.nlargest(count, others, lambda name: _score(agent_id, name))
+
+
+def choose_sponsors(view, record):
+    """Return the sponsors of a member and spares, in order of preference.
+
+    The first three are two of its own data centre and one of another, by
+    rendezvous hashing over the live balancers.
+    """
+    own = record.data_centre
+    near = _best(_OWN_DATA_CENTRE, record.agent_id, view.balancers(own))
+    far = []
+    names = [name for name in view.data_centres() if name != own]
+    for name in _best(len(names), record.agent_id, names):
+        if len(far) < _FOREIGN:
+            far += _best(1, record.agent_id, view.balancers(name))
+    chosen = near[:2] + far[:1] + near[2:] + far[1:]
+    return tuple(chosen[: defaults.SPONSOR_CANDIDATES])
+
+
+@attrs.define
+class _Watched:
+    """A member that this balancer expects to hear from."""
+
+    suspect_at: float
+    probe_at: float
+    probe_interval: float
+    sponsored: bool
+
+
+@attrs.define
+class Sponsor:
+    """Watches the members that chose this balancer as a sponsor.
+
+    :param view: the view of this process.
+    :param reach: the :class:`limpetlift.coordination.reach.Reach`.
+
+    .. versionadded:: 0.1
+    """
+
+    view: object
+    reach: object
+    config_revision: int = 0
+    _watched_by_id: dict = attrs.field(factory=dict, repr=False)
+    _sponsors_by_id: dict = attrs.field(factory=dict, repr=False)
+    _sponsors_version: int = -1
+    _ring: list = attrs.field(factory=list, repr=False)
+    _ring_version: int = -1
+    _next_check: float = 0.0
+    _next_audit: float = 0.0
+    _audit_bucket: int = 0
+
+    def __len__(self):
+        return sum(entry.sponsored for entry in self._watched_by_id.values())
+
+    def on_heartbeat(self, now, sender, incarnation, message):
+        """Return the replies to a heartbeat whose record is merged."""
+        if message.leaving:
+            self._watched_by_id.pop(sender, None)
+        else:
+            self._watched_by_id[sender] = _Watched(
+                now + defaults.SUSPECT_S,
+                now + defaults.PROBE_S,
+                defaults.PROBE_INTERVAL_S,
+                True,
+            )
+        held = self.view.get(sender)
+        known = held is not None and (held.incarnation, held.sequence) == (
+            incarnation,
+            message.sequence,
+        )
+        if held is None or held.state in member.ENDED_STATES and known:
+            self._watched_by_id.pop(sender, None)
+        relevant = self._relevant(held, message) if held else []
+        return self._replies(relevant, message.sequence if known else -1, held)
+
+    def _relevant(self, held, message):
+        """Return the records that a member should know and may not."""
+        if held.state not in member.LIVE_STATES:
+            return [held]
+        if message.leaving:
+            return []
+        if not message.view_hash and message.member is None:
+            return []
+        sponsors = self.sponsors_of(held)
+        if message.view_hash == self.view.hash_for(held.service, sponsors):
+            return []
+        found = self.view.records_of(held.service) if held.service else []
+        # With its own record, the first balancer is found before it is active.
+        names = dict.fromkeys((*sponsors, self.view.own_id))
+        return list(found) + [self.view.get(name) for name in names]
+
+    def _replies(self, found, sequence, held):
+        chunks = _chunks(found) or [[]]
+        sponsors = None
+        if len(found) > 1:
+            sponsors = list(self.sponsors_of(held))
+        return [
+            messages.structs.HeartbeatReply(
+                config_revision=self.config_revision,
+                members=[record.to_message() for record in chunk],
+                sequence=sequence,
+                silent=self.view.silent() or None,
+                sponsors=sponsors,
+            )
+            for chunk in chunks
+        ]
+
+    def sponsors_of(self, record):
+        """Return the preferred sponsors of a member, remembered by id."""
+        if self._sponsors_version != self.view.balancers_version:
+            self._sponsors_version = self.view.balancers_version
+            self._sponsors_by_id.clear()
+        found = self._sponsors_by_id.get(record.agent_id)
+        if found is None:
+            found = choose_sponsors(self.view, record)
+            if record.agent_id in self._watched_by_id:
+                self._sponsors_by_id[record.agent_id] = found
+        return found
+
+    def push(self, changed, sender=None):
+        """Return what tells the sponsored agents of changed records."""
+        services = {record.service for record in changed if record.service}
+        if not services:
+            return []
+        sends = []
+        for agent_id, entry in self._watched_by_id.items():
+            held = self.view.get(agent_id)
+            if not entry.sponsored or held is None or agent_id == sender:
+                continue
+            if held.service in services:
+                news = [
+                    record
+                    for record in changed
+                    if record.service == held.service
+                ]
+                sends += self.tell(agent_id, news)
+        return sends
+
+    def tell(self, agent_id, found):
+        """Return the messages that tell a member some records."""
+        return [
+            actions.Send(agent_id, message)
+            for message in self._replies_unasked(found)
+        ]
+
+    def _replies_unasked(self, found):
+        return [
+            messages.structs.HeartbeatReply(
+                config_revision=self.config_revision,
+                members=[record.to_message() for record in chunk],
+                silent=self.view.silent() or None,
+            )
+            for chunk in _chunks(found) or [[]]
+        ]
+
+    def set_config_revision(self, revision):
+        """Return what tells the sponsored members of a new configuration."""
+        self.config_revision = revision
+        return [
+            send
+            for agent_id, entry in self._watched_by_id.items()
+            if entry.sponsored
+            for send in self.tell(agent_id, [])
+        ]
+
+    def on_pause(self):
+        """Forget the watched members after a pause of this process.
+
+        Those that replaced this sponsor meanwhile would look silent; those
+        that did not will send their next heartbeat.
+        """
+        self._watched_by_id.clear()
+
+    def forget_silent(self):
+        """Forget the members in silent data centres, for the same reason."""
+        silent = set(self.view.silent())
+        for agent_id in list(self._watched_by_id):
+            record = self.view.get(agent_id)
+            if record is None or record.data_centre in silent:
+                del self._watched_by_id[agent_id]
+
+    def audit_data_centre(self, now, data_centre):
+        """Audit the members of a data centre that is heard again."""
+        for record in self.view.all_records():
+            if record.data_centre == data_centre:
+                self._audit(now, record)
+
+    def tick(self, now):
+        """Return probes to send and the ids of members newly suspect."""
+        if now >= self._next_audit:
+            self._next_audit = now + _AUDIT_S
+            self._audit_bucket = (self._audit_bucket + 1) % digest.BUCKETS
+            for record in self.view.records_in(
+                self._audit_bucket, range(digest.LEAVES)
+            ):
+                self._audit(now, record)
+        if now < self._next_check:
+            return [], []
+        self._next_check = now + _CHECK_S
+        return self._check(now)
+
+    def _check(self, now):
+        probes, suspects = [], []
+        for agent_id, entry in list(self._watched_by_id.items()):
+            if now < entry.probe_at:
+                continue
+            record = self.view.get(agent_id)
+            if record is None or record.state not in member.LIVE_STATES:
+                del self._watched_by_id[agent_id]
+            elif now >= entry.suspect_at:
+                if self.reach.is_quiet(now, record.data_centre):
+                    entry.suspect_at = now + _HOLD_S
+                    continue
+                del self._watched_by_id[agent_id]
+                if self.view.suspect(now, agent_id):
+                    suspects.append(self.view.get(agent_id))
+            else:
+                entry.probe_at = now + entry.probe_interval
+                probes.append(self._probe(agent_id))
+        return probes, suspects
+
+    def _probe(self, agent_id):
+        return actions.Send(
+            agent_id,
+            messages.structs.Probe(config_revision=self.config_revision),
+        )
+
+    def _audit(self, now, record):
+        if (
+            record.agent_id in self._watched_by_id
+            or record.agent_id == self.view.own_id
+            or self.view.state_of(record) not in member.LIVE_STATES
+            or self._auditor(record) != self.view.own_id
+        ):
+            return
+        self._watched_by_id[record.agent_id] = _Watched(
+            now + defaults.SUSPECT_S, now, _AUDIT_PROBE_S, False
+        )
+
+    def _auditor(self, record):
+        """Return the live balancer that follows the member on a ring."""
+        if self._ring_version != self.view.balancers_version:
+            self._ring_version = self.view.balancers_version
+            self._ring = sorted(
+                (digest.key_of(agent_id), agent_id)
+                for agent_id in self.view.all_balancers()
+            )
+        if not self._ring:
+            return None
+        # A balancer does not audit itself: its own key is skipped.
+        start = (digest.key_of(record.agent_id) + 1, "")
+        position = bisect.bisect_left(self._ring, start)
+        return self._ring[position % len(self._ring)][1]
+
+
+def _chunks(found):
+    """Return the records in lists that fit into one reply each."""
+    chunks = []
+    size = _REPLY_BODY_BYTES
+    for record in found:
+        size += records.full_size(record)
+        if size > _REPLY_BODY_BYTES:
+            chunks.append([])
+            size = records.full_size(record)
+        chunks[-1].append(record)
+    return chunks
--- /dev/null
+++ b/src/limpetlift/coordination/view.py
@@ -0,0 +1,350 @@
+"""The members that a process knows, and the rules to merge their records.
+
+The record with the higher (incarnation, sequence, rank of state) wins. Two
+rules complete this order:
+
+* A record that says ``dead`` about a member held as live is merged as
+  ``suspect``. Each process turns a suspicion into ``dead`` by its own timer,
+  so that no member disappears without having been suspect, and so that a
+  death costs no message beyond the suspicion.
+* Dead and left records are kept for ``DEAD_RETENTION_S``, so that an older
+  record cannot revive the member.
+
+A data centre that is silent as a whole is judged locally (see ``reach``) and
+changes no record: the members only look suspect, then dead, to this process.
+"""
+
+from __future__ import annotations
+
+import heapq
+
+import attrs
+
+from limpetlift.coordination import digest
+from limpetlift.coordination import member
+from limpetlift import defaults
+
+_TIMER_S_BY_STATE = {
+    member.SUSPECT: defaults.DEAD_S - defaults.SUSPECT_S,
+    member.DEAD: defaults.DEAD_RETENTION_S,
+    member.LEFT: defaults.DEAD_RETENTION_S,
+}
+
+
+@attrs.define
+class View:
+    """Member records by id and by service.
+
+    The tuples of ids are replaced, never changed, so that a copy of the view
+    shares them.
+
+    :param own_id: id of this process; its record is never merged from others.
+    :param service: keep only agents of this service; ``None`` keeps all.
+
+    .. versionadded:: 0.1
+    """
+
+    own_id: str
+    service: str = None
+    digest: digest.Digest = attrs.field(factory=digest.Digest)
+    balancers_version: int = 0
+    # A newer record of this process itself, written by another.
+    challenge: object = None
+    _by_id: dict = attrs.field(factory=dict, repr=False)
+    _id_by_key: dict = attrs.field(factory=dict, repr=False)
+    _ids_by_leaf: dict = attrs.field(factory=dict, repr=False)
+    _ids_by_service: dict = attrs.field(factory=dict, repr=False)
+    _balancer_ids_by_data_centre: dict = attrs.field(factory=dict, repr=False)
+    _live_by_data_centre: dict = attrs.field(factory=dict, repr=False)
+    _state_by_silent: dict = attrs.field(factory=dict)
+    _timers: list = attrs.field(factory=list, repr=False)
+    _changed: set = attrs.field(factory=set, repr=False)
+
+    def __len__(self):
+        return len(self._by_id)
+
+    def copy(self, own_id):
+        """Return an independent copy for the process ``own_id``."""
+        return attrs.evolve(
+            self,
+            own_id=own_id,
+            digest=self.digest.copy(),
+            by_id=self._by_id.copy(),
+            id_by_key=self._id_by_key.copy(),
+            ids_by_leaf=self._ids_by_leaf.copy(),
+            ids_by_service=self._ids_by_service.copy(),
+            balancer_ids_by_data_centre=(
+                self._balancer_ids_by_data_centre.copy()
+            ),
+            live_by_data_centre=self._live_by_data_centre.copy(),
+            state_by_silent=self._state_by_silent.copy(),
+            timers=list(self._timers),
+            changed=set(self._changed),
+        )
+
+    def get(self, agent_id):
+        """Return the record of ``agent_id`` or ``None``."""
+        return self._by_id.get(agent_id)
+
+    def by_key(self, key):
+        """Return the record with a 48-bit key or ``None``."""
+        return self._by_id.get(self._id_by_key.get(key))
+
+    def state_of(self, record):
+        """Return the state of a record as this process sees it."""
+        if record.state in member.LIVE_STATES:
+            return self._state_by_silent.get(record.data_centre, record.state)
+        return record.state
+
+    def members_of(self, service):
+        """Return the agents of ``service`` that have not ended, by id.
+
+        Members of a silent data centre are returned as suspect, and are left
+        out once it has been silent for as long as a dead member.
+        """
+        records = []
+        for agent_id in self._ids_by_service.get(service, ()):
+            record = self._by_id[agent_id]
+            state = self.state_of(record)
+            if state not in member.ENDED_STATES:
+                if state != record.state:
+                    record = attrs.evolve(record, state=state)
+                records.append(record)
+        return records
+
+    def records_of(self, service):
+        """Return the agents of ``service`` as recorded, ended ones too."""
+        ids = self._ids_by_service.get(service, ())
+        return [self._by_id[agent_id] for agent_id in ids]
+
+    def services(self):
+        """Return the names of the services with known agents."""
+        return list(self._ids_by_service)
+
+    def data_centres(self):
+        """Return the data centres with known balancers."""
+        return list(self._balancer_ids_by_data_centre)
+
+    def balancers(self, data_centre):
+        """Return the ids of the live balancers of a data centre."""
+        ids = self._live_by_data_centre.get(data_centre)
+        if ids is None:
+            ids = tuple(
+                agent_id
+                for agent_id in self.known_balancers(data_centre)
+                if self.state_of(self._by_id[agent_id]) == member.ACTIVE
+            )
+            self._live_by_data_centre[data_centre] = ids
+        return ids
+
+    def all_balancers(self):
+        """Return the ids of all live balancers."""
+        return [
+            agent_id
+            for data_centre in self._balancer_ids_by_data_centre
+            for agent_id in self.balancers(data_centre)
+        ]
+
+    def known_balancers(self, data_centre):
+        """Return the ids of the balancers that have a record."""
+        return self._balancer_ids_by_data_centre.get(data_centre, ())
+
+    def records_in(self, bucket, leaves):
+        """Return the records in some leaves of a bucket of the digest."""
+        return [
+            self._by_id[agent_id]
+            for leaf in leaves
+            for agent_id in self._ids_by_leaf.get(
+                bucket * digest.LEAVES + leaf, ()
+            )
+        ]
+
+    def take_changed(self):
+        """Return the services whose members changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
+
+    def merge(self, now, record):
+        """Merge a record from another process; return whether it was newer."""
+        held = self._by_id.get(record.agent_id)
+        if held is None:
+            if not self._wants(record):
+                return False
+        elif record.version <= held.version:
+            return False
+        elif (
+            record.state == member.DEAD
+            and held.state not in member.ENDED_STATES
+        ):
+            if (
+                held.state == member.SUSPECT
+                and record.version[:2] == held.version[:2]
+            ):
+                return False
+            record = attrs.evolve(record, state=member.SUSPECT)
+        if record.agent_id == self.own_id:
+            self.challenge = record
+            return False
+        self._store(now, held, record)
+        return True
+
+    def set_own(self, now, record):
+        """Store the record of this process itself."""
+        self._store(now, self._by_id.get(record.agent_id), record)
+
+    def suspect(self, now, agent_id):
+        """Mark a live member as suspect; return whether it was live."""
+        held = self._by_id[agent_id]
+        if held.state not in member.LIVE_STATES:
+            return False
+        return self.merge(now, attrs.evolve(held, state=member.SUSPECT))
+
+    def set_silent(self, data_centre, state):
+        """Show the live members of a data centre in another state.
+
+        :param state: ``SUSPECT``, ``DEAD``, or ``None`` when it is heard.
+        """
+        if state is None:
+            self._state_by_silent.pop(data_centre, None)
+        else:
+            self._state_by_silent[data_centre] = state
+        self._forget_live(data_centre)
+        for record in self._by_id.values():
+            if record.data_centre == data_centre and record.service:
+                self._changed.add(record.service)
+
+    def silent(self):
+        """Return the names of the silent data centres."""
+        return list(self._state_by_silent)
+
+    def silent_state(self, data_centre):
+        """Return the state that the members of a silent one appear in."""
+        return self._state_by_silent.get(data_centre)
+
+    def all_records(self):
+        """Return all records, those of ended members too."""
+        return list(self._by_id.values())
+
+    def hash_for(self, service, sponsors):
+        """Return the hash of what an agent knows: service and sponsors."""
+        value = 0
+        ids = self._ids_by_service.get(service, ())
+        for agent_id in {*ids, *sponsors}:
+            record = self._by_id.get(agent_id)
+            if record is not None:
+                value ^= digest.record_hash(record)
+        return value.to_bytes(8, "big")
+
+    def forget_data_centre(self, data_centre):
+        """Forget the members of a data centre that is silent for too long."""
+        for record in list(self._by_id.values()):
+            if record.data_centre == data_centre:
+                self._remove(record)
+
+    def forget(self, agent_id):
+        """Forget one member."""
+        record = self._by_id.get(agent_id)
+        if record is not None and agent_id != self.own_id:
+            self._remove(record)
+
+    def tick(self, now):
+        """Turn old suspicions into deaths and forget old deaths."""
+        while self._timers and self._timers[0][0] <= now:
+            _, agent_id, version = heapq.heappop(self._timers)
+            record = self._by_id.get(agent_id)
+            if record is None or record.version != version:
+                continue
+            if record.state == member.SUSPECT:
+                dead = attrs.evolve(record, state=member.DEAD)
+                self._store(now, record, dead)
+            elif agent_id != self.own_id:
+                self._remove(record)
+
+    def on_pause(self, now):
+        """Restart the suspicion timers after a pause of this process.
+
+        Refutations may still wait in its receive buffer.
+        """
+        timers, self._timers = self._timers, []
+        for deadline, agent_id, version in timers:
+            record = self._by_id.get(agent_id)
+            if record is None or record.version != version:
+                continue
+            if record.state == member.SUSPECT:
+                deadline = now + _TIMER_S_BY_STATE[member.SUSPECT]
+            heapq.heappush(self._timers, (deadline, agent_id, version))
+
+    def _wants(self, record):
+        return (
+            self.service is None
+            or record.kind == member.BALANCER
+            or record.service == self.service
+        )
+
+    def _store(self, now, held, record):
+        key = digest.key_of(record.agent_id)
+        if held is None:
+            self._index(key, record)
+        else:
+            self.digest.toggle(key, digest.record_hash(held))
+            if (held.service, held.data_centre) != (
+                record.service,
+                record.data_centre,
+            ):
+                self._unindex(key, held)
+                self._index(key, record)
+        self.digest.toggle(key, digest.record_hash(record))
+        self._by_id[record.agent_id] = record
+        timer = _TIMER_S_BY_STATE.get(record.state)
+        if timer is not None:
+            heapq.heappush(
+                self._timers, (now + timer, record.agent_id, record.version)
+            )
+        self._note_change(held, record)
+
+    def _note_change(self, held, record):
+        if record.kind == member.AGENT:
+            self._changed.add(record.service)
+            if held is not None and held.service != record.service:
+                self._changed.add(held.service)
+        elif held is None or held.state != record.state:
+            self._forget_live(record.data_centre)
+
+    def _forget_live(self, data_centre):
+        self._live_by_data_centre.pop(data_centre, None)
+        self.balancers_version += 1
+
+    def _remove(self, record):
+        key = digest.key_of(record.agent_id)
+        self.digest.toggle(key, digest.record_hash(record))
+        self._unindex(key, record)
+        del self._by_id[record.agent_id]
+        self._note_change(None, record)
+
+    def _indexes(self, key, record):
+        yield self._ids_by_leaf, digest.leaf_of(key)
+        if record.kind == member.AGENT:
+            yield self._ids_by_service, record.service
+        else:
+            yield self._balancer_ids_by_data_centre, record.data_centre
+
+    def _index(self, key, record):
+        # Of two ids with the same key, only the first has the short form.
+        self._id_by_key.setdefault(key, record.agent_id)
+        for ids_by_name, name in self._indexes(key, record):
+            ids = ids_by_name.get(name, ())
+            ids_by_name[name] = tuple(sorted(ids + (record.agent_id,)))
+
+    def _unindex(self, key, record):
+        if self._id_by_key.get(key) == record.agent_id:
+            del self._id_by_key[key]
+        for ids_by_name, name in self._indexes(key, record):
+            ids = tuple(
+                agent_id
+                for agent_id in ids_by_name[name]
+                if agent_id != record.agent_id
+            )
+            if ids:
+                ids_by_name[name] = ids
+            else:
+                del ids_by_name[name]
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -35,14 +35,34 @@
 # Membership.
 HEARTBEAT_S = 1.0
 SPONSORS = 3
+SPONSOR_CANDIDATES = 6
+# A sponsor that does not answer is replaced after this silence.
+SPONSOR_SILENCE_S = 2.5
+SPONSOR_AVOID_S = 30.0
+SPONSOR_LEAVE_ATTEMPTS = 10
+# Probes before a suspicion: three lost heartbeats in a row are frequent at
+# 42,000 heartbeats a second and 1% loss.
+PROBE_S = 1.8
+PROBE_INTERVAL_S = 0.3
 SUSPECT_S = 3.0
 DEAD_S = 10.0
-DEAD_RETENTION_S = 600.0
-ANTI_ENTROPY_S = 10.0
+# Longer than the longest partition expected (1 h), so that the other side
+# cannot bring back the record of a member that died meanwhile.
+DEAD_RETENTION_S = 7200.0
+DATA_CENTRE_QUIET_S = 1.0
+DATA_CENTRE_SILENT_S = 3.5
+# With fewer balancers, a data centre is not judged as a whole.
+DATA_CENTRE_BALANCERS = 3
+ANTI_ENTROPY_S = 1.0
+PULL_BUCKETS = 8
 GOSSIP_S = 0.1
 ROSTER_SILENCE_S = 60.0
 CONTROL_BYTES_PER_S = 14 * 1024
 RELAYS_PER_DATA_CENTRE = 3
+# Bytes of a message body that leave room for the envelope in a datagram.
+GOSSIP_BODY_BYTES = 1200
+# Envelope, digest, and IP and UDP headers around a message body.
+ENVELOPE_BYTES = 110
 
 # Control messages.
 DATAGRAM_BYTES = 1400
--- a/src/limpetlift/protocol/messages.thrift
+++ b/src/limpetlift/protocol/messages.thrift
@@ -24,21 +24,55 @@
   10: required double weight,
 }
 
+// The record is left out when the sponsor has acknowledged its sequence.
 struct Heartbeat {
-  1: required Member member,
+  1: optional Member member,
   2: required i64 config_revision,
   3: required binary view_hash,
   4: optional bool leaving,
+  5: optional i64 sequence,
 }
 
+// "sequence" acknowledges a record; -1 asks for the record. "sponsors" are
+// the ids that the member should send its heartbeats to. "silent" names the
+// data centres that the sponsor hears nothing from.
 struct HeartbeatReply {
   1: required i64 config_revision,
   2: required list<Member> members,
+  3: optional i64 sequence,
+  4: optional list<string> silent,
+  5: optional list<string> sponsors,
+}
+
+// Asks for a heartbeat at once.
+struct Probe {
+  1: required i64 config_revision,
 }
 
+// "removals" holds suspect, dead and left records in short form, "packed" a
+// compressed RecordList. "root" is the digest of the sender's view. "pulled"
+// marks the answer to a Pull.
 struct Gossip {
   1: required list<Member> members,
   2: required i64 config_revision,
+  3: optional binary removals,
+  4: optional binary packed,
+  5: optional binary root,
+  6: optional bool answer,
+  7: optional bool pulled,
+}
+
+struct RecordList {
+  1: required list<Member> members,
+}
+
+struct Digest {
+  1: required binary hashes,
+}
+
+struct Pull {
+  1: required i32 bucket,
+  2: required binary hashes,
 }
 
 // Flow ownership.
