--- a/src/limpetlift/coordination/membership.py
+++ b/src/limpetlift/coordination/membership.py
@@ -21,9 +21,6 @@
 from limpetlift import defaults
 from limpetlift.protocol import messages
 
-# An agent keeps some balancers to fall back on when its sponsors end.
-_AGENT_BALANCERS = 24
-
 
 @attrs.define
 class Membership:
@@ -173,6 +170,11 @@
                 self.view.set_silent(name, member.DEAD)
         return found
 
+    def _beat(self, now):
+        found = Membership._beat(self, now)
+        self._prune()
+        return found
+
     def _view_hash(self):
         return self.view.hash_for(self.own.service, self.pulse.candidates)
 
@@ -186,7 +188,6 @@
                     newer.append(held)
         if message.sponsors:
             self.pulse.candidates = tuple(message.sponsors)
-            self._prune()
         self._note_silent(now, sender, message.silent or ())
         newer = [record for record in newer if record != self.own]
         if not newer:
@@ -202,15 +203,14 @@
         ]
 
     def _prune(self):
+        """Forget balancers whose end this agent would not hear of."""
+        if not self.pulse.candidates:
+            return
         needed = {*self.pulse.candidates, *self.pulse.sponsors()}
-        known = [
-            agent_id
-            for name in self.view.data_centres()
-            for agent_id in self.view.known_balancers(name)
-        ]
-        for agent_id in known[: max(0, len(known) - _AGENT_BALANCERS)]:
-            if agent_id not in needed:
-                self.view.forget(agent_id)
+        for name in self.view.data_centres():
+            for agent_id in self.view.known_balancers(name):
+                if agent_id not in needed:
+                    self.view.forget(agent_id)
 
     def _note_silent(self, now, sender, names):
         """Follow the sponsors of the own data centre.
--- a/src/limpetlift/coordination/sponsor.py
+++ b/src/limpetlift/coordination/sponsor.py
@@ -277,19 +277,29 @@
         )
 
     def _auditor(self, record):
-        """Return the live balancer that follows the member on a ring."""
+        """Return the live balancer that follows the member on a ring.
+
+        One of another data centre is preferred: those beside the member may
+        have ended or restarted with it.
+        """
         if self._ring_version != self.view.balancers_version:
             self._ring_version = self.view.balancers_version
             self._ring = sorted(
-                (digest.key_of(agent_id), agent_id)
-                for agent_id in self.view.all_balancers()
+                (digest.key_of(agent_id), agent_id, name)
+                for name in self.view.data_centres()
+                for agent_id in self.view.balancers(name)
             )
-        if not self._ring:
-            return None
-        # A balancer does not audit itself: its own key is skipped.
-        start = (digest.key_of(record.agent_id) + 1, "")
-        position = bisect.bisect_left(self._ring, start)
-        return self._ring[position % len(self._ring)][1]
+        ring = self._ring
+        start = bisect.bisect(ring, (digest.key_of(record.agent_id) + 1,))
+        for step in range(len(ring)):
+            _, agent_id, name = ring[(start + step) % len(ring)]
+            if name != record.data_centre:
+                return agent_id
+        for step in range(len(ring)):
+            _, agent_id, _ = ring[(start + step) % len(ring)]
+            if agent_id != record.agent_id:
+                return agent_id
+        return None
 
 
 def _chunks(found):
--- a/src/limpetlift/testing/network.py
+++ b/src/limpetlift/testing/network.py
@@ -16,6 +16,7 @@
     sent: int = 0
     received: int = 0
     datagrams: int = 0
+    largest: int = 0
 
 
 @attrs.define
@@ -110,6 +111,7 @@
         traffic = self.traffic_by_id[sender]
         traffic.sent += size
         traffic.datagrams += 1
+        traffic.largest = max(traffic.largest, size)
         if receiver not in self.members_by_id:
             return
         if self.is_cut is not None and self.is_cut(sender, receiver):
