--- a/src/limpetlift/coordination/view.py
+++ b/src/limpetlift/coordination/view.py
@@ -35,8 +35,8 @@
 class View:
     """Member records by id and by service.
 
-    The tuples of ids are replaced, never changed, so that a copy of the view
-    shares them.
+    The tuples of ids are replaced, never changed, so that views can share
+    them.
 
     :param own_id: id of this process; its record is never merged from others.
     :param service: keep only agents of this service; ``None`` keeps all.
@@ -63,24 +63,22 @@
     def __len__(self):
         return len(self._by_id)
 
-    def copy(self, own_id):
-        """Return an independent copy for the process ``own_id``."""
-        return attrs.evolve(
-            self,
-            own_id=own_id,
-            digest=self.digest.copy(),
-            by_id=self._by_id.copy(),
-            id_by_key=self._id_by_key.copy(),
-            ids_by_leaf=self._ids_by_leaf.copy(),
-            ids_by_service=self._ids_by_service.copy(),
-            balancer_ids_by_data_centre=(
-                self._balancer_ids_by_data_centre.copy()
-            ),
-            live_by_data_centre=self._live_by_data_centre.copy(),
-            state_by_silent=self._state_by_silent.copy(),
-            timers=list(self._timers),
-            changed=set(self._changed),
+    def load(self, other):
+        """Take over the records of another view of the same scope."""
+        own = self._by_id.get(self.own_id)
+        self.digest = other.digest.copy()
+        self._by_id = other._by_id.copy()
+        self._id_by_key = other._id_by_key.copy()
+        self._ids_by_leaf = other._ids_by_leaf.copy()
+        self._ids_by_service = other._ids_by_service.copy()
+        self._balancer_ids_by_data_centre = (
+            other._balancer_ids_by_data_centre.copy()
         )
+        self._timers = list(other._timers)
+        self._live_by_data_centre.clear()
+        self.balancers_version += 1
+        if own is not None:
+            self._store(0.0, self._by_id.get(self.own_id), own)
 
     def get(self, agent_id):
         """Return the record of ``agent_id`` or ``None``."""
