--- a/src/limpetlift/coordination/membership.py
+++ b/src/limpetlift/coordination/membership.py
@@ -252,6 +252,7 @@
     dissemination: dissemination.Dissemination = attrs.field(init=False)
     antientropy: antientropy.AntiEntropy = attrs.field(init=False)
     _candidates_version: int = attrs.field(init=False, default=-1)
+    _next_seed: float = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self):
         Membership.__attrs_post_init__(self)
@@ -294,6 +295,7 @@
             )
         probes, suspects = self.sponsor.tick(now)
         found += self._charge(probes + self._spread(now, suspects))
+        found += self._charge(self._greet_seed(now))
         found += self.dissemination.tick(now)
         found += self.antientropy.tick(now, self.config_revision)
         return found
@@ -317,6 +319,26 @@
             )
         return Membership._beat(self, now)
 
+    def _greet_seed(self, now):
+        """Introduce this balancer to a seed now and then.
+
+        Two groups that started apart, or were apart for longer than they keep
+        each other's records, would otherwise never meet.
+        """
+        if self._next_seed is None:
+            self._next_seed = now + self.rng.random() * defaults.SEED_S
+        if now < self._next_seed or not self.pulse.seeds:
+            return []
+        self._next_seed = now + defaults.SEED_S
+        message = messages.structs.Gossip(
+            members=[self.own.to_message()],
+            config_revision=self.config_revision,
+            root=self.view.digest.packed_root(),
+        )
+        return [
+            actions.SendAddress(self.rng.choice(self.pulse.seeds), message)
+        ]
+
     def _publish(self, now, refuted):
         found = Membership._publish(self, now, refuted)
         self.dissemination.spread(now, self.own.agent_id)
--- a/src/limpetlift/coordination/reach.py
+++ b/src/limpetlift/coordination/reach.py
@@ -23,6 +23,8 @@
 
     heard_at: float
     silent_since: float = None
+    # Whether it has enough balancers to be judged as a whole.
+    is_judged: bool = False
 
 
 @attrs.define
@@ -64,6 +66,7 @@
         entry = self._by_name.get(data_centre)
         return (
             entry is not None
+            and entry.is_judged
             and now - entry.heard_at > defaults.DATA_CENTRE_QUIET_S
         )
 
@@ -76,12 +79,9 @@
         for name in self.view.data_centres():
             if name == self.data_centre:
                 continue
-            known = self._candidates(name)
-            if len(known) < self.minimum:
-                self._dismiss(name)
-                continue
             entry = self._by_name.setdefault(name, _Silence(now))
-            pings += self._check(now, name, entry, known)
+            if now - entry.heard_at >= defaults.DATA_CENTRE_QUIET_S:
+                pings += self._check(now, name, entry)
         return pings
 
     def _candidates(self, name):
@@ -91,15 +91,15 @@
             if self.view.get(agent_id).state not in member.ENDED_STATES
         ]
 
-    def _dismiss(self, name):
-        entry = self._by_name.pop(name, None)
-        if entry is not None and entry.silent_since is not None:
-            self.view.set_silent(name, None)
-
-    def _check(self, now, name, entry, known):
-        quiet = now - entry.heard_at
-        if quiet < defaults.DATA_CENTRE_QUIET_S:
+    def _check(self, now, name, entry):
+        known = self._candidates(name)
+        entry.is_judged = len(known) >= self.minimum
+        if not entry.is_judged:
+            if entry.silent_since is not None:
+                entry.silent_since = None
+                self.view.set_silent(name, None)
             return []
+        quiet = now - entry.heard_at
         if entry.silent_since is not None:
             self._age(now, name, entry)
             return [self.rng.choice(known)]
@@ -114,7 +114,8 @@
         if silence >= defaults.DEAD_RETENTION_S:
             # The others forget deaths in it that this process never heard of.
             self.view.forget_data_centre(name)
-            self._dismiss(name)
+            self.view.set_silent(name, None)
+            del self._by_name[name]
         elif silence >= defaults.DEAD_S - defaults.SUSPECT_S:
             if self.view.silent_state(name) != member.DEAD:
                 self.view.set_silent(name, member.DEAD)
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -57,6 +57,8 @@
 PULL_BUCKETS = 8
 GOSSIP_S = 0.1
 MEMBERSHIP_TICK_S = 0.05
+# Groups that do not know each other meet through the seeds.
+SEED_S = 30.0
 # A balancer that finds no other within this time serves alone.
 JOIN_ALONE_S = 3.0
 ROSTER_SILENCE_S = 60.0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -68,6 +68,9 @@
     def get(self, agent_id):
         return self.net.members_by_id[agent_id]
 
+    def balancers_up(self):
+        return filter(network.is_balancer, self.net.members_by_id.values())
+
     def states_of(self, agent_id):
         """The states of a member in the views that list it."""
         found = set()
@@ -246,6 +249,19 @@
         assert sent < 15.0 * defaults.CONTROL_BYTES_PER_S / 3
 
 
+def test_groups_that_never_met_join_through_the_seeds():
+    """A partition at the start must not leave two fleets for ever."""
+    fleet = _Fleet()
+    fleet.net.is_cut = lambda a, b: (int(a[1:]) % 3 == 0) != (
+        int(b[1:]) % 3 == 0
+    )
+    fleet.run(20.0)
+    assert len({one.view.digest.root for one in fleet.balancers_up()}) == 2
+    fleet.net.is_cut = None
+    fleet.run(defaults.SEED_S).assert_complete()
+    assert fleet.refuted() == []
+
+
 def test_members_that_died_with_their_data_centre_are_found():
     """When a lost data centre returns in part, the rest must not look live."""
     fleet = _Fleet().run(_SETTLED_S)
