--- /dev/null
+++ b/src/limpetlift/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the processes against their baselines and limits."""
--- /dev/null
+++ b/src/limpetlift/bench/packets.py
@@ -0,0 +1,249 @@
+"""Packets a second through a balancer, against a bare UDP loop."""
+
+import asyncio
+import contextlib
+import socket
+import statistics
+
+import attrs
+
+from limpetlift.bench import figures
+from limpetlift.bench import load
+from limpetlift.bench import workers
+from limpetlift.coordination import member as members
+from limpetlift.protocol import packet as packets
+from limpetlift.state import config
+from limpetlift.tasks import flowpath
+
+GENERATORS = 3
+CALLERS = 200
+WINDOW = 64
+AGENTS = 7
+# The three loads alternate in short slices, so other work on the same
+# instance slows all of them alike.
+SLICES = 4
+TARGET_RATIO = 0.5
+PAYLOAD_BYTES = 100
+
+
+def payload(number):
+    """Return the payload of generator ``number``."""
+    return bytes([number]) + bytes(PAYLOAD_BYTES - 1)
+
+
+def bare_loop(connection):
+    """Receive and send datagrams; the first byte picks the generator."""
+    sock = load.open_socket()
+    connection.send(sock.getsockname())
+    targets = connection.recv()
+    recvfrom, sendto = sock.recvfrom, sock.sendto
+    while True:
+        data, _address = recvfrom(65535)
+        sendto(data, targets[data[0]])
+
+
+def balancer(connection, sinks):
+    """Run the packet path of a balancer; the agents of service n are sink n.
+
+    Answers go to ``sinks`` too, which are given as callers by the load.
+    """
+
+    async def run():
+        node = workers.node("balancer")
+        flows = flowpath.BalancerFlows(node, "127.0.0.1")
+        services = [
+            config.Service(name="service-%d" % n, address=_free_address())
+            for n in range(len(sinks))
+        ]
+        flows.set_services(services)
+        for service, sink in zip(services, sinks):
+            flows.set_members(service.name, _agents(service.name, sink))
+        connection.send((node.address, [item.endpoint for item in services]))
+        await workers.serve_commands(connection, {})
+
+    asyncio.run(run())
+
+
+def _free_address():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return "%s:%d" % sock.getsockname()
+
+
+def _agents(service, sink):
+    return [
+        members.Member(
+            agent_id="%s-agent-%d" % (service, number),
+            kind=members.AGENT,
+            address="%s:%d" % sink,
+            incarnation=1,
+            service=service,
+            state=members.ACTIVE,
+        )
+        for number in range(AGENTS)
+    ]
+
+
+def answer(number, caller, balancer_address):
+    """Return an encoded answer of an agent to ``caller``."""
+    service = packets.service_id("service-%d" % number)
+    packet = packets.Packet(
+        kind=packets.KIND_TO_CALLER,
+        hops=0,
+        service_id=service,
+        flow_hash=packets.flow_hash(packets.flow_key(service, caller)),
+        caller=caller,
+        balancer=balancer_address,
+        incarnation=0,
+        payload=payload(number),
+    )
+    return packets.encode(packet, bytes.fromhex(workers.KEY))
+
+
+@attrs.frozen
+class _Load:
+    """Generators that load one process together.
+
+    :param generators: a :class:`workers.Worker` for each.
+    :param scale: the :class:`figures.Scale`.
+    """
+
+    generators: list
+    scale: figures.Scale
+
+    @property
+    def sinks(self):
+        """Address of the sink of each generator."""
+        return [generator.hello for generator in self.generators]
+
+    def flood(self, addresses, datagrams):
+        """Return the packets a second of all generators together.
+
+        :param addresses: where each generator sends.
+        :param datagrams: the one datagram that each generator sends.
+        """
+        for generator, address, datagram in zip(
+            self.generators, addresses, datagrams
+        ):
+            generator.send(
+                "flood",
+                address,
+                [datagram],
+                self.scale.run_s / SLICES,
+                WINDOW,
+            )
+        return sum(generator.receive() for generator in self.generators)
+
+    def pace(self, address, rate):
+        """Return latency percentiles at ``rate`` of the first generator."""
+        return self.generators[0].ask(
+            "pace", address, payload(0), self.scale.run_s, max(1, int(rate))
+        )
+
+
+@figures.measurement("packets")
+def measure(scale):
+    """Compare both directions with a bare loop; add latency at half load."""
+    with contextlib.ExitStack() as stack:
+        sources = _Load(
+            [
+                stack.enter_context(
+                    workers.Worker(load.generator, scale.count(CALLERS))
+                )
+                for _ in range(GENERATORS)
+            ],
+            scale,
+        )
+        bare = stack.enter_context(workers.Worker(bare_loop))
+        bare.send(*sources.sinks)
+        process = stack.enter_context(workers.Worker(balancer, sources.sinks))
+        rates, busy = _rates(sources, bare, process)
+        half = statistics.median(rates["to_agent"]) / 2
+        return _rate_figures(rates, busy) + _latency(
+            sources, bare, process, half
+        )
+
+
+def _rates(sources, bare, process):
+    node, services = process.hello
+    numbers = range(GENERATORS)
+    plain = [payload(number) for number in numbers]
+    replies = [
+        answer(number, sink, node) for number, sink in enumerate(sources.sinks)
+    ]
+    rates = {"bare": [], "to_agent": [], "to_caller": []}
+    busy = []
+    addresses = {
+        "bare": [bare.hello] * GENERATORS,
+        "to_agent": services,
+        "to_caller": [node] * GENERATORS,
+    }
+    datagrams = {"bare": plain, "to_agent": plain, "to_caller": replies}
+    for _ in range(sources.scale.repeats):
+        sums = dict.fromkeys(rates, 0.0)
+        used = [0.0, 0.0]
+        for _slice in range(SLICES):
+            for name in rates:
+                before = process.ask("usage")
+                sums[name] += sources.flood(addresses[name], datagrams[name])
+                after = process.ask("usage")
+                if name == "to_agent":
+                    used = [
+                        total + end - start
+                        for total, start, end in zip(used, before, after)
+                    ]
+        for name, total in sums.items():
+            rates[name].append(total / SLICES)
+        busy.append(used[0] / used[1])
+    return rates, busy
+
+
+def _rate_figures(rates, busy):
+    per_core = [rate / share for rate, share in zip(rates["to_agent"], busy)]
+    return [
+        figures.Figure("bare loop", "packets/s", rates["bare"]),
+        figures.Figure("balancer to agent", "packets/s", rates["to_agent"]),
+        figures.Figure("balancer to agent, core used", "", busy),
+        figures.Figure(
+            "balancer to agent, per core second", "packets", per_core
+        ),
+        figures.Figure("balancer to caller", "packets/s", rates["to_caller"]),
+        figures.Figure(
+            "balancer to agent / bare loop",
+            "",
+            figures.ratios(rates["to_agent"], rates["bare"]),
+            at_least=TARGET_RATIO,
+        ),
+        figures.Figure(
+            "balancer to caller / bare loop",
+            "",
+            figures.ratios(rates["to_caller"], rates["bare"]),
+            at_least=TARGET_RATIO,
+        ),
+    ]
+
+
+def _latency(sources, bare, process, rate):
+    _node, services = process.hello
+    runs = [
+        (sources.pace(bare.hello, rate), sources.pace(services[0], rate))
+        for _ in range(sources.scale.repeats)
+    ]
+    name = "at half load (%d/s)" % rate
+    return [
+        figures.Figure(
+            "latency added, median, " + name,
+            "us",
+            [ours[0] - base[0] for base, ours in runs],
+        ),
+        figures.Figure(
+            "latency added, 99th percentile, " + name,
+            "us",
+            [ours[1] - base[1] for base, ours in runs],
+        ),
+        figures.Figure(
+            "packets that came back, " + name,
+            "",
+            [ours[2] for _base, ours in runs],
+        ),
+    ]
--- /dev/null
+++ b/src/limpetlift/bench/runner.py
@@ -0,0 +1,57 @@
+"""Runs the measurements and writes their figures."""
+
+import json
+import os
+import pathlib
+import platform
+import time
+
+from limpetlift.bench import figures
+from limpetlift.bench import packets
+from limpetlift.bench import view
+from limpetlift import registry
+
+# Importing a module registers its measurement.
+MODULES = (packets, view)
+
+
+def run(scale, only=""):
+    """Run the measurements and return a JSON object with all figures.
+
+    :param only: name of the only measurement to run, or empty for all.
+    """
+    names = [only] if only else list(figures.MEASUREMENTS_BY_NAME)
+    report = {
+        "python": platform.python_version(),
+        "cores": os.cpu_count(),
+        "measurements": {name: _run_one(name, scale) for name in names},
+    }
+    return report
+
+
+def _run_one(name, scale):
+    measure = registry.lookup(
+        figures.MEASUREMENTS_BY_NAME, name, "measurement"
+    )
+    load = os.getloadavg()[0]
+    started = time.monotonic()
+    print("%s (load average %.1f)" % (name, load), flush=True)
+    try:
+        results = measure(scale)
+    except figures.NotRun as reason:
+        print("  not run: %s" % reason, flush=True)
+        return {"not_run": str(reason)}
+    for figure in results:
+        print("  %s" % figure, flush=True)
+    return {
+        "load_average": load,
+        "seconds": time.monotonic() - started,
+        "figures": [figure.to_json() for figure in results],
+    }
+
+
+def write(report, path):
+    """Write ``report`` to the file at ``path``."""
+    pathlib.Path(path).write_text(
+        json.dumps(report, indent=1) + "\n", encoding="utf-8"
+    )
--- a/src/limpetlift/cli.py
+++ b/src/limpetlift/cli.py
@@ -38,6 +38,19 @@
 
         sys.exit(asyncio.run(demo.run(seed)))
 
+    def bench(self, only="", json=""):
+        """Measure the processes on loopback; takes less than 5 minutes.
+
+        :param only: name of the only measurement to run.
+        :param json: file to which the figures are written.
+        """
+        from limpetlift.bench import figures
+        from limpetlift.bench import runner
+
+        report = runner.run(figures.Scale(), only)
+        if json:
+            runner.write(report, json)
+
     def standin(self, kind, *arguments):
         """Run a stand-in for tests: ``backend`` or ``fabric``.
 
