--- a/src/limpetlift/bench/packets.py
+++ b/src/limpetlift/bench/packets.py
@@ -24,6 +24,11 @@
 SLICES = 4
 TARGET_RATIO = 0.5
 PAYLOAD_BYTES = 100
+TITLES = {
+    "bare": "bare loop",
+    "to_agent": "balancer to agent",
+    "to_caller": "balancer to caller",
+}
 
 
 def payload(number):
@@ -157,9 +162,9 @@
         bare = stack.enter_context(workers.Worker(bare_loop))
         bare.send(*sources.sinks)
         process = stack.enter_context(workers.Worker(balancer, sources.sinks))
-        rates, busy = _rates(sources, bare, process)
+        rates, busy_us = _rates(sources, bare, process)
         half = statistics.median(rates["to_agent"]) / 2
-        return _rate_figures(rates, busy) + _latency(
+        return _rate_figures(rates, busy_us) + _latency(
             sources, bare, process, half
         )
 
@@ -172,55 +177,55 @@
         answer(number, sink, node) for number, sink in enumerate(sources.sinks)
     ]
     rates = {"bare": [], "to_agent": [], "to_caller": []}
-    busy = []
+    busy_us = {name: [] for name in rates}
     addresses = {
         "bare": [bare.hello] * GENERATORS,
         "to_agent": services,
         "to_caller": [node] * GENERATORS,
     }
     datagrams = {"bare": plain, "to_agent": plain, "to_caller": replies}
+    processes = {"bare": bare, "to_agent": process, "to_caller": process}
     for _ in range(sources.scale.repeats):
         sums = dict.fromkeys(rates, 0.0)
-        used = [0.0, 0.0]
+        used = dict.fromkeys(rates, 0.0)
         for _slice in range(SLICES):
-            for name in rates:
-                before = process.ask("usage")
+            for name, loaded in processes.items():
+                before = loaded.processor_s()
                 sums[name] += sources.flood(addresses[name], datagrams[name])
-                after = process.ask("usage")
-                if name == "to_agent":
-                    used = [
-                        total + end - start
-                        for total, start, end in zip(used, before, after)
-                    ]
+                used[name] += loaded.processor_s() - before
         for name, total in sums.items():
             rates[name].append(total / SLICES)
-        busy.append(used[0] / used[1])
-    return rates, busy
+            busy_us[name].append(
+                used[name] * 1e6 / (total / SLICES * sources.scale.run_s)
+            )
+    return rates, busy_us
 
 
-def _rate_figures(rates, busy):
-    per_core = [rate / share for rate, share in zip(rates["to_agent"], busy)]
-    return [
-        figures.Figure("bare loop", "packets/s", rates["bare"]),
-        figures.Figure("balancer to agent", "packets/s", rates["to_agent"]),
-        figures.Figure("balancer to agent, core used", "", busy),
-        figures.Figure(
-            "balancer to agent, per core second", "packets", per_core
-        ),
-        figures.Figure("balancer to caller", "packets/s", rates["to_caller"]),
-        figures.Figure(
-            "balancer to agent / bare loop",
-            "",
-            figures.ratios(rates["to_agent"], rates["bare"]),
-            at_least=TARGET_RATIO,
-        ),
-        figures.Figure(
-            "balancer to caller / bare loop",
-            "",
-            figures.ratios(rates["to_caller"], rates["bare"]),
-            at_least=TARGET_RATIO,
-        ),
-    ]
+def _rate_figures(rates, busy_us):
+    results = []
+    for name, title in TITLES.items():
+        results += [
+            figures.Figure(title, "packets/s", rates[name]),
+            figures.Figure(
+                title + ", processor time", "us/packet", busy_us[name]
+            ),
+        ]
+    for name in ("to_agent", "to_caller"):
+        results += [
+            figures.Figure(
+                TITLES[name] + " / bare loop",
+                "",
+                figures.ratios(rates[name], rates["bare"]),
+                at_least=TARGET_RATIO,
+            ),
+            figures.Figure(
+                TITLES[name] + " / bare loop, per core second",
+                "",
+                figures.ratios(busy_us["bare"], busy_us[name]),
+                at_least=TARGET_RATIO,
+            ),
+        ]
+    return results
 
 
 def _latency(sources, bare, process, rate):
--- a/src/limpetlift/bench/workers.py
+++ b/src/limpetlift/bench/workers.py
@@ -11,6 +11,7 @@
 
 KEY = "00112233445566778899aabbccddeeff"
 _ANSWER_S = 60.0
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -42,6 +43,13 @@
         self._process.terminate()
         self._process.join()
 
+    def processor_s(self):
+        """Return the processor time used by the process, in seconds."""
+        path = "/proc/%d/stat" % self._process.pid
+        with open(path, encoding="ascii") as file:
+            fields = file.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
     def send(self, *command):
         """Send a command without waiting for its answer."""
         self._pipe.send(command)
@@ -62,13 +70,9 @@
 
 
 def serve_commands(connection, handlers_by_name):
-    """Answer commands on the running event loop until the pipe closes.
-
-    Every process also answers ``usage`` with :func:`usage`.
-    """
+    """Answer commands on the running event loop until the pipe closes."""
     loop = asyncio.get_running_loop()
     done = loop.create_future()
-    handlers_by_name = dict(handlers_by_name, usage=usage)
 
     def on_readable():
         try:
@@ -83,11 +87,6 @@
     return done
 
 
-def usage():
-    """Return ``(processor seconds, wall seconds)`` of this process."""
-    return time.process_time(), time.monotonic()
-
-
 def resident_bytes():
     """Return the resident memory of this process."""
     gc.collect()
