--- a/src/limpetlift/protocol/packet.py
+++ b/src/limpetlift/protocol/packet.py
@@ -5,6 +5,7 @@
 packets (``VERSION``) from control envelopes.
 """
 
+import functools
 import hashlib
 import hmac
 import socket
@@ -68,10 +69,16 @@
     return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "big")
 
 
+@functools.lru_cache(maxsize=64)
+def _keyed(key):
+    return hashlib.blake2b(key=key, digest_size=defaults.PACKET_DIGEST_BYTES)
+
+
 def _digest(key, header):
-    return hashlib.blake2b(
-        header, key=key, digest_size=defaults.PACKET_DIGEST_BYTES
-    ).digest()
+    # Copying the prepared state skips the block that holds the key.
+    state = _keyed(key).copy()
+    state.update(header)
+    return state.digest()
 
 
 def encode(packet, key):
