Decode a packet with positional fields

Cause: keyword arguments to the generated constructor and indexing the tuple of fields took a tenth of the time to decode. Change: unpack into names and pass them by position.

--- a/src/limpetlift/protocol/packet.py
+++ b/src/limpetlift/protocol/packet.py
@@ -165,17 +165,28 @@
             break
     else:
         raise exceptions.BadDigest("no key matches")
-    fields = _HEADER.unpack(header)
-    kind = fields[1]
+    (
+        _version,
+        kind,
+        hops,
+        _reserved,
+        service,
+        placed_by,
+        caller_ip,
+        caller_port,
+        balancer_ip,
+        balancer_port,
+        incarnation,
+    ) = _HEADER.unpack(header)
     if kind not in (KIND_TO_AGENT, KIND_TO_CALLER):
         raise exceptions.MalformedMessage("unknown packet kind %d" % kind)
     return Packet(
-        kind=kind,
-        hops=fields[2],
-        service_id=fields[4],
-        flow_hash=fields[5],
-        caller=(socket.inet_ntoa(fields[6]), fields[7]),
-        balancer=(socket.inet_ntoa(fields[8]), fields[9]),
-        incarnation=fields[10],
-        payload=data[HEADER_BYTES:],
+        kind,
+        hops,
+        service,
+        placed_by,
+        (socket.inet_ntoa(caller_ip), caller_port),
+        (socket.inet_ntoa(balancer_ip), balancer_port),
+        incarnation,
+        data[HEADER_BYTES:],
     )
