--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -28,10 +28,46 @@
 MAX_KEY_LENGTH = 128
 LONG_FACTOR = 5.0
 RETRY_TOKENS_PER_REQUEST = 0.1
+# Saved tokens bound the burst of retries when many targets fail at once.
+RETRY_TOKENS_MAX = 10.0
+RETRY_ATTEMPTS = 3
+BACKOFF_BASE_S = 0.01
+BACKOFF_MAX_S = 1.0
 BODY_CHUNK_BYTES = 64 * 1024
 MAX_REQUEST_BYTES = 256 * 1024 * 1024
 MAX_FRAME_BYTES = 1024 * 1024
 
+# Admission.
+QUEUE_LIMIT = 1000
+QUEUE_QUANTUM_S = 1 / 64
+QUEUE_QUANTA = 4096
+LONG_CONTENT_BYTES = 1024 * 1024
+HISTORY_RUNS = 64
+HISTORY_ROUTES = 256
+HISTORY_MIN_RUNS = 3
+FAIR_SHARE_S = 10.0
+# Estimates are means, and a request that is likely to end late takes the slot
+# of one that would end in time. These factors widen the estimates of the wait
+# and the run time on arrival, and of the run time before the start.
+WAIT_MARGIN = 1.5
+RUN_MARGIN = 2.0
+START_MARGIN = 1.5
+# A request moves to a peer when it would wait this share of its run time.
+MOVE_FACTOR = 0.5
+PEER_LOAD_S = 0.25
+PEER_LOAD_AGE_S = 2.0
+PEER_LOAD_FANOUT = 8
+
+# Choice of an agent.
+AVOID_REFUSED_S = 0.05
+AVOID_REFUSED_MAX_S = 0.5
+AVOID_FAILED_S = 0.5
+AVOID_FAILED_MAX_S = 10.0
+LATENCY_MEMORY_S = 10.0
+# How long a wait seen at an agent counts, in ordinary run times.
+WAIT_MEMORY_RUNS = 5.0
+SLOW_FACTOR = 2.0
+
 # Membership.
 HEARTBEAT_S = 1.0
 SPONSORS = 3
