--- a/src/limpetlift/bench/runner.py
+++ b/src/limpetlift/bench/runner.py
@@ -8,11 +8,12 @@
 
 from limpetlift.bench import figures
 from limpetlift.bench import packets
+from limpetlift.bench import requests
 from limpetlift.bench import view
 from limpetlift import registry
 
 # Importing a module registers its measurement.
-MODULES = (packets, view)
+MODULES = (packets, view, requests)
 
 
 def run(scale, only=""):
--- a/src/limpetlift/bench/workers.py
+++ b/src/limpetlift/bench/workers.py
@@ -45,10 +45,7 @@
 
     def processor_s(self):
         """Return the processor time used by the process, in seconds."""
-        path = "/proc/%d/stat" % self._process.pid
-        with open(path, encoding="ascii") as file:
-            fields = file.read().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+        return processor_s(self._process.pid)
 
     def send(self, *command):
         """Send a command without waiting for its answer."""
@@ -87,6 +84,13 @@
     return done
 
 
+def processor_s(pid):
+    """Return the processor time that a process has used, in seconds."""
+    with open("/proc/%d/stat" % pid, encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
 def resident_bytes():
     """Return the resident memory of this process."""
     gc.collect()
