--- /dev/null
+++ b/src/limpetlift/cli.py
@@ -0,0 +1,118 @@
+"""Command line of limpetlift."""
+
+import asyncio
+import sys
+
+import fire
+from tornado import httpclient
+
+from limpetlift import exceptions
+from limpetlift import logs
+from limpetlift.state import settings as settings_module
+from limpetlift.tasks import agent as agents
+from limpetlift.tasks import balancer as balancers
+
+_ADMIN_TIMEOUT_S = 5.0
+
+
+class Commands:
+    """Layer-4 load balancer for long flows and at-most-once requests."""
+
+    def balancer(self, settings):
+        """Run a balancer.
+
+        :param settings: path of the settings file (TOML).
+        """
+        _run(balancers.Balancer, settings)
+
+    def agent(self, settings):
+        """Run the agent of a backend server.
+
+        :param settings: path of the settings file (TOML).
+        """
+        _run(agents.Agent, settings)
+
+    def status(self, admin, token=""):
+        """Print the state of a process as JSON.
+
+        :param admin: ``ip:port`` of its administration API.
+        :param token: bearer token, where the process has one.
+        """
+        print(asyncio.run(_call(admin, "/status", "GET", token)), end="")
+
+    def drain(self, admin, token=""):
+        """Make a process take no new work.
+
+        :param admin: ``ip:port`` of its administration API.
+        :param token: bearer token, where the process has one.
+        """
+        print(asyncio.run(_call(admin, "/drain", "POST", token)), end="")
+
+    def demo(self, seed=1):
+        """Run the whole system on loopback and report the promises.
+
+        :param seed: seed of the traffic.
+        """
+        from limpetlift.testing import demo
+
+        sys.exit(asyncio.run(demo.run(seed)))
+
+    def bench(self, only="", json=""):
+        """Measure the processes on loopback; takes less than 5 minutes.
+
+        :param only: name of the only measurement to run.
+        :param json: file to which the figures are written.
+        """
+        from limpetlift.bench import figures
+        from limpetlift.bench import runner
+
+        report = runner.run(figures.Scale(), only)
+        if json:
+            runner.write(report, json)
+
+    def standin(self, kind, *arguments):
+        """Run a stand-in for tests: ``backend`` or ``fabric``.
+
+        :param kind: which stand-in.
+        :param arguments: arguments of the stand-in.
+        """
+        from limpetlift.testing import standins
+
+        asyncio.run(standins.run(kind, [str(item) for item in arguments]))
+
+
+def _run(factory, path):
+    settings = settings_module.load(path)
+    logs.configure(settings.log.level, settings.log.target)
+
+    async def run():
+        await factory(settings).run()
+
+    asyncio.run(run())
+
+
+async def _call(admin, path, method, token):
+    """Call the administration API; return the answer's text."""
+    headers = {"Authorization": "Bearer " + token} if token else {}
+    try:
+        answer = await httpclient.AsyncHTTPClient().fetch(
+            "http://%s%s" % (admin, path),
+            method=method,
+            headers=headers,
+            body=b"" if method == "POST" else None,
+            request_timeout=_ADMIN_TIMEOUT_S,
+        )
+    except (OSError, ValueError, httpclient.HTTPError) as error:
+        raise exceptions.TransportError(
+            "%s does not answer: %s" % (admin, error)
+        ) from error
+    return answer.body.decode("utf-8")
+
+
+def main():
+    """Run the command; print errors of the package as one line each."""
+    try:
+        fire.Fire(Commands(), name="limpetlift")
+    except exceptions.LimpetliftError as error:
+        print("limpetlift: %s: %s" % (error.code, error), file=sys.stderr)
+        sys.exit(2)
--- a/src/limpetlift/state/flowmessages.py
+++ b/src/limpetlift/state/flowmessages.py
@@ -303,3 +303,7 @@
     return actions.Send(
         receiver_id, messages.structs.PrepareAck(sequence=sequence)
     )
+
+
+# The messages that a task must hand to the handlers.
+KINDS = tuple(_handlers_by_kind)
--- a/src/limpetlift/state/flowview.py
+++ b/src/limpetlift/state/flowview.py
@@ -82,13 +82,14 @@
     def merge(self, records):
         """Replace the members; return the ids of those that changed.
 
-        A version of a member older than the known one is ignored.
+        A sequence older than the known one is ignored. The state may go back
+        with the same sequence, such as when a data centre is heard again.
         """
         known = self.members_by_id
         merged = {}
         for record in records:
             old = known.get(record.agent_id)
-            if old is not None and old.version > record.version:
+            if old is not None and not _reached(record, old):
                 record = old
             merged[record.agent_id] = record
         changed = {
