--- /dev/null
+++ b/src/limpetlift/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replays a recorded trace through the decision modules on virtual time."""
