--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -26,6 +26,17 @@
 STORED_ANSWER_BYTES = 64 * 1024
 STORED_ANSWERS_BYTES = 16 * 1024 * 1024
 MAX_KEY_LENGTH = 128
+# A record is held this much longer than the retry window: the last permitted
+# attempt may spend up to the request timeout before it claims its key.
+CLAIM_MARGIN_S = 30.0
+CLAIM_TIMEOUT_S = 2.0
+CLAIM_RESEND_S = 0.02
+CLAIM_RESEND_MAX_S = 0.32
+CLAIM_RECORDS = 65536
+KEY_DIGEST_BYTES = 16
+VOTE_PULL_S = 0.05
+ROSTER_STATUS_S = 2.0
+ROSTER_HISTORY = 32
 LONG_FACTOR = 5.0
 RETRY_TOKENS_PER_REQUEST = 0.1
 BODY_CHUNK_BYTES = 64 * 1024
@@ -46,6 +57,9 @@
 
 # Control messages.
 DATAGRAM_BYTES = 1400
+# Bytes of a datagram left for the body of one page; the rest is the envelope
+# and the other fields, with agent ids of up to 128 characters.
+PAGE_BYTES = 1000
 ENVELOPE_AGE_S = 30.0
 DIGEST_BYTES = 16
 PACKET_DIGEST_BYTES = 8
--- a/src/limpetlift/protocol/messages.thrift
+++ b/src/limpetlift/protocol/messages.thrift
@@ -86,35 +86,50 @@
   1: required binary flow_key,
 }
 
+struct Header {
+  1: required string name,
+  2: required string value,
+}
+
 // At-most-once keys.
 
+// Keys travel as 16-byte digests. Claim ids grow with each claim of an agent
+// and are never used again by a later incarnation of it.
+
 struct Claim {
-  1: required string key,
+  1: required binary key,
   2: required i64 claim_id,
   3: required i64 epoch,
+  4: required i64 incarnation,
 }
 
+// result: granted, held (by the named claim), epoch, unsynced or full.
 struct ClaimVote {
-  1: required string key,
+  1: required binary key,
   2: required i64 claim_id,
-  3: required bool granted,
-  4: required string claimer,
-  5: required i64 claimer_incarnation,
-  6: required i64 epoch,
+  3: required string result,
+  4: required i64 epoch,
+  5: required i64 incarnation,
+  6: optional string claimer,
+  7: optional i64 claimer_incarnation,
+  8: optional i64 holder_claim_id,
 }
 
 struct ClaimAbandon {
-  1: required string key,
+  1: required binary key,
   2: required i64 claim_id,
+  3: required i64 incarnation,
 }
 
 struct VotePull {
   1: required i64 epoch,
   2: required i64 cursor,
+  3: required i64 pull_id,
+  4: required i64 incarnation,
 }
 
 struct Vote {
-  1: required string key,
+  1: required binary key,
   2: required string claimer,
   3: required i64 claimer_incarnation,
   4: required i64 claim_id,
@@ -126,15 +141,51 @@
   2: required i64 cursor,
   3: required bool last,
   4: required list<Vote> votes,
+  5: required i64 pull_id,
+  6: required i64 next_cursor,
+  7: required i64 incarnation,
+  8: required i64 synced,
 }
 
-// Requests, over a framed connection.
+struct RosterStatus {
+  1: required i64 epoch,
+  2: required i64 synced,
+  3: required i64 incarnation,
+  4: required bool ask,
+}
 
-struct Header {
-  1: required string name,
-  2: required string value,
+// A compressed roster, for a member that cannot read the store.
+struct RosterCopy {
+  1: required i64 epoch,
+  2: required binary roster,
+}
+
+struct AnswerPull {
+  1: required binary key,
+  2: required i64 claim_id,
+  3: required i64 incarnation,
+  4: required i64 offset,
+  5: required i64 pull_id,
 }
 
+// status: claiming, running, done, expired, unknown or released.
+struct AnswerPart {
+  1: required binary key,
+  2: required i64 pull_id,
+  3: required string status,
+  4: required i64 offset,
+  5: required i64 total,
+  6: required binary data,
+}
+
+struct StoredAnswer {
+  1: required i32 status,
+  2: required list<Header> headers,
+  3: required binary body,
+}
+
+// Requests, over a framed connection.
+
 struct RequestStart {
   1: required string request_id,
   2: required string service_name,
--- a/src/limpetlift/protocol/refusal.py
+++ b/src/limpetlift/protocol/refusal.py
@@ -45,6 +45,12 @@
 _refusal("retry_budget", NOT_RUN, 503, "The retry budget is used up.")
 _refusal("claim_conflict", NOT_RUN, 409, "The key is being claimed.", True)
 _refusal("no_quorum", NOT_RUN, 503, "No majority of the service answers.")
+_refusal(
+    "claims_full", NOT_RUN, 503, "Too many keys are remembered at present."
+)
+_refusal(
+    "roster_pending", NOT_RUN, 503, "The agent may not claim keys yet.", True
+)
 _refusal("backend_down", NOT_RUN, 503, "The backend server is down.", True)
 _refusal("stopping", NOT_RUN, 503, "The process is stopping.", True)
 _refusal("key_running", OUTCOME_UNKNOWN, 409, "The key is running elsewhere.")
--- a/src/limpetlift/state/actions.py
+++ b/src/limpetlift/state/actions.py
@@ -74,3 +74,72 @@
     """
 
     member: object
+
+
+@attrs.frozen
+class Answer:
+    """A stored answer of the backend server.
+
+    :param headers: pairs of name and value.
+    :param body: bytes.
+    """
+
+    status: int
+    headers: tuple
+    body: bytes
+
+
+@attrs.frozen
+class Granted:
+    """The request holds its key and may run."""
+
+    request_id: str
+
+
+@attrs.frozen
+class Denied:
+    """The request does not run.
+
+    :param code: a key of ``refusal.refusals_by_code``.
+    """
+
+    request_id: str
+    code: str
+
+
+@attrs.frozen
+class Replay:
+    """Answer the request with the stored answer of its key.
+
+    :param answer: an :class:`Answer`.
+    """
+
+    request_id: str
+    answer: object
+
+
+@attrs.frozen
+class Wait:
+    """The request waits for a later action with its id."""
+
+    request_id: str
+
+
+@attrs.frozen
+class ReadRoster:
+    """Read the roster from the store: a member has a newer one.
+
+    :param epoch: an epoch that exists.
+    """
+
+    epoch: int
+
+
+@attrs.frozen
+class RosterAdopted:
+    """The roster came from another member, not from the store.
+
+    :param roster: a :class:`limpetlift.coordination.roster.Roster`.
+    """
+
+    roster: object
