--- a/src/limpetlift/replay/engine.py
+++ b/src/limpetlift/replay/engine.py
@@ -29,9 +29,7 @@
     def run(self, until):
         """Run everything that is due before ``until``."""
         while self._queue and self._queue[0][0] <= until:
-            self.now, _number, callback, arguments = heapq.heappop(
-                self._queue
-            )
+            self.now, _number, callback, arguments = heapq.heappop(self._queue)
             callback(*arguments)
         self.now = until
 
--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -112,7 +112,7 @@
             incarnation=self.incarnation,
             data_centre=self.site.name,
             region=self.site.region,
-            **fields
+            **fields,
         )
 
     def perform_membership(self, steps):
@@ -276,9 +276,7 @@
 
     def _announce(self, member):
         changes = {"state": member.state, "weight": member.weight}
-        self.perform_membership(
-            self.membership.update(self.now, **changes)
-        )
+        self.perform_membership(self.membership.update(self.now, **changes))
 
     def _forward(self, step):
         packet = attrs.evolve(
--- a/src/limpetlift/replay/trace.py
+++ b/src/limpetlift/replay/trace.py
@@ -304,9 +304,7 @@
             raise exceptions.StateError("expected format %d" % FORMAT)
         return _structure(values, Header)
     kind = values.pop("event", None)
-    return _structure(
-        values, registry.lookup(events_by_kind, kind, "event")
-    )
+    return _structure(values, registry.lookup(events_by_kind, kind, "event"))
 
 
 def _structure(values, cls):
--- a/src/limpetlift/state/actions.py
+++ b/src/limpetlift/state/actions.py
@@ -2,9 +2,17 @@
 
 import attrs
 
-from limpetlift.coordination import actions
 
-Send = actions.Send
+@attrs.frozen
+class Send:
+    """Send a control message to another process.
+
+    :param agent_id: id of the receiver.
+    :param message: one of ``messages.structs``.
+    """
+
+    agent_id: str
+    message: object
 
 
 @attrs.frozen
@@ -77,8 +85,24 @@
     :param request_id: id of the request.
     """
 
+    request_id: str
 
 
+@attrs.frozen
+class Refused:
+    """Answer a request that was never admitted with a refusal.
+
+    :param request_id: id of the request.
+    :param code: a key of ``refusal.refusals_by_code`` that says ``not_run``.
+    :param retry_at: address of an agent that may have room, or empty.
+    """
+
+    request_id: str
+    code: str
+    retry_at: str = ""
+
+
+@attrs.frozen
 class Answer:
     """A stored answer of the backend server.
 
@@ -99,14 +123,6 @@
 
 
 @attrs.frozen
-class Refused:
-    """Answer a request that was never admitted with a refusal.
-
-    :param request_id: id of the request.
-    :param code: a key of ``refusal.refusals_by_code`` that says ``not_run``.
-    :param retry_at: address of an agent that may have room, or empty.
-
-
 class Denied:
     """The request does not run.
 
@@ -115,9 +131,6 @@
 
     request_id: str
     code: str
-    retry_at: str = ""
-
-
 
 
 @attrs.frozen
--- a/src/limpetlift/state/claims.py
+++ b/src/limpetlift/state/claims.py
@@ -182,9 +182,7 @@
                 return [actions.Denied(request_id, "claims_full")]
             if self._leaving or not self.sync.epochs.is_member:
                 return [actions.Denied(request_id, "roster_pending")]
-            run = _Run(
-                digest(key), [], now + defaults.CLAIM_TIMEOUT_S, now
-            )
+            run = _Run(digest(key), [], now + defaults.CLAIM_TIMEOUT_S, now)
             self._runs_by_key[run.key] = run
             self._claiming_by_key[run.key] = run
         elif run.status == RUNNING:
