--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -8,7 +8,7 @@
 from limpetlift.protocol import packet as packets
 from limpetlift.state import actions
 from limpetlift.state import flows
-from limpetlift.tasks import servicetable
+from limpetlift.state import servicetable
 
 AGENT_TICK_S = 0.01
 BALANCER_TICK_S = 0.05
@@ -157,10 +157,10 @@
     def on_tick(self):
         """Run the timers; rebuild the tables of services that changed."""
         self.perform_membership(self.membership.tick(self.now))
-        for name in self.membership.view.take_changed_services():
+        for name in self.membership.view.take_changed():
             table = self.tables_by_name.get(name)
             if table is not None:
-                table.set_members(self.membership.view.service(name))
+                table.set_members(self.membership.view.members_of(name))
 
     def on_control(self, sender_id, incarnation, message):
         """Handle a control message."""
@@ -174,6 +174,12 @@
             )
         )
 
+    def stop(self):
+        """Leave the membership and end."""
+        self.perform_membership(self.membership.leave(self.now))
+        self.perform_membership(self.membership.tick(self.now))
+        self.kill()
+
     def forward(self, service, caller, payload):
         """Forward a datagram of a caller to the natural owner."""
         service_id = packets.service_id(service)
@@ -213,6 +219,7 @@
         """Build the decision modules and announce the agent."""
         own = self.record(service=self.service.name)
         self.drained_at = None
+        self.started_at = self.now
         self.membership = membership.AgentMembership(
             own, self.world.rng, seeds=self.world.seeds(self.id)
         )
@@ -249,6 +256,18 @@
         """Handle a data packet."""
         self.perform(self.table.on_packet(self.now, packet))
 
+    def takes_work_at(self, when):
+        """Whether the agent took new work from ``when`` until now."""
+        return (
+            self.alive
+            and self.started_at <= when
+            and (self.drained_at is None or self.drained_at > when)
+        )
+
+    def stop(self):
+        """Drain, and end when the last flow has ended."""
+        self.drain()
+
     def drain(self):
         """Take no new work."""
         self.drained_at = self.now
@@ -287,7 +306,7 @@
         self.world.send_packet(self, step.agent_id, packet)
 
     def _pass_members(self):
-        records = self.membership.view.service(self.service.name)
+        records = self.membership.view.members_of(self.service.name)
         if records != self._members_seen:
             self._members_seen = records
             self.perform(self.table.on_members(self.now, records))
--- a/src/limpetlift/state/actions.py
+++ b/src/limpetlift/state/actions.py
@@ -2,17 +2,9 @@
 
 import attrs
 
+from limpetlift.coordination import actions
 
-@attrs.frozen
-class Send:
-    """Send a control message to another process.
-
-    :param agent_id: id of the receiver.
-    :param message: one of ``messages.structs``.
-    """
-
-    agent_id: str
-    message: object
+Send = actions.Send
 
 
 @attrs.frozen
