--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -5,7 +5,9 @@
 from limpetlift.coordination import actions as membership_actions
 from limpetlift.coordination import member as members
 from limpetlift.coordination import membership
+from limpetlift import defaults
 from limpetlift.protocol import packet as packets
+from limpetlift.replay import requests
 from limpetlift.state import actions
 from limpetlift.state import flows
 from limpetlift.state import servicetable
@@ -153,6 +155,15 @@
             spec.name: servicetable.ServiceTable(spec)
             for spec in self.world.header.services
         }
+        self.accepts = True
+        self.attempts = set()
+        self.requests = requests.BalancerRequests(self)
+
+    def kill(self):
+        """Die at once; the callers' connections break."""
+        super().kill()
+        for attempt in list(self.attempts):
+            self.world.callers.settle(attempt, "outcome_unknown")
 
     def on_tick(self):
         """Run the timers; rebuild the tables of services that changed."""
@@ -175,7 +186,14 @@
         )
 
     def stop(self):
-        """Leave the membership and end."""
+        """Finish the requests, leave the membership and end."""
+        self.accepts = False
+        self._leave(self.now + defaults.STOP_S)
+
+    def _leave(self, deadline):
+        if self.attempts and self.now < deadline:
+            self.world.clock.after(self.tick_s, self._leave, deadline)
+            return
         self.perform_membership(self.membership.leave(self.now))
         self.perform_membership(self.membership.tick(self.now))
         self.kill()
@@ -214,6 +232,7 @@
     def __init__(self, world, process_id, site, service):
         super().__init__(world, process_id, site)
         self.service = service
+        self.slowness = 1.0
 
     def on_start(self):
         """Build the decision modules and announce the agent."""
@@ -230,13 +249,43 @@
         )
         self.table = flows.FlowTable(own, limits)
         self._members_seen = None
+        self.offers = set()
+        self.requests = requests.AgentRequests(self)
+        self._loads_at = self.now
         self.perform(self.table.join(self.now))
 
+    def kill(self):
+        """Die at once; the balancers' connections break."""
+        super().kill()
+        for offer in list(self.offers):
+            balancer = offer.attempt.balancer
+            if balancer.alive and balancer.started == offer.attempt.started:
+                self.world.clock.after(
+                    self.world.network.delay(self, balancer),
+                    balancer.receive,
+                    balancer.requests.on_closed,
+                    (offer,),
+                )
+
     def on_tick(self):
         """Run the timers."""
         self.perform_membership(self.membership.tick(self.now))
         self._pass_members()
         self.perform(self.table.tick(self.now))
+        self.requests.tick()
+        if self.now >= self._loads_at:
+            self._loads_at = self.now + defaults.PEER_LOAD_S
+            self._send_load()
+
+    def _send_load(self):
+        load = self.requests.queue.load(self.now, self.id, self.address)
+        for peer in self.world.agents(self.service.name):
+            if peer is not self:
+                self.world.network.datagram(self, peer.id, peer.on_load, load)
+
+    def on_load(self, load):
+        """Take the load of another agent of the service."""
+        self.requests.queue.on_peers(self.now, [load])
 
     def on_control(self, sender_id, incarnation, message):
         """Handle a control message of membership or of flow ownership."""
@@ -272,6 +321,7 @@
         """Take no new work."""
         self.drained_at = self.now
         self.perform(self.table.drain(self.now))
+        self.requests.perform(self.requests.table.drain(self.now))
 
     def set_weight(self, weight):
         """Change the weight of the backend server."""
--- a/src/limpetlift/replay/outcomes.py
+++ b/src/limpetlift/replay/outcomes.py
@@ -5,6 +5,7 @@
 import attrs
 
 from limpetlift import registry
+from limpetlift.replay import requests
 
 outcomes_by_name = {}
 
@@ -195,3 +196,69 @@
     if not takers or sum(counts.values()) < _FLOWS_PER_TARGET * len(takers):
         return None
     return max(counts.values()) * len(takers) / sum(counts.values())
+
+
+def _jobs(outcomes):
+    return outcomes.world.callers.jobs
+
+
+@_outcome("requests_sent", None)
+def _requests_sent(outcomes):
+    return len(_jobs(outcomes))
+
+
+@_outcome("requests_run_twice", 0)
+def _run_twice(outcomes):
+    return sum(
+        job.runs > 1
+        for job in _jobs(outcomes)
+        if job.key or not _was_refused(job)
+    )
+
+
+def _was_refused(job):
+    """Whether a later attempt of a job without a key was allowed."""
+    return any(requests.is_not_run(code) for code, _ in job.outcomes)
+
+
+@_outcome("false_not_run", 0)
+def _false_not_run(outcomes):
+    return sum(
+        attempt.ran and requests.is_not_run(code)
+        for job in _jobs(outcomes)
+        for code, attempt in job.outcomes
+    )
+
+
+@_outcome("answered_in_time_share", None)
+def _answered_share(outcomes):
+    jobs = _jobs(outcomes)
+    if not jobs:
+        return None
+    return sum(job.answered_at is not None for job in jobs) / len(jobs)
+
+
+@_outcome("short_p99_ms", None)
+def _short_p99(outcomes):
+    times = sorted(
+        job.answered_at - job.sent_at
+        for job in _jobs(outcomes)
+        if job.answered_at is not None and not job.long
+    )
+    return times[len(times) * 99 // 100] * 1000 if times else None
+
+
+@_outcome("long_answered_share", None)
+def _long_answered(outcomes):
+    jobs = [job for job in _jobs(outcomes) if job.long]
+    if not jobs:
+        return None
+    return sum(job.answered_at is not None for job in jobs) / len(jobs)
+
+
+@_outcome("extra_offers_share", None)
+def _extra_offers(outcomes):
+    world = outcomes.world
+    if not world.callers.attempts:
+        return None
+    return world.offers / world.callers.attempts - 1
--- a/src/limpetlift/replay/runner.py
+++ b/src/limpetlift/replay/runner.py
@@ -9,6 +9,7 @@
 from limpetlift.replay import engine
 from limpetlift.replay import nodes
 from limpetlift.replay import outcomes
+from limpetlift.replay import requests
 from limpetlift.replay import trace
 
 # Time for the processes to find each other before the trace starts.
@@ -49,6 +50,9 @@
         self.clock = engine.Clock()
         self.network = engine.Network(self.clock, self.header, self.rng)
         self.outcomes = outcomes.Outcomes(self)
+        self.callers = requests.Callers(self)
+        self.offers = 0
+        self.uses_retries = self.policies.get("retries", "budget") != "none"
         self._ids_by_address = {}
         self._callers = 0
         self._changes = []
@@ -229,6 +233,57 @@
     world.datagram(event.service, (ip, int(port)))
 
 
+@_handles(trace.Requests)
+def _send_requests(world, event, until=None):
+    until = until or world.clock.now + event.for_s
+    world.callers.start(_job(world, event))
+    pause = world.rng.expovariate(event.per_s)
+    if world.clock.now + pause < until:
+        world.clock.after(pause, _send_requests, world, event, until)
+
+
+def _job(world, event):
+    long = world.rng.random() < event.long_share
+    work_s = event.work_ms / 1000 * world.rng.uniform(0.5, 1.5)
+    key = ""
+    if event.keyed:
+        key = "key-%d" % len(world.callers.jobs)
+    return requests.Job(
+        service=event.service,
+        work_s=work_s * event.long_factor if long else work_s,
+        deadline=world.clock.now
+        + event.deadline_ms / 1000 * (event.long_factor if long else 1.0),
+        sent_at=world.clock.now,
+        key=key,
+        long=long,
+        declared=event.declared,
+        retries_left=event.retries,
+    )
+
+
+@_handles(trace.Request)
+def _recorded_request(world, event):
+    world.callers.start(
+        requests.Job(
+            service=event.service,
+            work_s=event.work_ms / 1000,
+            deadline=world.clock.now + event.deadline_ms / 1000,
+            sent_at=world.clock.now,
+            key=event.key,
+            long=event.long,
+            declared=event.declared,
+            retries_left=event.retries,
+        )
+    )
+
+
+@_handles(trace.Slow)
+def _slow(world, event):
+    process = _process(world, event)
+    process.slowness = event.factor
+    world.clock.after(event.for_s, setattr, process, "slowness", 1.0)
+
+
 @_handles(trace.Kill)
 def _kill(world, event):
     process = _process(world, event)
