--- a/src/limpetlift/coordination/membership.py
+++ b/src/limpetlift/coordination/membership.py
@@ -46,7 +46,8 @@
         scope = self.own.service if self.own.kind == member.AGENT else None
         self.view = view.View(self.own.agent_id, scope)
         self.view.set_own(0.0, self.own)
-        self.pulse = pulse.Pulse(self.view, self.rng, list(self.seeds))
+        seeds = [name for name in self.seeds if name != self.own.address]
+        self.pulse = pulse.Pulse(self.view, self.rng, seeds)
         self._handlers = {
             messages.structs.HeartbeatReply: self._on_reply,
             messages.structs.Probe: self._on_probe,
@@ -62,7 +63,7 @@
         :raises MalformedMessage: when a part is not readable.
         """
         handler = self._handlers.get(type(message))
-        if handler is None:
+        if handler is None or sender == self.own.agent_id:
             return []
         self._note_time(now)
         found = []
@@ -79,6 +80,15 @@
         self.view.tick(now)
         return self._beat(now) if self.pulse.is_due(now) else []
 
+    def kinds(self):
+        """Return the names of the messages that this process handles."""
+        return [kind.__name__ for kind in self._handlers]
+
+    @property
+    def is_joined(self):
+        """Whether a sponsor has the record of this process."""
+        return self.pulse.is_acknowledged()
+
     def update(self, now, **changes):
         """Publish a change of the own record, such as state or weight.
 
@@ -242,6 +252,7 @@
     dissemination: dissemination.Dissemination = attrs.field(init=False)
     antientropy: antientropy.AntiEntropy = attrs.field(init=False)
     _candidates_version: int = attrs.field(init=False, default=-1)
+    _next_seed: float = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self):
         Membership.__attrs_post_init__(self)
@@ -284,10 +295,16 @@
             )
         probes, suspects = self.sponsor.tick(now)
         found += self._charge(probes + self._spread(now, suspects))
+        found += self._charge(self._greet_seed(now))
         found += self.dissemination.tick(now)
         found += self.antientropy.tick(now, self.config_revision)
         return found
 
+    @property
+    def is_joined(self):
+        """Whether the view was as complete as that of another balancer."""
+        return self.antientropy.synced
+
     def set_config_revision(self, now, revision):
         """Tell the other processes which configuration is in force here."""
         self.config_revision = revision
@@ -302,6 +319,26 @@
             )
         return Membership._beat(self, now)
 
+    def _greet_seed(self, now):
+        """Introduce this balancer to a seed now and then.
+
+        Two groups that started apart, or were apart for longer than they keep
+        each other's records, would otherwise never meet.
+        """
+        if self._next_seed is None:
+            self._next_seed = now + self.rng.random() * defaults.SEED_S
+        if now < self._next_seed or not self.pulse.seeds:
+            return []
+        self._next_seed = now + defaults.SEED_S
+        message = messages.structs.Gossip(
+            members=[self.own.to_message()],
+            config_revision=self.config_revision,
+            root=self.view.digest.packed_root(),
+        )
+        return [
+            actions.SendAddress(self.rng.choice(self.pulse.seeds), message)
+        ]
+
     def _publish(self, now, refuted):
         found = Membership._publish(self, now, refuted)
         self.dissemination.spread(now, self.own.agent_id)
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -120,6 +120,11 @@
 ANTI_ENTROPY_S = 1.0
 PULL_BUCKETS = 8
 GOSSIP_S = 0.1
+MEMBERSHIP_TICK_S = 0.05
+# Groups that do not know each other meet through the seeds.
+SEED_S = 30.0
+# A balancer that finds no other within this time serves alone.
+JOIN_ALONE_S = 3.0
 ROSTER_SILENCE_S = 60.0
 CONTROL_BYTES_PER_S = 14 * 1024
 RELAYS_PER_DATA_CENTRE = 3
@@ -143,6 +148,8 @@
 
 # Processes.
 UDP_BATCH = 64
+# Twice the flows of one balancer at the design size, about 400 B each.
+CACHED_HEADERS = 16_384
 UDP_BUFFER_BYTES = 4 * 1024 * 1024
 TICK_S = 0.01
 ADMIN_IP = "127.0.0.1"
