--- a/src/limpetlift/cli.py
+++ b/src/limpetlift/cli.py
@@ -1,6 +1,7 @@
 """Command line of limpetlift."""
 
 import asyncio
+import json as json_module
 import sys
 
 import fire
@@ -48,6 +49,31 @@
         """
         print(asyncio.run(_call(admin, "/drain", "POST", token)), end="")
 
+    def replay(self, *traces, seed=None, policy="", json=False):
+        """Replay traces and compare the outcomes with their targets.
+
+        Exits with 1 when a target is missed.
+
+        :param traces: trace files; the events of all are merged.
+        :param seed: replaces the seed of the trace.
+        :param policy: policies as ``kind=name``, separated by commas; kinds
+            are sharing, admission, choice and retries.
+        :param json: print JSON instead of a table.
+        """
+        from limpetlift.replay import runner
+
+        pairs = [item.partition("=") for item in _words(policy)]
+        summary = runner.run(
+            [str(path) for path in traces],
+            seed,
+            {kind: name for kind, _, name in pairs},
+        )
+        if json:
+            print(json_module.dumps(summary.to_json(), indent=2))
+        else:
+            print(summary.to_text())
+        sys.exit(0 if summary.kept else 1)
+
     def demo(self, seed=1):
         """Run the whole system on loopback and report the promises.
 
@@ -91,6 +117,13 @@
     asyncio.run(run())
 
 
+def _words(text):
+    """Split a list that fire may have parsed into a tuple already."""
+    if isinstance(text, (tuple, list)):
+        return [str(item) for item in text]
+    return [item for item in str(text).split(",") if item]
+
+
 async def _call(admin, path, method, token):
     """Call the administration API; return the answer's text."""
     headers = {"Authorization": "Bearer " + token} if token else {}
--- a/src/limpetlift/replay/outcomes.py
+++ b/src/limpetlift/replay/outcomes.py
@@ -113,37 +113,44 @@
     """One measured outcome.
 
     :param limit: the target, or None when the figure has none.
+    :param at_least: whether the target is a lower bound.
     """
 
     name: str
     value: float | None
     limit: float | None
+    at_least: bool
     kept: bool
 
 
-def _outcome(name, limit):
+def _outcome(name, limit, at_least=False):
     def decorate(function):
-        registry.register(outcomes_by_name, name)((function, limit))
+        entry = (function, limit, at_least)
+        registry.register(outcomes_by_name, name)(entry)
         return function
 
     return decorate
 
 
-def evaluate(outcomes):
+def evaluate(outcomes, other):
     """Return a :class:`Result` for each registered outcome.
 
     An outcome whose value is None did not occur in the trace.
+
+    :param other: the :class:`Outcomes` of the compared run, or None.
     """
     results = []
-    for name, (function, limit) in outcomes_by_name.items():
-        value = function(outcomes)
-        kept = value is None or limit is None or value <= limit
-        results.append(Result(name, value, limit, kept))
+    for name, (function, limit, at_least) in outcomes_by_name.items():
+        value = function(outcomes, other)
+        kept = value is None or limit is None
+        if not kept:
+            kept = value >= limit if at_least else value <= limit
+        results.append(Result(name, value, limit, at_least, kept))
     return results
 
 
 @_outcome("flows_opened", None)
-def _flows_opened(outcomes):
+def _flows_opened(outcomes, other):
     return sum(
         record.owner is not None
         for record in outcomes.flows_by_caller.values()
@@ -151,29 +158,29 @@
 
 
 @_outcome("flows_broken", 0)
-def _flows_broken(outcomes):
+def _flows_broken(outcomes, other):
     return sum(
         record.moved for record in outcomes.flows_by_caller.values()
     ) + len(outcomes.silent_flows())
 
 
 @_outcome("false_resets", 0)
-def _false_resets(outcomes):
+def _false_resets(outcomes, other):
     return outcomes.false_resets
 
 
 @_outcome("wrong_service", 0)
-def _wrong_service(outcomes):
+def _wrong_service(outcomes, other):
     return outcomes.wrong_service
 
 
 @_outcome("new_flows_on_leaving", 0)
-def _new_on_leaving(outcomes):
+def _new_on_leaving(outcomes, other):
     return outcomes.new_on_leaving
 
 
 @_outcome("flow_imbalance", 1.05)
-def _flow_imbalance(outcomes):
+def _flow_imbalance(outcomes, other):
     worst = None
     for spec in outcomes.world.header.services:
         for start, end in outcomes.world.stable_spans(spec.name):
@@ -203,12 +210,12 @@
 
 
 @_outcome("requests_sent", None)
-def _requests_sent(outcomes):
+def _requests_sent(outcomes, other):
     return len(_jobs(outcomes))
 
 
 @_outcome("requests_run_twice", 0)
-def _run_twice(outcomes):
+def _run_twice(outcomes, other):
     return sum(
         job.runs > 1
         for job in _jobs(outcomes)
@@ -222,7 +229,7 @@
 
 
 @_outcome("false_not_run", 0)
-def _false_not_run(outcomes):
+def _false_not_run(outcomes, other):
     return sum(
         attempt.ran and requests.is_not_run(code)
         for job in _jobs(outcomes)
@@ -231,15 +238,22 @@
 
 
 @_outcome("answered_in_time_share", None)
-def _answered_share(outcomes):
+def _answered_share(outcomes, other):
     jobs = _jobs(outcomes)
-    if not jobs:
-        return None
-    return sum(job.answered_at is not None for job in jobs) / len(jobs)
+    return _answered(jobs) / len(jobs) if jobs else None
+
+
+def _answered(jobs):
+    return sum(job.answered_at is not None for job in jobs)
 
 
 @_outcome("short_p99_ms", None)
-def _short_p99(outcomes):
+def _short_p99(outcomes, other):
+    return _p99_of_short(outcomes)
+
+
+def _p99_of_short(outcomes):
+    """Return milliseconds from sending to the answer, or None."""
     times = sorted(
         job.answered_at - job.sent_at
         for job in _jobs(outcomes)
@@ -248,16 +262,39 @@
     return times[len(times) * 99 // 100] * 1000 if times else None
 
 
-@_outcome("long_answered_share", None)
-def _long_answered(outcomes):
-    jobs = [job for job in _jobs(outcomes) if job.long]
-    if not jobs:
+@_outcome("short_p99_against_without_long", 1.5)
+def _short_p99_ratio(outcomes, other):
+    if other is None or not outcomes.world.header.compare.without_long:
+        return None
+    return _p99_of_short(outcomes) / _p99_of_short(other)
+
+
+@_outcome("useful_work_against_baseline", 2.0, at_least=True)
+def _useful_work_ratio(outcomes, other):
+    if other is None or not outcomes.world.header.compare.policies:
         return None
-    return sum(job.answered_at is not None for job in jobs) / len(jobs)
+    useful = _answered(_compared_jobs(outcomes))
+    return useful / max(_answered(_compared_jobs(other)), 1)
+
+
+def _compared_jobs(outcomes):
+    compare = outcomes.world.header.compare
+    start = outcomes.world.trace_start
+    return [
+        job
+        for job in _jobs(outcomes)
+        if compare.from_s <= job.sent_at - start < compare.until_s
+    ]
+
+
+@_outcome("long_answered_share", 0.9, at_least=True)
+def _long_answered(outcomes, other):
+    jobs = [job for job in _jobs(outcomes) if job.long]
+    return _answered(jobs) / len(jobs) if jobs else None
 
 
-@_outcome("extra_offers_share", None)
-def _extra_offers(outcomes):
+@_outcome("extra_offers_share", 0.1)
+def _extra_offers(outcomes, other):
     world = outcomes.world
     if not world.callers.attempts:
         return None
--- a/src/limpetlift/replay/runner.py
+++ b/src/limpetlift/replay/runner.py
@@ -10,6 +10,7 @@
 from limpetlift.replay import nodes
 from limpetlift.replay import outcomes
 from limpetlift.replay import requests
+from limpetlift.replay import store
 from limpetlift.replay import trace
 
 # Time for the processes to find each other before the trace starts.
@@ -52,6 +53,7 @@
         self.outcomes = outcomes.Outcomes(self)
         self.callers = requests.Callers(self)
         self.offers = 0
+        self.store = store.Store(self.clock)
         self.uses_retries = self.policies.get("retries", "budget") != "none"
         self._ids_by_address = {}
         self._callers = 0
@@ -59,14 +61,15 @@
         self._build()
         for event in recorded.events:
             self.clock.at(_WARM_UP_S + event.at, self._apply, event)
+        self.trace_start = _WARM_UP_S
         self.end = _WARM_UP_S + self.header.duration_s
 
     def run(self):
-        """Run the trace and return the results."""
+        """Run the trace and return its :class:`Outcomes`."""
         for process in list(self.network.processes_by_id.values()):
             process.start()
         self.clock.run(self.end + _COOL_DOWN_S)
-        return outcomes.evaluate(self.outcomes)
+        return self.outcomes
 
     def _build(self):
         sites = self.header.data_centres
@@ -352,24 +355,91 @@
     world.network.cut(event.left, event.right, event.for_s)
 
 
-def run(path, seed=None, policies=None):
-    """Run the trace at ``path`` and return its results.
+@_handles(trace.Store)
+def _store(world, event):
+    world.store.fail(event.state, world.clock.now + event.for_s)
 
+
+def run(paths, seed=None, policies=None):
+    """Run a trace and return its :class:`Summary`.
+
+    :param paths: files with a trace each; the header of the first one
+        holds, and the events of all are merged.
     :param seed: replaces the seed of the trace.
     :param policies: policy name by kind of policy.
-    :raises SettingsError: when the trace is invalid.
+    :raises SettingsError: when a trace is invalid.
     """
-    return World(trace.load(path), seed, policies).run()
+    traces = [trace.load(path) for path in paths]
+    events = [event for item in traces for event in item.events]
+    recorded = trace.Trace(
+        traces[0].header, sorted(events, key=lambda event: event.at)
+    )
+    measured = World(recorded, seed, policies).run()
+    other = _run_compared(recorded, seed, policies)
+    return Summary(
+        name=recorded.header.name,
+        results=outcomes.evaluate(measured, other),
+        drops_by_reason=dict(measured.drops_by_reason),
+    )
+
+
+def _run_compared(recorded, seed, policies):
+    compare = recorded.header.compare
+    if compare is None:
+        return None
+    if compare.without_long:
+        events = [
+            (
+                attrs.evolve(event, long_share=0.0)
+                if isinstance(event, trace.Requests)
+                else event
+            )
+            for event in recorded.events
+        ]
+        recorded = trace.Trace(recorded.header, events)
+    merged = {**(policies or {}), **compare.policies}
+    return World(recorded, seed, merged).run()
 
 
 @attrs.frozen
 class Summary:
-    """The results of a replay as plain values."""
+    """The results of a replay.
+
+    :param results: a list of :class:`limpetlift.replay.outcomes.Result`.
+    """
 
     name: str
     results: list
+    drops_by_reason: dict
 
     @property
     def kept(self):
         """Whether every target was met."""
         return all(result.kept for result in self.results)
+
+    def to_json(self):
+        """Return the summary as a JSON object."""
+        return {
+            "name": self.name,
+            "kept": self.kept,
+            "outcomes": [attrs.asdict(result) for result in self.results],
+            "drops": self.drops_by_reason,
+        }
+
+    def to_text(self):
+        """Return one line for each outcome that occurred."""
+        lines = ["trace %s" % self.name]
+        for result in self.results:
+            if result.value is not None:
+                lines.append(_line(result))
+        lines.append("all targets met" if self.kept else "a target was missed")
+        return "\n".join(lines)
+
+
+def _line(result):
+    target = ""
+    if result.limit is not None:
+        relation = "at least" if result.at_least else "at most"
+        verdict = "" if result.kept else "  MISSED"
+        target = "%s %g%s" % (relation, result.limit, verdict)
+    return "%-34s %12.6g  %s" % (result.name, result.value, target)
--- a/src/limpetlift/replay/trace.py
+++ b/src/limpetlift/replay/trace.py
@@ -40,6 +40,22 @@
     max_flows: int = 2000
 
 
+@attrs.frozen(kw_only=True)
+class Comparison:
+    """A second run with the same seed that some outcomes refer to.
+
+    :param policies: policies of the second run.
+    :param without_long: leave the long requests out of the second run.
+    :param from_s: start of the span that is compared.
+    :param until_s: its end.
+    """
+
+    policies: dict[str, str] = attrs.Factory(dict)
+    without_long: bool = False
+    from_s: float = 0.0
+    until_s: float = 1e9
+
+
 @attrs.frozen(kw_only=True)
 class Header:
     """The deployment that a trace was recorded on.
@@ -49,6 +65,7 @@
     :param client_ms: latency between callers and balancers.
     :param loss: share of datagrams that are lost.
     :param balancers: number of balancers, spread over the data centres.
+    :param compare: a second run to compare with, or None.
     """
 
     format: int
@@ -61,6 +78,7 @@
     one_way_ms: float = 0.5
     client_ms: float = 3.0
     loss: float = 0.0
+    compare: Comparison | None = None
 
 
 @attrs.frozen(kw_only=True)
