--- a/src/limpetlift/state/ownership.py
+++ b/src/limpetlift/state/ownership.py
@@ -134,15 +134,14 @@
             if self.redirects.is_ended(entry):
                 self.redirects.drop(key)
                 entry = None
-        if entry is None:
-            if must_own:
-                return [actions.Drop("not_owner")] + self.deny(key)
-            return self.place(now, key, packet)
-        return self._follow(key, entry, packet) + (
-            self.deny(key) if must_own else []
-        )
+        denial = self._deny(key) if must_own else []
+        if entry is not None:
+            return denial + self._follow(key, entry, packet)
+        if must_own and packet.incarnation != self.incarnation & 0xFFFFFFFF:
+            return denial + [actions.Drop("other_incarnation")]
+        return denial + self._place(now, key, packet)
 
-    def deny(self, key):
+    def _deny(self, key):
         """Tell the holders of entries that this agent isn't the owner."""
         return self.broadcast(
             messages.structs.NotOwner(
@@ -171,7 +170,7 @@
         )
         return [actions.Reset(packet)] + self.broadcast(message)
 
-    def place(self, now, key, packet):
+    def _place(self, now, key, packet):
         """Find the member that takes a new flow."""
         bucket = placement.bucket_of(packet.flow_hash)
         order = self.view.order(bucket)
@@ -188,9 +187,11 @@
             return [actions.Drop("full")]
         if taker != self.id:
             return self._pass(now, key, taker, packet)
-        asked = self.view.asked(bucket, self.is_in_doubt(now, bucket))
+        in_doubt = self.is_in_doubt(now, bucket)
+        asked = self.view.asked(bucket, in_doubt)
         opening = self.openings.start(now, key, bucket, packet, asked)
-        return [] if asked else self.decide(now, opening)
+        # After a pause the news of other members may still be unread.
+        return [] if asked or in_doubt else self.decide(now, opening)
 
     def _taker(self, order, passed, is_last_hop):
         """Return the id of the member that takes a flow, or None."""
@@ -216,6 +217,8 @@
             return self.leave(now, opening, *hinted)
         if not self.transition.effective.takes_new:
             return self.pass_opening(now, opening)
+        if self._ask_more(now, opening):
+            return []
         self.openings.finish(opening)
         self.redirects.drop(opening.key)
         self.own.open(
@@ -229,6 +232,21 @@
             actions.Deliver(opening.key, packet) for packet in opening.packets
         ]
 
+    def _ask_more(self, now, opening):
+        """Ask members that became known; return whether there are any."""
+        in_doubt = self.is_in_doubt(now, opening.bucket)
+        asked = opening.asked
+        more = [
+            peer_id
+            for peer_id in self.view.asked(opening.bucket, in_doubt)
+            if peer_id not in asked
+        ]
+        for peer_id in more:
+            self.openings.ask(now, opening, peer_id)
+        if more:
+            self.openings.extend(now, opening)
+        return bool(more)
+
     def leave(self, now, opening, owner, incarnation):
         """Leave a flow to the owner that another member named."""
         self.openings.withdraw(now, opening)
