--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -10,7 +10,7 @@
 SETTLE_S = 2.0
 # Shorter than ASK_RETRY_S * ASK_ATTEMPTS: after that time another agent may
 # accept a flow without the answer of a paused agent, which must then ask.
-PAUSE_S = 0.05
+FLOW_PAUSE_S = 0.05
 ASK_RETRY_S = 0.02
 ASK_ATTEMPTS = 3
 # Longest wait for answers when more members are silent than may be.
@@ -100,6 +100,7 @@
 SLOW_FACTOR = 2.0
 
 # Membership.
+PAUSE_S = 1.0
 HEARTBEAT_S = 1.0
 SPONSORS = 3
 SPONSOR_CANDIDATES = 6
--- a/src/limpetlift/state/flows.py
+++ b/src/limpetlift/state/flows.py
@@ -172,7 +172,7 @@
 
     def _notice_gap(self, now):
         gap = now - self._last_call
-        if gap > defaults.PAUSE_S:
+        if gap > defaults.FLOW_PAUSE_S:
             self._parts.on_pause(now, gap)
         self._last_call = now
 
