Accept no flow while its owner may be silent

Cause: in a partition an agent accepted unknown flows after one second even when more members were silent than know of a flow, so flows got a second owner on the other side. Change: such an opening is dropped instead of accepted until the silent members answer or are dead. Ruled out: a longer wait alone, which only delays the second owner.

--- a/src/limpetlift/state/openings.py
+++ b/src/limpetlift/state/openings.py
@@ -34,6 +34,16 @@
         """Ids of all members that were asked."""
         return self.unanswered | self.granted
 
+    @property
+    def has_knower(self):
+        """Whether an owner, if there is one, must have been noticed.
+
+        The owner and REDIRECT_COPIES others know of a flow, so not all of
+        them may be silent.
+        """
+        spare = max(1, len(self.asked) - 1)
+        return len(self.unanswered) <= min(spare, defaults.REDIRECT_COPIES)
+
     @property
     def hinted_owner(self):
         """``(id, incarnation)`` of an owner that has not denied, or None."""
@@ -128,13 +138,8 @@
         return expired
 
     def _is_answered(self, now, opening):
-        """Whether an owner must have been noticed.
-
-        The owner and REDIRECT_COPIES others know of a flow, so not all of
-        them may be silent.
-        """
-        spare = max(1, len(opening.asked) - 1)
-        if len(opening.unanswered) > min(spare, defaults.REDIRECT_COPIES):
+        """Whether enough members answered and the others were asked."""
+        if not opening.has_knower:
             return False
         return all(
             self.mail.is_tried(now, peer_id, opening.key)
--- a/src/limpetlift/state/ownership.py
+++ b/src/limpetlift/state/ownership.py
@@ -219,6 +219,12 @@
             return self.pass_opening(now, opening)
         if self._ask_more(now, opening):
             return []
+        if not opening.has_knower:
+            # In a partition the silent members may own the flow. Until they
+            # answer or are dead, a lost datagram does less harm than a flow
+            # with two owners.
+            self.openings.withdraw(now, opening)
+            return [actions.Drop("in_doubt")] * len(opening.packets)
         self.openings.finish(opening)
         self.redirects.drop(opening.key)
         self.own.open(
