--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -7,6 +7,8 @@
 from limpetlift.coordination import membership
 from limpetlift import defaults
 from limpetlift.protocol import packet as packets
+from limpetlift import registry
+from limpetlift.replay import baselines
 from limpetlift.replay import requests
 from limpetlift.state import actions
 from limpetlift.state import flows
@@ -247,7 +249,12 @@
             policy=self.world.policies.get("sharing", "bounded"),
             slow_start_s=self.world.slow_start_s,
         )
-        self.table = flows.FlowTable(own, limits)
+        table = registry.lookup(
+            baselines.tables_by_name,
+            self.world.policies.get("ownership", "redirects"),
+            "flow ownership",
+        )
+        self.table = table(own, limits)
         self._members_seen = None
         self.offers = set()
         self.requests = requests.AgentRequests(self)
