--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -8,7 +8,6 @@
 REDIRECT_COPIES = 2
 REDIRECT_BATCH_S = 0.05
 SETTLE_S = 2.0
-PAUSE_S = 1.0
 # Shorter than ASK_RETRY_S * ASK_ATTEMPTS: after that time another agent may
 # accept a flow without the answer of a paused agent, which must then ask.
 FLOW_PAUSE_S = 0.05
@@ -47,6 +46,17 @@
 STORED_ANSWER_BYTES = 64 * 1024
 STORED_ANSWERS_BYTES = 16 * 1024 * 1024
 MAX_KEY_LENGTH = 128
+# A record is held this much longer than the retry window: the last permitted
+# attempt may spend up to the request timeout before it claims its key.
+CLAIM_MARGIN_S = 30.0
+CLAIM_TIMEOUT_S = 2.0
+CLAIM_RESEND_S = 0.02
+CLAIM_RESEND_MAX_S = 0.32
+CLAIM_RECORDS = 65536
+KEY_DIGEST_BYTES = 16
+VOTE_PULL_S = 0.05
+ROSTER_STATUS_S = 2.0
+ROSTER_HISTORY = 32
 LONG_FACTOR = 5.0
 RETRY_TOKENS_PER_REQUEST = 0.1
 # Saved tokens bound the burst of retries when many targets fail at once.
@@ -90,6 +100,7 @@
 SLOW_FACTOR = 2.0
 
 # Membership.
+PAUSE_S = 1.0
 HEARTBEAT_S = 1.0
 SPONSORS = 3
 SPONSOR_CANDIDATES = 6
@@ -128,6 +139,9 @@
 
 # Control messages.
 DATAGRAM_BYTES = 1400
+# Bytes of a datagram left for the body of one page; the rest is the envelope
+# and the other fields, with agent ids of up to 128 characters.
+PAGE_BYTES = 1000
 ENVELOPE_AGE_S = 30.0
 DIGEST_BYTES = 16
 PACKET_DIGEST_BYTES = 8
