Let the answer to a probe end a sponsorship

The repeated farewell to a former sponsor is dropped: the sponsor probes before it suspects, and the answer tells it that the member has left. New tests: pulls repair any difference of two views; a paused process that lost its datagrams resumes.

--- a/src/limpetlift/coordination/pulse.py
+++ b/src/limpetlift/coordination/pulse.py
@@ -34,7 +34,6 @@
     # Ids of the preferred sponsors and spares, best first.
     candidates: tuple = ()
     _links_by_id: dict = attrs.field(factory=dict)
-    _leaving_by_id: dict = attrs.field(factory=dict)
     _avoid_until_by_id: dict = attrs.field(factory=dict)
     _next_beat: float = None
 
@@ -74,8 +73,6 @@
             )
             for agent_id, link in self._links_by_id.items()
         ]
-        for agent_id in list(self._leaving_by_id):
-            sends.append(self._farewell(agent_id, config_revision))
         if not self._links_by_id or all(
             now - link.answered_at > 2 * defaults.HEARTBEAT_S
             for link in self._links_by_id.values()
@@ -91,7 +88,6 @@
 
     def on_reply(self, now, sender, message):
         """Note the answer of a sponsor."""
-        self._leaving_by_id.pop(sender, None)
         link = self._links_by_id.get(sender)
         if link is not None:
             link.answered_at = now
@@ -99,7 +95,11 @@
                 link.acknowledged = message.sequence
 
     def on_probe(self, now, sender, config_revision, view_hash):
-        """Answer a balancer that asks for a heartbeat."""
+        """Answer a balancer that asks for a heartbeat.
+
+        A sponsor that was replaced asks when it misses the heartbeats; the
+        answer tells it that this process is alive and has left it.
+        """
         link = self._links_by_id.get(sender)
         if link is not None:
             message = self._heartbeat(-1, config_revision, view_hash)
@@ -129,10 +129,7 @@
         for agent_id in list(self._links_by_id):
             if agent_id not in chosen:
                 del self._links_by_id[agent_id]
-                # A live sponsor would take the silence for a failure.
-                self._leaving_by_id[agent_id] = defaults.SPONSOR_LEAVE_ATTEMPTS
         for agent_id in chosen:
-            self._leaving_by_id.pop(agent_id, None)
             self._links_by_id.setdefault(agent_id, _Link(now))
 
     def _avoid_silent(self, now):
@@ -162,12 +159,3 @@
             view_hash=view_hash,
             sequence=own.sequence,
         )
-
-    def _farewell(self, agent_id, config_revision):
-        self._leaving_by_id[agent_id] -= 1
-        if self._leaving_by_id[agent_id] <= 0:
-            del self._leaving_by_id[agent_id]
-        own = self.view.get(self.view.own_id)
-        message = self._heartbeat(own.sequence, config_revision, b"")
-        message.leaving = True
-        return actions.Send(agent_id, message)
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -39,7 +39,6 @@
 # A sponsor that does not answer is replaced after this silence.
 SPONSOR_SILENCE_S = 2.5
 SPONSOR_AVOID_S = 30.0
-SPONSOR_LEAVE_ATTEMPTS = 10
 # Probes before a suspicion: three lost heartbeats in a row are frequent at
 # 42,000 heartbeats a second and 1% loss.
 PROBE_S = 1.8
--- a/src/limpetlift/testing/network.py
+++ b/src/limpetlift/testing/network.py
@@ -65,10 +65,14 @@
         """Stop a process; its datagrams wait."""
         self._held_by_id[agent_id] = []
 
-    def resume(self, agent_id):
-        """Continue a paused process with the datagrams that wait."""
+    def resume(self, agent_id, kept=True):
+        """Continue a paused process.
+
+        :param kept: whether the datagrams that wait are delivered.
+        """
         for arguments in self._held_by_id.pop(agent_id):
-            self._deliver(*arguments)
+            if kept:
+                self._deliver(*arguments)
 
     def run(self, seconds):
         """Run until ``seconds`` later."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -171,14 +171,15 @@
     fleet.assert_complete()
 
 
+@pytest.mark.parametrize("kept", [True, False])
 @pytest.mark.parametrize("agent_id", ["a4", "b4"])
-def test_a_paused_process_resumes(agent_id):
+def test_a_paused_process_resumes(agent_id, kept):
     """It must refute its death and must not blame those it sponsored."""
     fleet = _Fleet().run(_SETTLED_S)
     fleet.net.pause(agent_id)
     fleet.run(30.0)
     assert fleet.states_of(agent_id) == {member.DEAD}
-    fleet.net.resume(agent_id)
+    fleet.net.resume(agent_id, kept)
     fleet.run(_SETTLED_S).assert_complete()
     assert {name for _, name in fleet.refuted()} == {agent_id}
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -1,10 +1,14 @@
 """Merge rules of member records, and their wire forms."""
 
+import random
+
 import attrs
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from limpetlift.coordination import antientropy
+from limpetlift.coordination import budget
 from limpetlift.coordination import digest
 from limpetlift.coordination import member
 from limpetlift.coordination import records
@@ -192,6 +196,31 @@
         pass
 
 
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(_RECORDS, _RECORDS)
+def test_pulls_make_two_views_equal(ours, theirs):
+    """Anti-entropy must repair whatever difference gossip leaves."""
+    sides = []
+    for name, found in (("x", ours), ("y", theirs)):
+        one = view.View(name)
+        for record in found:
+            one.merge(0.0, record)
+        rng = random.Random(1)
+        bucket = budget.TokenBucket()
+        sides.append(antientropy.AntiEntropy(one, rng, bucket))
+    for puller, answerer in (sides, sides[::-1]):
+        hashes = answerer.view.digest.packed_buckets()
+        puller.on_digest("peer", messages.structs.Digest(hashes=hashes))
+        for action in puller.tick(0.0, 0):
+            answerer.on_pull("peer", action.message, 0)
+        for action in answerer.tick(0.0, 0):
+            for record in records.unpack(action.message, puller.view):
+                puller.view.merge(0.0, record)
+    for side in sides:
+        side.view.tick(_LONG)
+    assert sides[0].view.digest.root == sides[1].view.digest.root
+
+
 def test_a_removal_of_another_incarnation_is_ignored():
     """A restarted member must not be removed by news of the old process."""
     one = view.View("me")
