Ask for recent changes when a silent data centre is heard again

Cause: after a partition of an hour the records that differ are few (288) but lie in most buckets of the digest, and pulling each bucket costs 0.9 KB. Change: the first message from a data centre that was silent asks its sender for what changed there since; a view with many differing buckets pulls from random peers only while it has never been complete.

--- a/src/limpetlift/coordination/antientropy.py
+++ b/src/limpetlift/coordination/antientropy.py
@@ -42,6 +42,7 @@
     synced: bool = False
     _next_ping: float = 0.0
     _next_pull: float = 0.0
+    _next_catch_up: float = 0.0
     # Buckets to pull, each with the peer that is known to differ.
     _wanted: dict = attrs.field(factory=dict, repr=False)
     _answers: collections.deque = attrs.field(
@@ -108,7 +109,7 @@
         buckets = [b for b in buckets if b < digest.BUCKETS]
         if len(buckets) <= defaults.PULL_BUCKETS:
             self.synced = True
-        if len(buckets) >= _BOOTSTRAP_BUCKETS:
+        if len(buckets) >= _BOOTSTRAP_BUCKETS and not self.synced:
             # Others hold the same; asking many spreads the load.
             for bucket in buckets:
                 self._wanted[bucket] = self._random_peer() or sender
@@ -117,16 +118,29 @@
         for bucket in buckets[: defaults.PULL_BUCKETS]:
             self._wanted[bucket] = sender
 
-    def on_pull(self, sender, message, config_revision):
-        """Queue the records of the leaves that differ."""
-        if not 0 <= message.bucket < digest.BUCKETS:
-            return
-        leaves = digest.differing(
-            self.view.digest.packed_leaves(message.bucket), message.hashes
-        )
-        found = self.view.records_in(
-            message.bucket, [leaf for leaf in leaves if leaf < digest.LEAVES]
+    def catch_up(self, now, peer, seconds):
+        """Ask ``peer`` for what changed there in the last ``seconds``.
+
+        The pulls of buckets would cost twenty times as much when the records
+        that differ are few but lie in most buckets.
+        """
+        if now < self._next_catch_up:
+            return []
+        self._next_catch_up = now + defaults.CATCH_UP_S
+        age_s = seconds + defaults.CATCH_UP_MARGIN_S
+        message = messages.structs.Pull(
+            bucket=0, hashes=b"", age_ms=int(age_s * 1000)
         )
+        return [actions.Send(peer, message)]
+
+    def on_pull(self, now, sender, message, config_revision):
+        """Queue the records of the leaves that differ, or recent ones."""
+        if message.age_ms is not None:
+            found = self.view.recent(
+                now - message.age_ms / 1000, defaults.CATCH_UP_RECORDS
+            )
+        else:
+            found = self._differing_records(message)
         # The peer may hold an older incarnation, which a removal can't change.
         for batch in records.batches(found, allow_short=False):
             self._answer(
@@ -134,6 +148,16 @@
                 batch.message(config_revision=config_revision, pulled=True),
             )
 
+    def _differing_records(self, message):
+        if not 0 <= message.bucket < digest.BUCKETS:
+            return []
+        leaves = digest.differing(
+            self.view.digest.packed_leaves(message.bucket), message.hashes
+        )
+        return self.view.records_in(
+            message.bucket, [leaf for leaf in leaves if leaf < digest.LEAVES]
+        )
+
     def _pull(self):
         sends = []
         while self._wanted and len(sends) < defaults.PULL_BUCKETS:
--- a/src/limpetlift/coordination/membership.py
+++ b/src/limpetlift/coordination/membership.py
@@ -276,8 +276,8 @@
     def on_message(self, now, sender, incarnation, message, source=""):
         """Handle a control message; see the base class."""
         self._note_time(now)
-        self._note_heard(now, sender)
-        found = Membership.on_message(
+        found = self._note_heard(now, sender)
+        found += Membership.on_message(
             self, now, sender, incarnation, message, source
         )
         return self._charge(found)
@@ -352,13 +352,15 @@
     def _note_heard(self, now, sender):
         record = self.view.get(sender)
         if record is None:
-            return
+            return []
         name = record.data_centre
-        if self.view.silent_state(name) is not None:
-            self.reach.on_heard(now, name)
-            self.sponsor.audit_data_centre(now, name)
-        else:
-            self.reach.on_heard(now, name)
+        silence = self.reach.on_heard(now, name)
+        if not silence:
+            return []
+        self.sponsor.audit_data_centre(now, name)
+        if record.kind != member.BALANCER:
+            return []
+        return self.antientropy.catch_up(now, sender, silence)
 
     def _spread(self, now, changed, sender=None):
         for record in changed:
@@ -396,7 +398,7 @@
         return []
 
     def _on_pull(self, now, sender, incarnation, message):
-        self.antientropy.on_pull(sender, message, self.config_revision)
+        self.antientropy.on_pull(now, sender, message, self.config_revision)
         return []
 
     def _charge(self, found):
--- a/src/limpetlift/coordination/reach.py
+++ b/src/limpetlift/coordination/reach.py
@@ -47,14 +47,20 @@
     _by_name: dict = attrs.field(factory=dict)
 
     def on_heard(self, now, data_centre):
-        """Note a message from a process in ``data_centre``."""
+        """Note a message from a process in ``data_centre``.
+
+        :returns: for how many seconds it was silent until now.
+        """
         entry = self._by_name.get(data_centre)
         if entry is None:
-            return
-        entry.heard_at = now
+            return 0.0
+        silence = 0.0
         if entry.silent_since is not None:
+            silence = now - entry.heard_at
             entry.silent_since = None
             self.view.set_silent(data_centre, None)
+        entry.heard_at = now
+        return silence
 
     def on_pause(self, now):
         """Start again after a pause of this process."""
--- a/src/limpetlift/coordination/view.py
+++ b/src/limpetlift/coordination/view.py
@@ -59,6 +59,8 @@
     _state_by_silent: dict = attrs.field(factory=dict)
     _timers: list = attrs.field(factory=list, repr=False)
     _changed: set = attrs.field(factory=set, repr=False)
+    # When each record changed here, the latest change last.
+    _changed_at_by_id: dict = attrs.field(factory=dict, repr=False)
 
     def __len__(self):
         return len(self._by_id)
@@ -223,6 +225,15 @@
         """Return all records, those of ended members too."""
         return list(self._by_id.values())
 
+    def recent(self, since, limit):
+        """Return at most ``limit`` records that changed after ``since``."""
+        found = []
+        for agent_id, changed_at in reversed(self._changed_at_by_id.items()):
+            if changed_at < since or len(found) >= limit:
+                break
+            found.append(self._by_id[agent_id])
+        return found
+
     def hash_for(self, service, sponsors):
         """Return the hash of what an agent knows: service and sponsors."""
         value = 0
@@ -293,6 +304,8 @@
                 self._index(key, record)
         self.digest.toggle(key, digest.record_hash(record))
         self._by_id[record.agent_id] = record
+        self._changed_at_by_id.pop(record.agent_id, None)
+        self._changed_at_by_id[record.agent_id] = now
         timer = _TIMER_S_BY_STATE.get(record.state)
         if timer is not None:
             heapq.heappush(
@@ -317,6 +330,7 @@
         self.digest.toggle(key, digest.record_hash(record))
         self._unindex(key, record)
         del self._by_id[record.agent_id]
+        self._changed_at_by_id.pop(record.agent_id, None)
         self._note_change(None, record)
 
     def _indexes(self, key, record):
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -54,6 +54,11 @@
 DATA_CENTRE_BALANCERS = 3
 ANTI_ENTROPY_S = 1.0
 PULL_BUCKETS = 8
+# After a partition, what the other side changed is asked for once, and from
+# a little before it began.
+CATCH_UP_S = 10.0
+CATCH_UP_MARGIN_S = 30.0
+CATCH_UP_RECORDS = 4000
 GOSSIP_S = 0.1
 MEMBERSHIP_TICK_S = 0.05
 # Groups that do not know each other meet through the seeds.
--- a/src/limpetlift/protocol/messages.thrift
+++ b/src/limpetlift/protocol/messages.thrift
@@ -70,9 +70,11 @@
   1: required binary hashes,
 }
 
+// With "age_ms", asks for the records that changed since then instead.
 struct Pull {
   1: required i32 bucket,
   2: required binary hashes,
+  3: optional i64 age_ms,
 }
 
 // Flow ownership.
--- a/src/limpetlift/testing/gossiplab.py
+++ b/src/limpetlift/testing/gossiplab.py
@@ -32,13 +32,14 @@
 _AGENTS = 14000
 # 2,300 restarts a day with three changes each.
 _CHANGES_PER_S = 2300 * 3 / 86400
-_STEADY_S = 36.0
-# An hour of changes falls into this partition.
-_PARTITION_S = 30.0
+_STEADY_S = 24.0
+# Long enough for the other side to look dead; the changes of an hour are
+# merged into the views of each side at its end.
+_PARTITION_S = 15.0
 _PARTITION_CHANGES = int(_CHANGES_PER_S * 3600)
 _POLL_S = 0.1
-_LIMIT_S = 120.0
-_WINDOW_S = 30.0
+_LIMIT_S = 60.0
+_WINDOW_S = 20.0
 
 
 @attrs.define
@@ -158,16 +159,18 @@
             for one in self.alive()
         }
 
-    def change(self, index):
-        """Change the record of an agent through a random balancer.
-
-        :returns: the record.
-        """
+    def new_record(self, index):
+        """Return the record of one more agent, which answers probes."""
         record = attrs.evolve(
             make_record(member.AGENT, _AGENTS + index, 2 * _AGENTS),
             incarnation=1764900000000 + int(self.net.now * 1000),
         )
         self.net.add(StubAgent(record))
+        return record
+
+    def change(self, index):
+        """Change a record through a random balancer; return the record."""
+        record = self.new_record(index)
         receiver = self.rng.choice(self.alive())
         found = receiver.on_message(
             self.net.now,
@@ -220,11 +223,16 @@
         cut_off = {r.agent_id for r in self.balancers if r.region[-1] == "0"}
         cut_off.update(record.agent_id for record in self.agents)
         self.net.is_cut = lambda a, b: (a in cut_off) != (b in cut_off)
-        changes = _PARTITION_CHANGES * self.count // _BALANCERS
-        for index in range(changes):
-            self.change(1000 + index)
-            self.net.run(_PARTITION_S / changes)
-        self.net.run(10.0)
+        self.net.run(_PARTITION_S)
+        # The changes of an hour: each side has spread its own long ago.
+        for index in range(_PARTITION_CHANGES):
+            record = self.new_record(1000 + index)
+            inside = index % _REGIONS == 0
+            if inside:
+                cut_off.add(record.agent_id)
+            for one in self.alive():
+                if (one.own.agent_id in cut_off) == inside:
+                    one.view.merge(self.net.now, record)
         before, start = self.sent(), self.net.now
         self.net.is_cut = None
         seen_s = self.until(lambda one: not one.view.silent())
@@ -279,21 +287,25 @@
 
 
 def measure(job):
-    """Return the figures of ``(strategy, balancers)``."""
+    """Print the figures of ``(strategy, balancers)``."""
     strategy, count = job
     started = time.monotonic()
-    figures = {"strategy": strategy, "balancers": count}
     lab = Lab(strategy, count)
-    figures.update(lab.steady())
-    figures.update(lab.partition())
-    figures.update(lab.lose_data_centre())
-    figures.update(Lab(strategy, count, judge=False).lose_data_centre())
-    figures["run_s"] = time.monotonic() - started
-    return figures
+    for phase in (lab.steady, lab.partition, lab.lose_data_centre):
+        _print(job, phase())
+    del lab
+    records = Lab(strategy, count, judge=False)
+    _print(job, records.lose_data_centre())
+    _print(job, {"run_s": time.monotonic() - started})
+
+
+def _print(job, figures):
+    values = ["%s=%.1f" % item for item in figures.items()]
+    print("%s %d: %s" % (*job, " ".join(values)), flush=True)
 
 
 def main(sizes=(50, 200, 800, 1800), names=None, workers=3):
-    """Run all jobs and print a table.
+    """Run all jobs; each prints a line for each phase.
 
     :param sizes: numbers of balancers.
     :param names: strategies; all by default.
@@ -301,18 +313,10 @@
     """
     names = names or sorted(strategies.strategies_by_name)
     jobs = [(name, size) for size in reversed(sizes) for name in names]
-    print(
-        "agents add %.0f B/s received and %.0f B/s sent" % agent_bytes_per_s()
-    )
+    received, sent = agent_bytes_per_s()
+    print("agents: %.0f B/s received, %.0f B/s sent" % (received, sent))
     with multiprocessing.Pool(workers) as pool:
-        for figures in pool.imap_unordered(measure, jobs, chunksize=1):
-            print(
-                " ".join(
-                    "%s=%s" % (k, "%.1f" % v if isinstance(v, float) else v)
-                    for k, v in figures.items()
-                ),
-                flush=True,
-            )
+        pool.map(measure, jobs, chunksize=1)
 
 
 if __name__ == "__main__":
