--- a/src/limpetlift/tasks/flowpath.py
+++ b/src/limpetlift/tasks/flowpath.py
@@ -57,15 +57,20 @@
 
     :param node: the :class:`limpetlift.tasks.control.Node`.
     :param bind_ip: replaces the services' IP when not empty.
+    :param cached_headers: callers whose packet header is kept.
 
     .. versionadded:: 0.1
     """
 
-    def __init__(self, node, bind_ip):
+    def __init__(self, node, bind_ip, cached_headers=defaults.CACHED_HEADERS):
+        self._headers = packets.HeaderCache(cached_headers)
+        self._encoders_by_id = {}
         self._node = node
         self._bind_ip = bind_ip
         self._sockets_by_id = {}
         self.tables_by_name = {}
+        self._to_agent = metrics.PACKETS.by_direction["to_agent"]
+        self._to_caller = metrics.PACKETS.by_direction["to_caller"]
         node.on_packet(self._answer)
 
     def set_services(self, services):
@@ -93,42 +98,37 @@
         ip, port = service.endpoint
         service_id = packets.service_id(service.name)
         table = ServiceTable(service)
+        encoder = packets.FlowEncoder(
+            service_id, self._node.address, self._node.keys[0], self._headers
+        )
 
         def receive(data, caller):
-            self._forward(table, service_id, data, caller)
+            self._forward(table, encoder, data, caller)
 
         try:
             socket = udp.UdpSocket((self._bind_ip or ip, port), receive)
         except exceptions.TransportError as error:
             LOG.error("bind_failed", service=service.name, error=error)
+            encoder.close()
             return
+        self._encoders_by_id[service_id] = encoder
         self._sockets_by_id[service_id] = socket
         self.tables_by_name[service.name] = table
 
     def _close_service(self, name):
         del self.tables_by_name[name]
-        self._sockets_by_id.pop(packets.service_id(name)).close()
+        service_id = packets.service_id(name)
+        self._sockets_by_id.pop(service_id).close()
+        self._encoders_by_id.pop(service_id).close()
 
-    def _forward(self, table, service_id, data, caller):
-        flow_hash = packets.flow_hash(packets.flow_key(service_id, caller))
+    def _forward(self, table, encoder, data, caller):
+        flow_hash, packet = encoder.encode(caller, data)
         endpoint = table.endpoint(flow_hash)
         if endpoint is None:
             metrics.PACKETS_DROPPED.labels("no_target").inc()
             return
-        packet = packets.Packet(
-            kind=packets.KIND_TO_AGENT,
-            hops=0,
-            service_id=service_id,
-            flow_hash=flow_hash,
-            caller=caller,
-            balancer=self._node.address,
-            incarnation=0,
-            payload=data,
-        )
-        self._node.send_packet(
-            packets.encode(packet, self._node.keys[0]), endpoint
-        )
-        metrics.PACKETS.labels("to_agent").inc()
+        self._node.send_packet(packet, endpoint)
+        self._to_agent.count += 1
 
     def _answer(self, packet, _address):
         socket = self._sockets_by_id.get(packet.service_id)
@@ -136,7 +136,7 @@
             metrics.PACKETS_DROPPED.labels("unexpected").inc()
             return
         socket.send(packet.payload, packet.caller)
-        metrics.PACKETS.labels("to_caller").inc()
+        self._to_caller.count += 1
 
     def close(self):
         """Close all sockets."""
