--- /dev/null
+++ b/src/limpetlift/coordination/fleet.py
@@ -0,0 +1,186 @@
+"""Membership of a balancer: the whole fleet."""
+
+from __future__ import annotations
+
+import attrs
+
+from limpetlift.coordination import actions
+from limpetlift.coordination import antientropy
+from limpetlift.coordination import budget
+from limpetlift.coordination import dissemination
+from limpetlift.coordination import member
+from limpetlift.coordination import membership
+from limpetlift.coordination import reach
+from limpetlift.coordination import sponsor
+from limpetlift import defaults
+from limpetlift.protocol import messages
+
+
+@attrs.define
+class BalancerMembership(membership.Membership):
+    """Membership of a balancer: all members of all services.
+
+    :param strategy: name of the dissemination strategy.
+    """
+
+    strategy: str = "logdistance"
+    bucket: budget.TokenBucket = attrs.field(factory=budget.TokenBucket)
+    reach: reach.Reach = attrs.field(init=False)
+    sponsor: sponsor.Sponsor = attrs.field(init=False)
+    dissemination: dissemination.Dissemination = attrs.field(init=False)
+    antientropy: antientropy.AntiEntropy = attrs.field(init=False)
+    _candidates_version: int = attrs.field(init=False, default=-1)
+    _next_seed: float = attrs.field(init=False, default=None)
+
+    def __attrs_post_init__(self):
+        membership.Membership.__attrs_post_init__(self)
+        self.reach = reach.Reach(self.view, self.rng, self.own.data_centre)
+        self.sponsor = sponsor.Sponsor(self.view, self.reach)
+        self.dissemination = dissemination.Dissemination(
+            self.view, self.rng, self.bucket, self.strategy
+        )
+        self.antientropy = antientropy.AntiEntropy(
+            self.view, self.rng, self.bucket
+        )
+        self._handlers.update(
+            {
+                messages.structs.Heartbeat: self._on_heartbeat,
+                messages.structs.Gossip: self._on_gossip,
+                messages.structs.Digest: self._on_digest,
+                messages.structs.Pull: self._on_pull,
+            }
+        )
+
+    def on_message(self, now, sender, incarnation, message, source=""):
+        """Handle a control message; see the base class."""
+        self._note_time(now)
+        found = self._note_heard(now, sender)
+        found += membership.Membership.on_message(
+            self, now, sender, incarnation, message, source
+        )
+        return self._charge(found)
+
+    def tick(self, now):
+        """Run the timers and return the actions."""
+        found = self._charge(membership.Membership.tick(self, now))
+        silent = self.view.silent()
+        pings = self.reach.tick(now)
+        if self.view.silent() != silent:
+            self.sponsor.forget_silent()
+        for peer in pings:
+            found.append(
+                self.antientropy.ping(peer, self.config_revision, True)
+            )
+        probes, suspects = self.sponsor.tick(now)
+        found += self._charge(probes + self._spread(now, suspects))
+        found += self._charge(self._greet_seed(now))
+        found += self.dissemination.tick(now)
+        found += self.antientropy.tick(now, self.config_revision)
+        return found
+
+    @property
+    def is_joined(self):
+        """Whether the view was as complete as that of another balancer."""
+        return self.antientropy.synced
+
+    def set_config_revision(self, now, revision):
+        """Tell the other processes which configuration is in force here."""
+        self.config_revision = revision
+        self.dissemination.set_config_revision(now, revision)
+        return self._charge(self.sponsor.set_config_revision(revision))
+
+    def _beat(self, now):
+        if self._candidates_version != self.view.balancers_version:
+            self._candidates_version = self.view.balancers_version
+            self.pulse.candidates = sponsor.choose_sponsors(
+                self.view, self.own
+            )
+        return membership.Membership._beat(self, now)
+
+    def _greet_seed(self, now):
+        """Introduce this balancer to a seed now and then.
+
+        Two groups that started apart, or were apart for longer than they keep
+        each other's records, would otherwise never meet.
+        """
+        if self._next_seed is None:
+            self._next_seed = now + self.rng.random() * defaults.SEED_S
+        if now < self._next_seed or not self.pulse.seeds:
+            return []
+        self._next_seed = now + defaults.SEED_S
+        message = messages.structs.Gossip(
+            members=[self.own.to_message()],
+            config_revision=self.config_revision,
+            root=self.view.digest.packed_root(),
+        )
+        return [
+            actions.SendAddress(self.rng.choice(self.pulse.seeds), message)
+        ]
+
+    def _publish(self, now, refuted):
+        found = membership.Membership._publish(self, now, refuted)
+        self.dissemination.spread(now, self.own.agent_id)
+        return found
+
+    def _on_pause(self, now, gap):
+        membership.Membership._on_pause(self, now, gap)
+        self.reach.on_pause(now)
+        self.sponsor.on_pause()
+
+    def _note_heard(self, now, sender):
+        record = self.view.get(sender)
+        if record is None:
+            return []
+        name = record.data_centre
+        silence = self.reach.on_heard(now, name)
+        if not silence:
+            return []
+        self.sponsor.audit_data_centre(now, name)
+        if record.kind != member.BALANCER:
+            return []
+        return self.antientropy.catch_up(now, sender, silence)
+
+    def _spread(self, now, changed, sender=None):
+        for record in changed:
+            self.dissemination.spread(now, record.agent_id)
+        return self.sponsor.push(changed, sender)
+
+    def _on_heartbeat(self, now, sender, incarnation, message):
+        found = []
+        if message.member is not None:
+            record = member.from_message(message.member)
+            if record.agent_id == sender and self.view.merge(now, record):
+                found += self._spread(now, [record], sender)
+        replies = self.sponsor.on_heartbeat(now, sender, incarnation, message)
+        return found + [actions.Send(sender, reply) for reply in replies]
+
+    def _merge_reply(self, now, sender, message):
+        merged = []
+        for content in message.members:
+            record = member.from_message(content)
+            if self.view.merge(now, record):
+                merged.append(record)
+        return self.sponsor.push(merged)
+
+    def _on_gossip(self, now, sender, incarnation, message):
+        merged = self.dissemination.on_gossip(now, message)
+        found = self.sponsor.push(merged)
+        if message.root is not None:
+            found += self.antientropy.on_ping(
+                sender, message, self.config_revision
+            )
+        return found
+
+    def _on_digest(self, now, sender, incarnation, message):
+        self.antientropy.on_digest(sender, message)
+        return []
+
+    def _on_pull(self, now, sender, incarnation, message):
+        self.antientropy.on_pull(now, sender, message, self.config_revision)
+        return []
+
+    def _charge(self, found):
+        for action in found:
+            if isinstance(action, (actions.Send, actions.SendAddress)):
+                self.bucket.charge(budget.size_of(action.message))
+        return found
--- a/src/limpetlift/tasks/balancer.py
+++ b/src/limpetlift/tasks/balancer.py
@@ -4,8 +4,8 @@
 import random
 import time
 
+from limpetlift.coordination import fleet
 from limpetlift.coordination import member as records
-from limpetlift.coordination import membership
 from limpetlift import defaults
 from limpetlift.state import config
 from limpetlift.tasks import flowpath
@@ -33,7 +33,7 @@
         self.stack.callback(self.gateway.close)
         self.members = members.Members(
             self.node,
-            membership.BalancerMembership(
+            fleet.BalancerMembership(
                 self._record(),
                 random.Random(self.incarnation),
                 self.settings.seeds,
--- a/src/limpetlift/testing/gossiplab.py
+++ b/src/limpetlift/testing/gossiplab.py
@@ -17,8 +17,8 @@
 
 from limpetlift.coordination import actions
 from limpetlift.coordination import budget
+from limpetlift.coordination import fleet
 from limpetlift.coordination import member
-from limpetlift.coordination import membership
 from limpetlift.coordination import sponsor
 from limpetlift.coordination import strategies
 from limpetlift.coordination import view
@@ -132,7 +132,7 @@
             known.merge(0.0, record)
         rate = defaults.CONTROL_BYTES_PER_S - agent_bytes_per_s()[1]
         for record in self.balancers:
-            one = membership.BalancerMembership(
+            one = fleet.BalancerMembership(
                 record,
                 random.Random(record.agent_id),
                 strategy=self.strategy,
--- a/src/limpetlift/testing/network.py
+++ b/src/limpetlift/testing/network.py
@@ -6,7 +6,7 @@
 
 from limpetlift.coordination import actions
 from limpetlift.coordination import budget
-from limpetlift.coordination import membership
+from limpetlift.coordination import fleet
 
 
 @attrs.define
@@ -154,4 +154,4 @@
 
 def is_balancer(member):
     """Return whether a process is a balancer."""
-    return isinstance(member, membership.BalancerMembership)
+    return isinstance(member, fleet.BalancerMembership)
--- a/src/limpetlift/testing/viewlab.py
+++ b/src/limpetlift/testing/viewlab.py
@@ -11,8 +11,8 @@
 import attrs
 import fire
 
+from limpetlift.coordination import fleet
 from limpetlift.coordination import member
-from limpetlift.coordination import membership
 from limpetlift.coordination import records
 from limpetlift.coordination import sponsor
 from limpetlift.coordination import view
@@ -64,7 +64,7 @@
 def _time_idle(one, balancers):
     """Return the share of a core that the timers of a balancer need."""
     own = gossiplab.make_record(member.BALANCER, 0, balancers)
-    process = membership.BalancerMembership(own, random.Random(3))
+    process = fleet.BalancerMembership(own, random.Random(3))
     process.view.load(one)
     process.tick(0.0)
     started = time.process_time()
@@ -76,7 +76,7 @@
 def _time_heartbeats(one, balancers):
     """Return the seconds to answer one heartbeat of an agent."""
     own = gossiplab.make_record(member.BALANCER, 0, balancers)
-    process = membership.BalancerMembership(own, random.Random(3))
+    process = fleet.BalancerMembership(own, random.Random(3))
     process.view.load(one)
     agents = [r for r in one.all_records() if r.service][:23]
     for record in agents:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,6 +6,7 @@
 import pytest
 
 from limpetlift.coordination import actions
+from limpetlift.coordination import fleet
 from limpetlift.coordination import member
 from limpetlift.coordination import membership
 from limpetlift.coordination import strategies
@@ -56,7 +57,7 @@
         if is_agent:
             started = membership.AgentMembership(record, rng, seeds)
         else:
-            started = membership.BalancerMembership(
+            started = fleet.BalancerMembership(
                 record, rng, seeds, strategy=self.strategy
             )
         self.net.add(started)
@@ -188,7 +189,7 @@
     """Deaths that the others have forgotten must not be undone by it."""
     one = settled.get("b5")
     assert len(one.view) > 1
-    copy = membership.BalancerMembership(one.own, random.Random(1))
+    copy = fleet.BalancerMembership(one.own, random.Random(1))
     for record in one.view.all_records():
         copy.view.merge(0.0, record)
     copy.tick(1.0)
