--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -107,7 +107,6 @@
 # A sponsor that does not answer is replaced after this silence.
 SPONSOR_SILENCE_S = 2.5
 SPONSOR_AVOID_S = 30.0
-SPONSOR_LEAVE_ATTEMPTS = 10
 # Probes before a suspicion: three lost heartbeats in a row are frequent at
 # 42,000 heartbeats a second and 1% loss.
 PROBE_S = 1.8
@@ -123,6 +122,11 @@
 DATA_CENTRE_BALANCERS = 3
 ANTI_ENTROPY_S = 1.0
 PULL_BUCKETS = 8
+# After a partition, what the other side changed is asked for once, and from
+# a little before it began.
+CATCH_UP_S = 10.0
+CATCH_UP_MARGIN_S = 30.0
+CATCH_UP_RECORDS = 4000
 GOSSIP_S = 0.1
 MEMBERSHIP_TICK_S = 0.05
 # Groups that do not know each other meet through the seeds.
