--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -144,6 +144,41 @@
     assert not any(t.is_drained for t in _tables(cluster).values())
 
 
+def test_pause_after_the_first_packet_keeps_the_flow():
+    """An owner that pauses at once must have told others of the flow."""
+    cluster = _cluster(4)
+    callers = range(200)
+    for caller in callers:
+        cluster.send(caller)
+    while "old-2" not in {
+        owner
+        for record in cluster.flows_by_caller.values()
+        for owner in record.owners
+    }:
+        cluster.run(0.0001)
+    cluster.pause("old-2", 5.0)
+    for _round in range(8):
+        cluster.run(0.6)
+        _send(cluster, callers)
+    cluster.run(3.0)
+    _send(cluster, callers)
+    cluster.run(1.0)
+    _assert_kept(cluster)
+
+
+def test_agents_that_join_together_keep_flows():
+    """Members with the older view must not take over flows."""
+    cluster = _cluster(4, conditions=_LOSSY)
+    _send(cluster, range(300))
+    for index in range(3):
+        cluster.start("new-%d" % index)
+    for index in range(3):
+        cluster.join("new-%d" % index)
+    for _round in range(20):
+        _send(cluster, range(300), 0.0005)
+    _assert_kept(cluster)
+
+
 def test_drained_agent_without_flows_reports_it():
     """A stop that waits for the drain must end when the flows have ended."""
     cluster = _cluster(3)
@@ -338,6 +373,8 @@
 def test_slow_start_raises_the_weight_in_steps():
     """A cold backend server must not get its full share at once."""
     cluster = _cluster(2, slow_start_s=5.0)
+    # A service that starts as a whole shares evenly from the start.
+    assert _tables(cluster)["old-0"].member_record.weight == 1.0
     cluster.run(6.0)
     cluster.start("new-0", weight=2.0)
     cluster.join("new-0")
