--- a/src/limpetlift/testing/flowsim.py
+++ b/src/limpetlift/testing/flowsim.py
@@ -106,6 +106,8 @@
         view = dict(self._latest_by_id)
         table = flows.FlowTable(record, self.limits)
         self.agents_by_id[agent_id] = _Agent(table, view)
+        # An agent joins only when it knows the members.
+        self._call(agent_id, "on_members", list(view.values()))
         self._publish(record)
         self._tick(agent_id, table)
 
