--- a/src/limpetlift/bench/view.py
+++ b/src/limpetlift/bench/view.py
@@ -7,7 +7,7 @@
 from limpetlift.bench import workers
 from limpetlift.coordination import member as members
 from limpetlift.state import config
-from limpetlift.tasks import flowpath
+from limpetlift.state import servicetable
 
 TARGETS = 14_000
 SERVICES = 2_100
@@ -75,7 +75,7 @@
     for number in range(services):
         name = service_name(number)
         service = config.Service(name, "10.200.0.1:%d" % (1024 + number))
-        table = flowpath.ServiceTable(service)
+        table = servicetable.ServiceTable(service)
         table.set_members(agents_by_service.get(name, []))
         tables_by_name[name] = table
     return members_by_id, tables_by_name
