--- a/src/limpetlift/coordination/roster.py
+++ b/src/limpetlift/coordination/roster.py
@@ -210,11 +210,7 @@
     """
     kept = []
     for generation in history:
-        if (
-            kept
-            and _is_lost(kept[-1], ended)
-            and _is_lost(generation, ended)
-        ):
+        if kept and _is_lost(kept[-1], ended) and _is_lost(generation, ended):
             kept.pop()
         kept.append(generation)
     return tuple(kept)
@@ -240,9 +236,9 @@
         ],
         "ended": roster.ended_by_id,
     }
-    return json.dumps(
-        content, sort_keys=True, separators=(",", ":")
-    ).encode("utf-8")
+    return json.dumps(content, sort_keys=True, separators=(",", ":")).encode(
+        "utf-8"
+    )
 
 
 def decode(data):
--- a/src/limpetlift/state/claims.py
+++ b/src/limpetlift/state/claims.py
@@ -99,6 +99,7 @@
         for this long.
     :param record_limit: keys remembered at most; beyond it claims are
         refused with ``claims_full``.
+    :param margin_s: votes are held this much longer than the retry window.
 
     .. versionadded:: 0.1
     """
@@ -107,6 +108,7 @@
     incarnation: int
     retry_window_s: float = defaults.RETRY_WINDOW_S
     record_limit: int = defaults.CLAIM_RECORDS
+    margin_s: float = defaults.CLAIM_MARGIN_S
     sync: votesync.VoteSync = attrs.field(init=False)
     _book: votes.VoteBook = attrs.field(init=False)
     _answers: answers.AnswerStore = attrs.field(
@@ -125,9 +127,7 @@
 
     def __attrs_post_init__(self):
         self._last_id = self.incarnation * _IDS_PER_MS
-        self._book = votes.VoteBook(
-            self.retry_window_s + defaults.CLAIM_MARGIN_S
-        )
+        self._book = votes.VoteBook(self.retry_window_s + self.margin_s)
         self.sync = votesync.VoteSync(
             self.agent_id,
             self.incarnation,
@@ -148,17 +148,17 @@
     @property
     def roster(self):
         """The current roster."""
-        return self.sync.epochs.roster
+        return self.sync.progress.roster
 
     @property
     def may_vote(self):
         """Whether this agent may vote and claim in the current epoch."""
-        return self.sync.epochs.may_vote and not self._leaving
+        return self.sync.progress.may_vote and not self._leaving
 
     @property
     def settled(self):
         """For ``roster.add`` and the others; 0 when unknown."""
-        return self.sync.epochs.settled
+        return self.sync.progress.settled
 
     # Events of the agent.
 
@@ -180,11 +180,9 @@
         if run is None:
             if len(self._runs_by_key) >= self.record_limit:
                 return [actions.Denied(request_id, "claims_full")]
-            if self._leaving or not self.sync.epochs.is_member:
+            if self._leaving or not self.sync.progress.is_member:
                 return [actions.Denied(request_id, "roster_pending")]
-            run = _Run(
-                digest(key), [], now + defaults.CLAIM_TIMEOUT_S, now
-            )
+            run = _Run(digest(key), [], now + defaults.CLAIM_TIMEOUT_S, now)
             self._runs_by_key[run.key] = run
             self._claiming_by_key[run.key] = run
         elif run.status == RUNNING:
--- a/src/limpetlift/state/votesync.py
+++ b/src/limpetlift/state/votesync.py
@@ -46,7 +46,7 @@
     book: votes.VoteBook
     next_id: object
     record_limit: int
-    epochs: epochs.EpochSync = attrs.field(init=False)
+    progress: epochs.EpochSync = attrs.field(init=False)
     _pulls_by_member: dict = attrs.field(init=False, factory=dict)
     _extra_pulls: int = attrs.field(init=False, default=0)
     _pull_at: float = attrs.field(init=False, default=0.0)
@@ -54,20 +54,20 @@
     _announced: int = attrs.field(init=False, default=0)
 
     def __attrs_post_init__(self):
-        self.epochs = epochs.EpochSync(
+        self.progress = epochs.EpochSync(
             self.agent_id, self.incarnation, self.book.retention_s
         )
 
     @property
     def epoch(self):
         """The current epoch, 0 without a roster."""
-        return self.epochs.roster.epoch
+        return self.progress.roster.epoch
 
     def peers(self):
         """Return the ids of the other members of the current epoch."""
         return [
             agent_id
-            for agent_id in self.epochs.roster.current.incarnations_by_id
+            for agent_id in self.progress.roster.current.incarnations_by_id
             if agent_id != self.agent_id
         ]
 
@@ -75,7 +75,7 @@
         """Adopt a later roster; return actions."""
         if roster.epoch <= self.epoch:
             return []
-        self.epochs.adopt(now, roster)
+        self.progress.adopt(now, roster)
         self._pulls_by_member.clear()
         self._extra_pulls = 0
         self._status_at = now + defaults.ROSTER_STATUS_S
@@ -88,25 +88,25 @@
     def _status(self, ask):
         return messages.structs.RosterStatus(
             epoch=self.epoch,
-            synced=self.epochs.synced,
+            synced=self.progress.synced,
             incarnation=self.incarnation,
             ask=ask,
         )
 
     def _continue(self, now):
         """Announce that the agent is synced, or pull what is missing."""
-        self.epochs.advance(now)
-        if self.epochs.synced == self.epoch:
+        self.progress.advance(now)
+        if self.progress.synced == self.epoch:
             self._pulls_by_member.clear()
             if self._announced == self.epoch:
                 return []
             self._announced = self.epoch
             return self._send_all(self.peers(), self._status(False))
-        if not self.epochs.is_member:
+        if not self.progress.is_member:
             return []
         self._pull_at = now + defaults.VOTE_PULL_S
         result = []
-        candidates, needed = self.epochs.pull_candidates()
+        candidates, needed = self.progress.pull_candidates()
         for member in candidates[: needed + self._extra_pulls]:
             if member not in self._pulls_by_member:
                 pull = _Pull(member, self.next_id())
@@ -129,9 +129,9 @@
         if now >= self._status_at:
             self._status_at = now + defaults.ROSTER_STATUS_S
             result += self._send_all(
-                self.epochs.unsynced_peers(), self._status(True)
+                self.progress.unsynced_peers(), self._status(True)
             )
-        if self.epochs.synced == self.epoch or now < self._pull_at:
+        if self.progress.synced == self.epoch or now < self._pull_at:
             return result
         self._extra_pulls += 1
         result += [self._request(p) for p in self._pulls_by_member.values()]
@@ -153,7 +153,7 @@
             pull_id=message.pull_id,
             next_cursor=cursor,
             incarnation=self.incarnation,
-            synced=self.epochs.synced,
+            synced=self.progress.synced,
         )
         return [actions.Send(sender, table)] + self._correct(sender, message)
 
@@ -177,7 +177,7 @@
         if not message.last:
             return [self._request(pull)]
         del self._pulls_by_member[member]
-        self.epochs.on_table(now, member, pull.synced)
+        self.progress.on_table(now, member, pull.synced)
         return self._correct(sender, message) + self._continue(now)
 
     def _merge(self, now, vote):
@@ -189,11 +189,11 @@
     def on_status(self, now, sender, message):
         """Note the epoch of another agent; answer when asked."""
         member = sender, message.incarnation
-        self.epochs.on_member(now, member, message.epoch, message.synced)
+        self.progress.on_member(now, member, message.epoch, message.synced)
         result = self._correct(sender, message)
         if message.ask:
             result.append(actions.Send(sender, self._status(False)))
-        if self.epochs.synced < self.epoch:
+        if self.progress.synced < self.epoch:
             result += self._continue(now)
         return result
 
@@ -207,7 +207,7 @@
 
     def copy_to(self, agent_id):
         """Send the roster to an agent that may be cut off from the store."""
-        data = zlib.compress(rosters.encode(self.epochs.roster))
+        data = zlib.compress(rosters.encode(self.progress.roster))
         if len(data) > defaults.PAGE_BYTES:
             return []
         copy = messages.structs.RosterCopy(epoch=self.epoch, roster=data)
