--- a/Makefile
+++ b/Makefile
@@ -1,21 +1,24 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 export PYTHONPATH = src
+# A folder that does not exist yet would fail black.
+SOURCES = $(wildcard src tests features tools)
 
 .PHONY: venv check format lint test demo binary bench clean
 
 venv:
 	@test -x $(PYTHON) || python3 -m venv $(VENV)
-	@cmp -s requirements-dev.txt $(VENV)/installed.txt || { \
-	  $(PYTHON) -m pip install --quiet -r requirements-dev.txt && \
-	  cp requirements-dev.txt $(VENV)/installed.txt; }
+	@cat requirements.txt requirements-dev.txt | \
+	  cmp -s - $(VENV)/installed.txt || { \
+	  $(PYTHON) -m pip install --quiet --no-deps -r requirements-dev.txt && \
+	  cat requirements.txt requirements-dev.txt > $(VENV)/installed.txt; }
 
 format: venv
-	$(PYTHON) -m black --quiet src tests features tools
+	$(PYTHON) -m black --quiet $(SOURCES)
 
 lint: venv
-	$(PYTHON) -m black --quiet --check src tests features tools
-	$(PYTHON) -m flake8 src tests features tools
+	$(PYTHON) -m black --quiet --check $(SOURCES)
+	$(PYTHON) -m flake8 $(SOURCES)
 
 test: venv
 	$(PYTHON) tools/runtests.py
--- a/src/limpetlift/state/actions.py
+++ b/src/limpetlift/state/actions.py
@@ -2,17 +2,9 @@
 
 import attrs
 
+from limpetlift.coordination import actions
 
-@attrs.frozen
-class Send:
-    """Send a control message to another process.
-
-    :param agent_id: id of the receiver.
-    :param message: one of ``messages.structs``.
-    """
-
-    agent_id: str
-    message: object
+Send = actions.Send
 
 
 @attrs.frozen
@@ -76,6 +68,30 @@
     member: object
 
 
+@attrs.frozen
+class Admit:
+    """Run a request now; it holds a slot until it finishes.
+
+    :param request_id: id of the request.
+    """
+
+    request_id: str
+
+
+@attrs.frozen
+class Refused:
+    """Answer a request that was never admitted with a refusal.
+
+    :param request_id: id of the request.
+    :param code: a key of ``refusal.refusals_by_code`` that says ``not_run``.
+    :param retry_at: address of an agent that may have room, or empty.
+    """
+
+    request_id: str
+    code: str
+    retry_at: str = ""
+
+
 @attrs.frozen
 class Answer:
     """A stored answer of the backend server.
--- a/src/limpetlift/state/claims.py
+++ b/src/limpetlift/state/claims.py
@@ -160,6 +160,12 @@
         """For ``roster.add`` and the others; 0 when unknown."""
         return self.sync.progress.settled
 
+    def knows(self, now, key):
+        """Whether the key was claimed, here or by an agent voted for."""
+        self._expire(now)
+        key = digest(key)
+        return key in self._runs_by_key or bool(self._book.holders(key))
+
     # Events of the agent.
 
     def on_roster(self, now, roster):
