--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -26,10 +26,13 @@
 STORED_ANSWER_BYTES = 64 * 1024
 STORED_ANSWERS_BYTES = 16 * 1024 * 1024
 MAX_KEY_LENGTH = 128
-# A record is held this much longer than the retry window: the last permitted
-# attempt may spend up to the request timeout before it claims its key.
+# A record is held this much longer than the retry window, because the last
+# permitted attempt spends time on its way, in the queue and in the claim.
 CLAIM_MARGIN_S = 30.0
 CLAIM_TIMEOUT_S = 2.0
+# A request that has waited longer does not claim its key: the votes for an
+# earlier attempt may be gone by then.
+CLAIM_ARRIVAL_S = 20.0
 CLAIM_RESEND_S = 0.02
 CLAIM_RESEND_MAX_S = 0.32
 CLAIM_RECORDS = 65536
--- a/src/limpetlift/state/requests.py
+++ b/src/limpetlift/state/requests.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from limpetlift import defaults
 from limpetlift.state import actions
 
 
@@ -16,12 +17,14 @@
 
     :param admitted: whether the queue gave it a slot.
     :param granted: whether it may run.
+    :param arrived_at: when the balancer offered it.
     """
 
     request_id: str
     key: str
     deadline: float
     first_attempt: bool
+    arrived_at: float
     admitted: bool = False
     granted: bool = False
 
@@ -65,7 +68,7 @@
         :param key: idempotency key, or empty.
         :param queue_arguments: passed to ``AdmissionQueue.on_request``.
         """
-        request = _Request(request_id, key, deadline, first_attempt)
+        request = _Request(request_id, key, deadline, first_attempt, now)
         self._requests_by_id[request_id] = request
         if key and key in self._leader_by_key:
             return self._follow(now, request)
@@ -87,6 +90,9 @@
         return []
 
     def _claim(self, now, request):
+        if now > request.arrived_at + defaults.CLAIM_ARRIVAL_S:
+            refused = actions.Refused(request.request_id, "deadline_passed")
+            return self._end(now, request.request_id, refused)
         return self._on_claims(
             now,
             self.claims.on_request(
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from limpetlift import defaults
 from limpetlift.state import actions
 from limpetlift.state import admission
 from limpetlift.state import requests
@@ -88,3 +89,14 @@
     steps = table.on_cancel(0.5, "a")
     assert steps == [actions.Refused("b", "claim_conflict")]
     assert table.on_answered(1.0, "long", 1.0, None) == []
+
+
+def test_a_request_that_waited_too_long_does_not_claim_its_key():
+    """The votes for an earlier attempt may have been dropped by then."""
+    table = _table()
+    table.on_request(0.0, "long", 99.0)
+    table.on_request(0.0, "a", 99.0, key="k")
+    late = defaults.CLAIM_ARRIVAL_S + 1.0
+    steps = table.on_answered(late, "long", 1.0, None)
+    assert steps == [actions.Refused("a", "deadline_passed")]
+    assert table.queue.busy == 0
