--- a/src/limpetlift/cli.py
+++ b/src/limpetlift/cli.py
@@ -57,7 +57,7 @@
         :param traces: trace files; the events of all are merged.
         :param seed: replaces the seed of the trace.
         :param policy: policies as ``kind=name``, separated by commas; kinds
-            are ownership, sharing, admission, choice and retries.
+            are ownership, sharing, admission, choice, retries and keys.
         :param json: print JSON instead of a table.
         """
         from limpetlift.replay import runner
--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -3,14 +3,17 @@
 import attrs
 
 from limpetlift.coordination import actions as membership_actions
+from limpetlift.coordination import fleet
 from limpetlift.coordination import member as members
 from limpetlift.coordination import membership
 from limpetlift import defaults
 from limpetlift.protocol import packet as packets
 from limpetlift import registry
 from limpetlift.replay import baselines
+from limpetlift.replay import keys
 from limpetlift.replay import requests
 from limpetlift.state import actions
+from limpetlift.state import claims
 from limpetlift.state import flows
 from limpetlift.state import servicetable
 
@@ -150,7 +153,7 @@
     def on_start(self):
         """Build the view and empty tables."""
         own = self.record(state=members.ACTIVE)
-        self.membership = membership.BalancerMembership(
+        self.membership = fleet.BalancerMembership(
             own, self.world.rng, seeds=self.world.seeds(self.id)
         )
         self.tables_by_name = {
@@ -257,7 +260,12 @@
         self.table = table(own, limits)
         self._members_seen = None
         self.offers = set()
-        self.requests = requests.AgentRequests(self)
+        table = claims.ClaimTable(self.id, self.incarnation)
+        uses_claims = self.world.policies.get("keys", "votes") == "votes"
+        self.requests = requests.AgentRequests(
+            self, table if uses_claims else None
+        )
+        self.roster = keys.RosterKeeper(self, table)
         self._loads_at = self.now
         self.perform(self.table.join(self.now))
 
@@ -280,6 +288,8 @@
         self._pass_members()
         self.perform(self.table.tick(self.now))
         self.requests.tick()
+        if self.requests.table.claims is not None:
+            self.roster.tick()
         if self.now >= self._loads_at:
             self._loads_at = self.now + defaults.PEER_LOAD_S
             self._send_load()
@@ -307,6 +317,13 @@
         )
         self._pass_members()
         self.perform(self.table.on_message(self.now, sender_id, message))
+        if (
+            self.requests.table.claims is not None
+            and type(message).__name__ in claims.MESSAGE_KINDS
+        ):
+            self.requests.perform(
+                self.requests.table.on_message(self.now, sender_id, message)
+            )
 
     def on_packet(self, packet):
         """Handle a data packet."""
--- a/src/limpetlift/replay/requests.py
+++ b/src/limpetlift/replay/requests.py
@@ -375,6 +375,8 @@
             if isinstance(step, actions.Send):
                 self.node.send_message(step.agent_id, step.message)
                 continue
+            if self.node.roster.perform(step):
+                continue
             offer = self.offers_by_id.get(step.request_id)
             if offer is None:
                 continue
--- a/src/limpetlift/state/claims.py
+++ b/src/limpetlift/state/claims.py
@@ -20,6 +20,18 @@
 UNKNOWN = "unknown"
 RELEASED = "released"
 
+MESSAGE_KINDS = (
+    "Claim",
+    "ClaimVote",
+    "ClaimAbandon",
+    "AnswerPull",
+    "AnswerPart",
+    "VotePull",
+    "VoteTable",
+    "RosterStatus",
+    "RosterCopy",
+)
+
 GRANTED = "granted"
 HELD = "held"
 EPOCH = "epoch"
