Use admission, retries and choice of agent in the request tasks

The balancer chooses by what it has seen, keeps to the retry budget, follows hints, and cancels a request whose caller has gone while it waits.

The agent now sends nothing to the backend server before the first frame after Admit. A request without a body ran as soon as its headers were sent, so a balancer that missed Admit said "not run" although it may have run.

Refusals of a planned stop need no retry token: with the budget empty, a drain would otherwise turn waiting requests away.

--- a/src/limpetlift/metrics.py
+++ b/src/limpetlift/metrics.py
@@ -42,6 +42,7 @@
 REFUSALS = _counter("refusals", "Requests refused, by code.", ("code",))
 RETRIES = _counter("retries", "Requests sent again, by reason.", ("reason",))
 SLOTS_BUSY = _gauge("slots_busy", "Slots in use at this agent.")
+REQUESTS_QUEUED = _gauge("requests_queued", "Requests waiting at this agent.")
 QUEUE_SECONDS = _histogram("queue_seconds", "Time spent in the queue.")
 CONTROL_BYTES = _counter(
     "control_bytes", "Bytes of control messages.", ("direction",)
--- a/src/limpetlift/protocol/exchange.py
+++ b/src/limpetlift/protocol/exchange.py
@@ -18,6 +18,8 @@
     :param frames: a :class:`limpetlift.transport.stream.FrameStream`.
     :param request_id: id that every frame must carry.
     :param member: the agent at the other end, at a balancer.
+    :param attempts: the :class:`limpetlift.tasks.dispatch.Attempts` that led
+        to this exchange, at a balancer.
 
     .. versionadded:: 0.1
     """
@@ -25,6 +27,7 @@
     frames: object
     request_id: str
     member: object = None
+    attempts: object = None
 
     async def send(self, kind, **fields):
         """Send a message of ``kind`` with ``fields``.
--- a/src/limpetlift/protocol/messages.thrift
+++ b/src/limpetlift/protocol/messages.thrift
@@ -128,6 +128,15 @@
   4: required list<Vote> votes,
 }
 
+// Load of an agent's slots, to the other agents of its service.
+
+struct SlotLoad {
+  1: required i32 slots,
+  2: required i32 long_running,
+  3: required i64 wait_ms,
+  4: required i64 long_wait_ms,
+}
+
 // Requests, over a framed connection.
 
 struct Header {
@@ -146,6 +155,8 @@
   8: required bool first_attempt,
   9: required string work_class,
   10: required i64 content_length,
+  // Whether the balancer can send the request to another agent.
+  11: optional bool movable,
 }
 
 struct Admit {
--- a/src/limpetlift/state/admission.py
+++ b/src/limpetlift/state/admission.py
@@ -244,6 +244,8 @@
     def _entry(
         self, now, request_id, deadline, work_class, content_length, route
     ):
+        if work_class not in (SHORT, LONG):
+            work_class = ""
         # A declared class has its own history, as a route may serve both.
         key = (route, work_class)
         long = self._rules.separates and (
--- a/src/limpetlift/state/balancing.py
+++ b/src/limpetlift/state/balancing.py
@@ -20,6 +20,9 @@
 FAILED = "failed"
 CANCELLED = "cancelled"
 
+# What was seen of agents that have left is kept up to this number.
+_SPARE_AGENTS = 16
+
 choices_by_name = {}
 
 
@@ -104,6 +107,8 @@
         :param tried: ids of agents that refused this request.
         :param hint: id of an agent that may have room, or empty.
         """
+        if len(self._seen_by_id) > 2 * len(members) + _SPARE_AGENTS:
+            self.retain(m.agent_id for m in members)
         left = [m for m in members if m.agent_id not in tried]
         if not left:
             return None
--- a/src/limpetlift/state/history.py
+++ b/src/limpetlift/state/history.py
@@ -8,6 +8,7 @@
 
 from limpetlift import defaults
 
+_MAX_SEGMENTS = 8
 _IDENTIFIER = re.compile(r"\d|^.{33,}$")
 
 
@@ -17,7 +18,7 @@
     Path segments with a digit or of more than 32 characters are taken for
     identifiers, so that the number of routes stays small.
     """
-    segments = path.partition("?")[0].split("/")
+    segments = path.partition("?")[0].split("/", _MAX_SEGMENTS)
     return " ".join(
         (
             method,
--- a/src/limpetlift/tasks/agent.py
+++ b/src/limpetlift/tasks/agent.py
@@ -50,6 +50,8 @@
         self.stack.callback(self.requests.close)
         self.node.on_message("HeartbeatReply", self._on_reply)
         self.every(defaults.TICK_S, self.flows.tick)
+        self.every(defaults.TICK_S, self.requests.slots.tick)
+        self.every(defaults.PEER_LOAD_S, self.requests.slots.send_load)
         self.every(defaults.HEARTBEAT_S, self._heartbeat)
         self._heartbeat()
         self.ready = True
@@ -73,6 +75,9 @@
         self.flows.endpoints_by_id = {
             peer.agent_id: peer.endpoint for peer in peers
         }
+        self.requests.slots.endpoints_by_id = {
+            peer.agent_id: peer.endpoint for peer in peers if peer.takes_new
+        }
         self.flows.perform(self.table.on_members(time.monotonic(), peers))
 
     def _perform(self, step):
@@ -89,7 +94,7 @@
         if not self.draining:
             self.draining = True
             self.ready = False
-            self.requests.draining = True
+            self.requests.refuse_new()
             self._set_state(members.DRAINING)
 
     async def stop(self, deadline):
--- a/src/limpetlift/tasks/gateway.py
+++ b/src/limpetlift/tasks/gateway.py
@@ -8,23 +8,24 @@
 from tornado import iostream
 from tornado import web
 
-from limpetlift.coordination import placement
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift import metrics
 from limpetlift.protocol import exchange as exchanges
 from limpetlift.protocol import messages
-from limpetlift.protocol import packet as packets
 from limpetlift.protocol import refusal
+from limpetlift.state import balancing
 from limpetlift.tasks import backend
+from limpetlift.tasks import dispatch
 from limpetlift.tasks import requestpath
 from limpetlift.transport import stream
 
 LOG = logs.EventLogger("gateway")
 
 _CONNECT_S = 1.0
-_MAX_ATTEMPTS = 3
+# The agent's own refusal at the deadline arrives within this time.
+_GRACE_S = 0.1
 _MAX_ID_LENGTH = 64
 
 KEY_HEADER = "Idempotency-Key"
@@ -52,6 +53,7 @@
         self.tables_by_name = tables_by_name
         self._servers_by_name = {}
         self._idle_by_endpoint = {}
+        self._dispatch_by_name = {}
         self.running_by_id = {}
 
     def set_services(self, services):
@@ -59,6 +61,7 @@
         wanted = {service.name: service for service in services}
         for name in set(self._servers_by_name) - set(wanted):
             self._servers_by_name.pop(name)[1].stop()
+            self._dispatch_by_name.pop(name, None)
         for name, service in wanted.items():
             address, server = self._servers_by_name.get(name, ("", None))
             if address == service.address:
@@ -91,42 +94,43 @@
         :returns: the :class:`Exchange` after ``Admit``.
         :raises Refused: when no agent admits the request.
         """
-        tried = set()
+        attempts = dispatch.Attempts(
+            self._dispatch(start.service_name), start.idempotency_key
+        )
         error = exceptions.Refused("no_target")
-        for _attempt in range(_MAX_ATTEMPTS):
-            member = self._choose(start, tried)
+        while True:
+            members = self._members(start.service_name)
+            member = attempts.next_member(members)
             if member is None:
-                break
-            if tried:
-                metrics.RETRIES.labels(error.refusal).inc()
-            tried.add(member.agent_id)
+                raise error
+            start.movable = attempts.movable
             try:
-                return await self._offer(start, member, deadline)
+                exchange = await self._offer(start, member, deadline)
             except exceptions.Refused as refused:
                 error = refused
-                if not refusal.refusals_by_code[refused.refusal].retryable:
-                    break
-        raise error
-
-    def _choose(self, start, tried):
-        table = self.tables_by_name.get(start.service_name)
+            except BaseException:
+                attempts.settle(balancing.CANCELLED)
+                raise
+            else:
+                attempts.on_admitted()
+                exchange.attempts = attempts
+                return exchange
+            retry_at = attempts.retry_at(error, members)
+            if retry_at is None or retry_at >= deadline:
+                raise error
+            await asyncio.sleep(retry_at - time.monotonic())
+
+    def _dispatch(self, name):
+        known = self._dispatch_by_name.get(name)
+        if known is None:
+            known = self._dispatch_by_name[name] = dispatch.Dispatch()
+        return known
+
+    def _members(self, name):
+        table = self.tables_by_name.get(name)
         if table is None:
             raise exceptions.Refused("unknown_service")
-        members_by_id = {
-            member.agent_id: member
-            for member in table.members
-            if member.agent_id not in tried
-        }
-        targets = [
-            placement.Target(member.agent_id, member.weight)
-            for member in members_by_id.values()
-        ]
-        if not targets:
-            return None
-        seed = start.idempotency_key or start.request_id
-        bucket = placement.bucket_of(packets.flow_hash(seed.encode("utf-8")))
-        first = placement.Placement(targets).order(bucket)[0]
-        return members_by_id[first.agent_id]
+        return [member for member in table.members if member.takes_new]
 
     async def _offer(self, start, member, deadline):
         remaining = deadline - time.monotonic()
@@ -140,12 +144,15 @@
         start.timeout_ms = int(remaining * 1000)
         try:
             await exchanges.write_frame(frames, self._node.seal_frame(start))
-            async with asyncio.timeout(remaining):
+            async with asyncio.timeout(remaining + _GRACE_S):
                 await exchange.receive("Admit")
         except (exceptions.PeerClosed, TimeoutError) as error:
             # The body was not sent, so nothing can have run.
             frames.close()
             raise exceptions.Refused("connect_failed") from error
+        except asyncio.CancelledError:
+            frames.close()
+            raise
         except exceptions.Refused:
             self.release(member, frames)
             raise
@@ -191,6 +198,7 @@
         self._gateway = gateway
         self._service_name = name
         self._exchange = None
+        self._opening = None
         self._sent = 0
         self._error = None
         # Two callers may choose the same id, so frames carry another one.
@@ -205,9 +213,15 @@
             start, deadline = self._start_message()
             self._deadline = deadline
             self._gateway.running_by_id[self.request_id] = self
-            self._exchange = await self._gateway.open_exchange(start, deadline)
+            self._opening = asyncio.ensure_future(
+                self._gateway.open_exchange(start, deadline)
+            )
+            self._exchange = await self._opening
         except exceptions.Refused as error:
             self._refuse(error)
+        except asyncio.CancelledError as error:
+            # The caller has gone, so this answer reaches nobody.
+            raise web.HTTPError(499) from error
 
     def _start_message(self):
         table = self._gateway.tables_by_name.get(self._service_name)
@@ -237,6 +251,7 @@
         try:
             await self._exchange.send("BodyChunk", data=chunk)
         except exceptions.PeerClosed as error:
+            self._settle(balancing.FAILED)
             self._refuse(exceptions.Refused("outcome_unknown", str(error)))
 
     async def _respond(self):
@@ -247,12 +262,15 @@
                 await self._relay_answer(exchange)
         except exceptions.Refused as error:
             self._gateway.release(exchange.member, exchange.frames)
+            cut = error.refusal in ("cut", "backend_down")
+            self._settle(balancing.FAILED if cut else balancing.CANCELLED)
             self._refuse(error)
         except TimeoutError:
             exchange.frames.close()
             self._refuse(exceptions.Refused("timeout"))
         except exceptions.ProtocolError as error:
             exchange.frames.close()
+            self._settle(balancing.FAILED)
             self._refuse(exceptions.Refused("cut", str(error)))
         except iostream.StreamClosedError:
             exchange.frames.close()
@@ -277,9 +295,15 @@
         if message.total != total:
             raise exceptions.MalformedMessage("answer of another length")
         self._gateway.release(exchange.member, exchange.frames)
+        self._settle(balancing.OK)
         self._exchange = None
         await self.finish()
 
+    def _settle(self, outcome):
+        """Tell the choice of agents how the request ended, once."""
+        if self._exchange is not None:
+            self._exchange.attempts.settle(outcome)
+
     def _refuse(self, error):
         metrics.REFUSALS.labels(error.refusal).inc()
         if self._headers_written:
@@ -304,12 +328,16 @@
     def on_finish(self):
         """Forget the request."""
         self._gateway.running_by_id.pop(self.request_id, None)
+        self._settle(balancing.CANCELLED)
 
     def on_connection_close(self):
         """Cancel the request when the caller has gone."""
         self._gateway.running_by_id.pop(self.request_id, None)
+        if self._opening is not None:
+            self._opening.cancel()
         if self._exchange is not None:
             self._exchange.frames.close()
+            self._settle(balancing.CANCELLED)
 
 
 def _timeout_ms(text, default_s):
--- a/src/limpetlift/tasks/requestpath.py
+++ b/src/limpetlift/tasks/requestpath.py
@@ -2,16 +2,14 @@
 
 import asyncio
 import contextlib
-import datetime
 import time
 
-from tornado import locks
-
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift import metrics
 from limpetlift.protocol import exchange as exchanges
 from limpetlift.tasks import backend
+from limpetlift.tasks import slots
 from limpetlift.transport import stream
 
 LOG = logs.EventLogger("requestpath")
@@ -34,7 +32,7 @@
         self._node = node
         self.service = service
         self._backend = backend_address
-        self._slots = locks.Semaphore(service.slots)
+        self.slots = slots.Slots(node, service)
         self._server = stream.FrameServer(self._serve)
         self._running_by_id = {}
         self.draining = False
@@ -49,12 +47,17 @@
         """Number of requests that are queued or running."""
         return len(self._running_by_id)
 
+    def refuse_new(self):
+        """Refuse waiting and new requests."""
+        self.draining = True
+        self.slots.drain()
+
     async def drain(self, deadline):
         """Refuse new requests and wait for the running ones.
 
         :param deadline: monotonic time at which to stop waiting.
         """
-        self.draining = True
+        self.refuse_new()
         while self._running_by_id and time.monotonic() < deadline:
             await asyncio.sleep(0.02)
 
@@ -88,17 +91,9 @@
     async def _admit(self, stack, start, deadline):
         if start.service_name != self.service.name:
             raise exceptions.Refused("unknown_service")
-        if self.draining:
-            raise exceptions.Refused("draining")
-        queued_at = time.monotonic()
-        try:
-            await self._slots.acquire(
-                timeout=datetime.timedelta(seconds=deadline - queued_at)
-            )
-        except asyncio.TimeoutError as error:
-            raise exceptions.Refused("deadline_passed") from error
-        stack.callback(self._slots.release)
-        metrics.QUEUE_SECONDS.observe(time.monotonic() - queued_at)
+        await self.slots.acquire(start, deadline)
+        # Without effect when the request has finished.
+        stack.callback(self.slots.abandon, start.request_id)
 
     async def _run(self, stack, exchange, start, deadline):
         request = backend.BackendRequest(self._backend, self.service.address)
@@ -111,6 +106,7 @@
         try:
             async with asyncio.timeout(deadline - time.monotonic()):
                 await self._transfer(exchange, request, start)
+            self.slots.finish(start.request_id)
         except TimeoutError as error:
             raise exceptions.Refused("timeout") from error
         except exceptions.TransportError as error:
@@ -118,8 +114,11 @@
 
     async def _transfer(self, exchange, request, start):
         headers = [(field.name, field.value) for field in start.headers]
+        # A request without a body runs once its headers are sent. The
+        # balancer may still say "not run" until it has sent the next frame.
+        message = await exchange.receive("BodyChunk", "BodyEnd")
         await request.start(start.method, start.path, headers)
-        await self._send_body(exchange, request)
+        await self._send_body(exchange, request, message)
         total = 0
 
         async def on_start(line, fields):
@@ -141,14 +140,12 @@
         await exchange.send("BodyEnd", total=total)
         metrics.REQUESTS.labels(self.service.name).inc()
 
-    async def _send_body(self, exchange, request):
+    async def _send_body(self, exchange, request, message):
         total = 0
-        while True:
-            message = await exchange.receive("BodyChunk", "BodyEnd")
-            if type(message).__name__ == "BodyEnd":
-                break
+        while type(message).__name__ == "BodyChunk":
             total += len(message.data)
             await request.write(message.data)
+            message = await exchange.receive("BodyChunk", "BodyEnd")
         if message.total != total:
             raise exceptions.MalformedMessage("body of another length")
 
