Say timeout instead of cut when the deadline ends a run

A timeout that cancels the answer of the backend server can surface as a closed stream, and the balancer then avoided the agent as failed.

--- a/src/limpetlift/tasks/requestpath.py
+++ b/src/limpetlift/tasks/requestpath.py
@@ -110,7 +110,11 @@
         except TimeoutError as error:
             raise exceptions.Refused("timeout") from error
         except exceptions.TransportError as error:
-            raise exceptions.Refused("cut", str(error)) from error
+            # The timeout may surface as a closed connection to the backend
+            # server, which has not failed.
+            late = time.monotonic() >= deadline
+            code = "timeout" if late else "cut"
+            raise exceptions.Refused(code, str(error)) from error
 
     async def _transfer(self, exchange, request, start):
         headers = [(field.name, field.value) for field in start.headers]
