Let the balancer read a refusal that follows Admit

The agent closed the connection while the balancer's frames were unread. The kernel then resets the connection, and the refusal is lost: the balancer said "cut" and avoided the agent as failed. The agent now waits up to 1 s for the balancer to close.

--- a/src/limpetlift/tasks/requestpath.py
+++ b/src/limpetlift/tasks/requestpath.py
@@ -16,6 +16,9 @@
 
 # A backend server on the same instance accepts within this time or is down.
 _BACKEND_CONNECT_S = 1.0
+_AFTER_ADMIT = ("timeout", "cut")
+# How long the balancer has to read such a refusal.
+_LINGER_S = 1.0
 
 
 class AgentRequests:
@@ -87,6 +90,10 @@
         except exceptions.Refused as error:
             metrics.REFUSALS.labels(error.refusal).inc()
             await exchange.refuse(error)
+            if error.refusal in _AFTER_ADMIT:
+                # Closing with unread frames would reset the connection and
+                # lose the refusal. The balancer closes it, which ends this.
+                await asyncio.sleep(_LINGER_S)
 
     async def _admit(self, stack, start, deadline):
         if start.service_name != self.service.name:
