Forget peers that no longer report; test turns by time used

Loads of agents that were replaced were kept for ever. The test of the turns between short and long work only asserted that short work starts; it now asserts the share of slot time of both classes for 1, 2 and 3 slots.

--- a/src/limpetlift/state/admission.py
+++ b/src/limpetlift/state/admission.py
@@ -187,6 +187,8 @@
 
         :param loads: :class:`Load` objects, possibly old.
         """
+        # Agents that were replaced must not pile up.
+        self._peers_by_id = dict(self._fresh_peers(now))
         for load in loads:
             self._peers_by_id[load.agent_id] = _Peer(load, now)
         return []
@@ -392,12 +394,15 @@
         peer.hints += 1
         return actions.Refused(entry.request_id, code, peer.load.address)
 
-    def _best_peer(self, now, entry):
-        fresh = [
-            peer
-            for peer in self._peers_by_id.values()
+    def _fresh_peers(self, now):
+        return [
+            (agent_id, peer)
+            for agent_id, peer in self._peers_by_id.items()
             if now - peer.received_at <= defaults.PEER_LOAD_AGE_S
         ]
+
+    def _best_peer(self, now, entry):
+        fresh = [peer for _, peer in self._fresh_peers(now)]
         if not fresh:
             return None
         waits = [self._peer_wait(peer, entry) for peer in fresh]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -163,18 +163,27 @@
     assert queue.load(1.6, "a", "").long == 1
 
 
-def test_waiting_classes_take_turns_by_time_used():
+@pytest.mark.parametrize("slots", [1, 2, 3])
+def test_waiting_classes_take_turns_by_time_used(slots):
     """Neither class may starve the other when both wait."""
-    queue = _queue(slots=2)
-    for number in range(4):
-        _ask(queue, 0.0, "short-%d" % number, 90.0)
-        _ask(queue, 0.0, "long-%d" % number, 90.0, "long")
-    first = queue.on_finished(1.0, "short-0", 1.0)
-    assert first == [actions.Admit("short-1")]
-    queue.on_finished(2.0, "long-0", 2.0)
-    used = [queue.on_finished(3.0, "short-1", 0.1)[0].request_id]
-    used += [a.request_id for a in queue.on_finished(3.1, used[0], 0.1)]
-    assert any(name.startswith("short") for name in used)
+    queue = _queue(slots=slots, limit=1000)
+    now, running, used = 0.0, [], {"short": 0.0, "long": 0.0}
+    seconds = {"short": 0.1, "long": 1.0}
+    results = []
+    for number in range(300):
+        for kind in ("short", "long"):
+            name = "%s-%d" % (kind, number)
+            results += _ask(queue, 0.0, name, 900.0, kind)
+    while now < 15.0:
+        for action in results:
+            kind = action.request_id.partition("-")[0]
+            used[kind] += seconds[kind]
+            running.append((now + seconds[kind], action.request_id, kind))
+        running.sort()
+        now, name, kind = running.pop(0)
+        results = queue.on_finished(now, name, seconds[kind])
+    share = used["short"] / (used["short"] + used["long"])
+    assert 1 / 3 - 0.05 <= share <= 2 / 3 + 0.05
 
 
 def test_drain_refuses_waiting_and_new_requests():
