--- a/src/limpetlift/protocol/packet.py
+++ b/src/limpetlift/protocol/packet.py
@@ -19,6 +19,7 @@
 VERSION = 0xA1
 KIND_TO_AGENT = 1
 KIND_TO_CALLER = 2
+_PASSED = 1
 
 _HEADER = struct.Struct("!BBBB8sQ4sH4sHI")
 _ENDPOINT = struct.Struct("!4sH")
@@ -39,6 +40,8 @@
     :param incarnation: low 32 bits of the incarnation of the addressed
         agent, or 0 for any.
     :param payload: the caller's bytes.
+    :param passed: an agent chose the addressed agent for a new flow, which
+        then does not look for the first member in order again.
     """
 
     kind: int
@@ -49,6 +52,7 @@
     balancer: tuple
     incarnation: int
     payload: bytes
+    passed: bool = False
 
     @property
     def key(self):
@@ -94,7 +98,7 @@
         VERSION,
         packet.kind,
         packet.hops,
-        0,
+        _PASSED if packet.passed else 0,
         packet.service_id,
         packet.flow_hash,
         socket.inet_aton(packet.caller[0]),
@@ -217,7 +221,7 @@
         _version,
         kind,
         hops,
-        _reserved,
+        flags,
         service,
         placed_by,
         caller_ip,
@@ -237,4 +241,5 @@
         (socket.inet_ntoa(balancer_ip), balancer_port),
         incarnation,
         data[HEADER_BYTES:],
+        bool(flags & _PASSED),
     )
--- a/src/limpetlift/tasks/flowpath.py
+++ b/src/limpetlift/tasks/flowpath.py
@@ -4,54 +4,19 @@
 
 import attrs
 
-from limpetlift.coordination import placement
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift import metrics
 from limpetlift.protocol import packet as packets
 from limpetlift.state import actions
+from limpetlift.state import flows
+from limpetlift.state import servicetable
 from limpetlift.transport import udp
 
 LOG = logs.EventLogger("flowpath")
 
 
-@attrs.define
-class ServiceTable:
-    """Where a balancer sends the packets of one service.
-
-    :param service: a :class:`limpetlift.state.config.Service`.
-    :param members: the service's members that take new work.
-    """
-
-    service: object
-    members: list = attrs.field(factory=list)
-    _owner_by_bucket: bytes = b""
-    _endpoints: list = attrs.field(factory=list)
-
-    def set_members(self, members):
-        """Replace the members; the table is built at the next packet."""
-        self.members = [member for member in members if member.takes_new]
-        self._owner_by_bucket = b""
-
-    def endpoint(self, flow_hash):
-        """Return the ``(ip, port)`` of the natural owner, or None."""
-        if not self._owner_by_bucket:
-            if not self.members:
-                return None
-            self._build()
-        bucket = flow_hash % defaults.BUCKETS
-        return self._endpoints[self._owner_by_bucket[bucket]]
-
-    def _build(self):
-        targets = [
-            placement.Target(member.agent_id, member.weight)
-            for member in self.members
-        ]
-        self._owner_by_bucket = placement.build_table(targets)
-        self._endpoints = [member.endpoint for member in self.members]
-
-
 class BalancerFlows:
     """Owns the sockets at the services' addresses.
 
@@ -97,7 +62,7 @@
     def _open_service(self, service):
         ip, port = service.endpoint
         service_id = packets.service_id(service.name)
-        table = ServiceTable(service)
+        table = servicetable.ServiceTable(service)
         encoder = packets.FlowEncoder(
             service_id, self._node.address, self._node.keys[0], self._headers
         )
@@ -159,18 +124,24 @@
     :param table: the :class:`limpetlift.state.flows.FlowTable`.
     :param backend: ``(ip, port)`` of the backend server.
     :param perform: carries out actions that this task does not know.
+    :param reset_payload: sent to the caller of a flow that has ended with
+        its agent; empty sends nothing.
 
     .. versionadded:: 0.1
     """
 
-    def __init__(self, node, table, backend, perform):
+    def __init__(self, node, table, backend, perform, reset_payload=b""):
         self._node = node
+        self._reset_payload = reset_payload
         self._table = table
         self._backend = backend
         self._perform_other = perform
         self._sessions_by_key = {}
         self.endpoints_by_id = {}
+        self._addresses_by_id = {}
         node.on_packet(self._receive)
+        for kind in flows.MESSAGE_KINDS:
+            node.on_message(kind, self._receive_message)
 
     def perform(self, steps):
         """Carry out the actions of the flow table."""
@@ -181,6 +152,10 @@
                 self._forward(step)
             elif isinstance(step, actions.Drop):
                 metrics.PACKETS_DROPPED.labels(step.reason).inc()
+            elif isinstance(step, actions.Send):
+                self._send(step)
+            elif isinstance(step, actions.Reset):
+                self._reset(step.packet)
             elif isinstance(step, actions.Close):
                 self._close_session(step)
             else:
@@ -190,6 +165,7 @@
         """Run the timers of the flow table."""
         self.perform(self._table.tick(time.monotonic()))
         metrics.FLOWS.set(self._table.flow_count)
+        metrics.REDIRECTS.set(self._table.redirect_count)
 
     def _receive(self, packet, _address):
         if packet.kind != packets.KIND_TO_AGENT:
@@ -197,6 +173,32 @@
             return
         self.perform(self._table.on_packet(time.monotonic(), packet))
 
+    def _receive_message(self, sealed, message, address):
+        # A joining agent may write before its record arrives.
+        self._addresses_by_id[sealed.sender] = address
+        try:
+            steps = self._table.on_message(
+                time.monotonic(), sealed.sender, message
+            )
+        except exceptions.ProtocolError as error:
+            metrics.CONTROL_REJECTED.labels(error.code).inc()
+            return
+        self.perform(steps)
+
+    def _endpoint(self, agent_id):
+        endpoint = self.endpoints_by_id.get(agent_id)
+        return endpoint or self._addresses_by_id.get(agent_id)
+
+    def _send(self, step):
+        endpoint = self._endpoint(step.agent_id)
+        if endpoint is not None:
+            self._node.send(step.message, endpoint)
+
+    def _reset(self, packet):
+        metrics.FLOWS_ENDED.labels("owner_gone").inc()
+        if self._reset_payload:
+            self._send_answer(packet, self._reset_payload)
+
     def _deliver(self, key, packet):
         session = self._sessions_by_key.get(key)
         if session is None:
@@ -235,7 +237,10 @@
         )
 
     def _answer(self, key, data):
-        packet = self._sessions_by_key[key].last_packet
+        self._table.on_answer(time.monotonic(), key)
+        self._send_answer(self._sessions_by_key[key].last_packet, data)
+
+    def _send_answer(self, packet, data):
         answer = attrs.evolve(
             packet, kind=packets.KIND_TO_CALLER, hops=0, payload=data
         )
@@ -244,7 +249,7 @@
         )
 
     def _forward(self, step):
-        endpoint = self.endpoints_by_id.get(step.agent_id)
+        endpoint = self._endpoint(step.agent_id)
         if endpoint is None:
             metrics.PACKETS_DROPPED.labels("unknown_agent").inc()
             return
@@ -252,6 +257,7 @@
             step.packet,
             hops=step.packet.hops + 1,
             incarnation=step.incarnation & 0xFFFFFFFF,
+            passed=step.passed,
         )
         self._node.send_packet(
             packets.encode(packet, self._node.keys[0]), endpoint
