--- a/src/limpetlift/protocol/messages.thrift
+++ b/src/limpetlift/protocol/messages.thrift
@@ -238,6 +238,15 @@
   3: required binary body,
 }
 
+// Load of an agent's slots, to the other agents of its service.
+
+struct SlotLoad {
+  1: required i32 slots,
+  2: required i32 long_running,
+  3: required i64 wait_ms,
+  4: required i64 long_wait_ms,
+}
+
 // Requests, over a framed connection.
 
 struct RequestStart {
@@ -251,6 +260,8 @@
   8: required bool first_attempt,
   9: required string work_class,
   10: required i64 content_length,
+  // Whether the balancer can send the request to another agent.
+  11: optional bool movable,
 }
 
 struct Admit {
