--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -40,6 +40,12 @@
 VOTE_PULL_S = 0.05
 ROSTER_STATUS_S = 2.0
 ROSTER_HISTORY = 32
+# Members tell each other about new epochs; the poll is for those cut off.
+ROSTER_POLL_S = 300.0
+ROSTER_RETRY_S = 2.0
+ROSTER_HINT_S = 0.1
+ROSTER_LEAVE_S = 2.0
+ROSTER_LINGER_S = 0.5
 LONG_FACTOR = 5.0
 RETRY_TOKENS_PER_REQUEST = 0.1
 # Saved tokens bound the burst of retries when many targets fail at once.
