--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -8,16 +8,36 @@
 REDIRECT_COPIES = 2
 REDIRECT_BATCH_S = 0.05
 SETTLE_S = 2.0
-PAUSE_S = 1.0
+# Shorter than ASK_RETRY_S * ASK_ATTEMPTS: after that time another agent may
+# accept a flow without the answer of a paused agent, which must then ask.
+FLOW_PAUSE_S = 0.05
 ASK_RETRY_S = 0.02
 ASK_ATTEMPTS = 3
+# Longest wait for answers when more members are silent than may be.
+ASK_LIMIT_S = 1.0
+# Members asked when in doubt. A service has 7 backend servers on average.
+ASK_MEMBERS = 8
+REDIRECT_RETRY_MAX_S = 1.0
+# 48 entries of 24 bytes and the envelope fit in DATAGRAM_BYTES.
+REDIRECTS_PER_BATCH = 48
+# Lifetime of an entry that the owner has not confirmed.
+HINT_S = 2.0
+RENEWED_BUCKETS_PER_TICK = 256
 PENDING_PACKETS = 16
 PREPARE_S = 1.0
+PREPARE_RETRY_S = 0.05
+# A prepared record that is not announced within this time is forgotten.
+PREPARED_S = 3.0
 FLOW_IDLE_S = 4 * 3600.0
 TARGET_CONNECTIONS = 2000
+# With 1 flow of slack the noise of small counts made policy "bounded" pass
+# on 6% of the flows and a join move 0.198 instead of 0.15 of them.
 SHARING_BOUND = 1.02
+SHARING_SLACK_FLOWS = 32
 SLOW_START_S = 10.0
 SLOW_START_WEIGHT = 0.1
+SLOW_START_STEPS = 10
+IDLE_SLOTS = 128
 
 # Requests.
 TARGET_SLOTS = 2
@@ -89,13 +109,13 @@
 SLOW_FACTOR = 2.0
 
 # Membership.
+PAUSE_S = 1.0
 HEARTBEAT_S = 1.0
 SPONSORS = 3
 SPONSOR_CANDIDATES = 6
 # A sponsor that does not answer is replaced after this silence.
 SPONSOR_SILENCE_S = 2.5
 SPONSOR_AVOID_S = 30.0
-SPONSOR_LEAVE_ATTEMPTS = 10
 # Probes before a suspicion: three lost heartbeats in a row are frequent at
 # 42,000 heartbeats a second and 1% loss.
 PROBE_S = 1.8
@@ -111,6 +131,11 @@
 DATA_CENTRE_BALANCERS = 3
 ANTI_ENTROPY_S = 1.0
 PULL_BUCKETS = 8
+# After a partition, what the other side changed is asked for once, and from
+# a little before it began.
+CATCH_UP_S = 10.0
+CATCH_UP_MARGIN_S = 30.0
+CATCH_UP_RECORDS = 4000
 GOSSIP_S = 0.1
 MEMBERSHIP_TICK_S = 0.05
 # Groups that do not know each other meet through the seeds.
--- a/src/limpetlift/state/config.py
+++ b/src/limpetlift/state/config.py
@@ -24,6 +24,7 @@
     admission: str = "deadline"
     reset_payload: str = ""
     flow_idle_s: float = defaults.FLOW_IDLE_S
+    slow_start_s: float = defaults.SLOW_START_S
     request_timeout_s: float = defaults.REQUEST_TIMEOUT_S
 
     @property
