Admit requests through the table of queue and claims

Change: the slots of an agent drive the request table; answers of requests with a key are kept and sent again; a request with a key that has begun runs to its end when its balancer has gone; the task of the roster is apart.

--- a/src/limpetlift/state/requests.py
+++ b/src/limpetlift/state/requests.py
@@ -136,6 +136,7 @@
             elif isinstance(step, actions.Replay):
                 results += self._end(now, step.request_id, step)
             elif not isinstance(step, actions.Wait):
+                # Messages, and actions about the roster.
                 results.append(step)
         return results
 
@@ -257,6 +258,10 @@
         """Refuse what waits and whatever comes."""
         return self._on_queue(now, self.queue.drain(now))
 
+    def leave(self, now):
+        """Neither vote nor claim any more; all requests have ended."""
+        return self._on_claims(now, self.claims.on_leave(now))
+
     def tick(self, now):
         """Run the timers."""
         results = self._on_queue(now, self.queue.tick(now))
--- a/src/limpetlift/tasks/agent.py
+++ b/src/limpetlift/tasks/agent.py
@@ -9,6 +9,7 @@
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift.state import actions
+from limpetlift.state import claims
 from limpetlift.state import config
 from limpetlift.state import flows
 from limpetlift.tasks import flowpath
@@ -49,7 +50,10 @@
             service.reset_payload.encode("utf-8"),
         )
         self.stack.callback(self.flows.close)
-        self.requests = requestpath.AgentRequests(self.node, service, backend)
+        self.claims = claims.ClaimTable(self.node.id, self.incarnation)
+        self.requests = requestpath.AgentRequests(
+            self.node, service, backend, self.claims
+        )
         self.requests.listen()
         self.stack.callback(self.requests.close)
         self.members = members.Members(
@@ -104,9 +108,10 @@
         self.flows.endpoints_by_id = {
             peer.agent_id: peer.endpoint for peer in peers
         }
-        self.requests.slots.endpoints_by_id = {
-            peer.agent_id: peer.endpoint for peer in peers if peer.takes_new
-        }
+        self.requests.slots.endpoints_by_id = self.flows.endpoints_by_id
+        self.requests.slots.taker_ids = [
+            peer.agent_id for peer in peers if peer.takes_new
+        ]
         self.flows.perform(self.table.on_members(time.monotonic(), peers))
 
     def _on_joined(self):
--- a/src/limpetlift/tasks/gateway.py
+++ b/src/limpetlift/tasks/gateway.py
@@ -38,6 +38,7 @@
 CLASS_HEADER = "X-Work-Class"
 CODE_HEADER = "X-Refusal-Code"
 OUTCOME_HEADER = "X-Request-Outcome"
+REPLAYED_HEADER = "Idempotent-Replayed"
 
 
 class Gateway:
@@ -302,8 +303,11 @@
 
     async def _relay_answer(self, exchange):
         start = await exchange.receive("ResponseStart")
+        if start.replayed:
+            self.set_header(REPLAYED_HEADER, "true")
         self.set_status(start.status, start.reason)
-        self.clear_header("Content-Type")
+        for name in ("Content-Type", "Date", "Server"):
+            self.clear_header(name)
         for header in start.headers:
             self.add_header(header.name, header.value)
         self.set_header(ID_HEADER, self._callers_id)
--- a/src/limpetlift/tasks/keys.py
+++ b/src/limpetlift/tasks/roster.py
@@ -1,4 +1,4 @@
-"""The idempotency keys of an agent: claims, and the roster in the store."""
+"""The roster of an agent's service in the store."""
 
 import asyncio
 import time
@@ -8,143 +8,48 @@
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
-from limpetlift import metrics
 from limpetlift.state import actions
-from limpetlift.state import claims
 
-LOG = logs.EventLogger("keys")
+LOG = logs.EventLogger("roster")
 
-KINDS = (
-    "Claim",
-    "ClaimVote",
-    "ClaimAbandon",
-    "AnswerPull",
-    "AnswerPart",
-    "VotePull",
-    "VoteTable",
-    "RosterStatus",
-    "RosterCopy",
-)
 # Only this many members, by id, remove silent ones: one may be silent itself.
 _REMOVERS = 2
 
 
-class Keys:
-    """Lets request tasks claim keys, and keeps the service's roster.
+class RosterTask:
+    """Joins the roster of the service, follows it and leaves it.
 
     :param node: the :class:`limpetlift.tasks.control.Node`.
     :param service_name: name of the agent's service.
     :param store: a :class:`limpetlift.coordination.store.Store`.
+    :param slots: the :class:`limpetlift.tasks.slots.Slots` of the agent.
+    :param claims: its :class:`limpetlift.state.claims.ClaimTable`.
     :param find_record: returns the :class:`Member` of an agent id, or None.
     :param rng: a ``random.Random`` that spreads the calls on the store.
 
     .. versionadded:: 0.1
     """
 
-    def __init__(self, node, service_name, store, find_record, rng):
+    def __init__(
+        self, node, service_name, store, slots, claims, find_record, rng
+    ):
         self._node = node
         self._store = store
+        self._slots = slots
+        self._claims = claims
         self._store_key = "rosters/" + service_name
         self._find_record = find_record
         self._rng = rng
-        self.table = claims.ClaimTable(node.id, node.incarnation)
-        self._futures_by_id = {}
         self._silent_since_by_id = {}
         self._wake = asyncio.Event()
         self._leaving = False
-        for kind in KINDS:
-            node.on_message(kind, self._receive)
+        slots.on_roster_action = self._on_action
 
-    # Requests.
-
-    def knows(self, key):
-        """Whether the key was claimed, so that it needs no slot to wait."""
-        return self.table.knows(time.monotonic(), key)
-
-    async def claim(self, key, request_id, deadline):
-        """Wait until the request may run.
-
-        :param deadline: monotonic time after which it must not run.
-        :returns: None when it may run, or the stored ``Answer``.
-        :raises Refused: when it does not run.
-        """
-        future = asyncio.get_running_loop().create_future()
-        self._futures_by_id[request_id] = future
-        try:
-            now = time.monotonic()
-            self._perform(
-                self.table.on_request(now, key, request_id, deadline)
-            )
-            return await asyncio.shield(future)
-        except asyncio.CancelledError:
-            self._cancel(key, request_id, future)
-            raise
-        finally:
-            del self._futures_by_id[request_id]
-
-    def _cancel(self, key, request_id, future):
-        now = time.monotonic()
-        if not future.done():
-            self._perform(self.table.on_cancel(now, request_id))
-        elif future.exception() is None and future.result() is None:
-            # The grant came while the task was being cancelled.
-            self._perform(self.table.on_failed(now, key, False))
-
-    def finish(self, key, answer):
-        """The request ran; ``answer`` is an ``Answer`` or None."""
-        self._perform(self.table.on_done(time.monotonic(), key, answer))
-
-    def fail(self, key, ran):
-        """The request failed.
-
-        :param ran: False when the backend server got no byte of it.
-        """
-        self._perform(self.table.on_failed(time.monotonic(), key, ran))
-
-    # Messages and timers.
-
-    def _receive(self, sealed, message, _address):
-        now = time.monotonic()
-        try:
-            self._perform(self.table.on_message(now, sealed.sender, message))
-        except exceptions.StateError as error:
-            metrics.CONTROL_REJECTED.labels(error.code).inc()
-
-    def tick(self):
-        """Run the timers of the claims."""
-        self._perform(self.table.tick(time.monotonic()))
-
-    def _perform(self, steps):
-        for step in steps:
-            if isinstance(step, actions.Send):
-                self._send(step)
-            elif isinstance(step, actions.ReadRoster):
-                self._wake.set()
-            elif isinstance(step, actions.RosterAdopted):
-                own = self._node.id, self._node.incarnation
-                if not step.roster.contains(*own):
-                    self._wake.set()
-            elif isinstance(step, actions.Granted):
-                self._settle(step.request_id, result=None)
-            elif isinstance(step, actions.Replay):
-                self._settle(step.request_id, result=step.answer)
-            elif isinstance(step, actions.Denied):
-                error = exceptions.Refused(step.code)
-                self._settle(step.request_id, error=error)
-
-    def _send(self, step):
-        record = self._find_record(step.agent_id)
-        if record is not None:
-            self._node.send(step.message, record.endpoint)
-
-    def _settle(self, request_id, result=None, error=None):
-        future = self._futures_by_id[request_id]
-        if error is not None:
-            future.set_exception(error)
-        else:
-            future.set_result(result)
-
-    # The roster in the store.
+    def _on_action(self, step):
+        if isinstance(step, actions.ReadRoster):
+            self._wake.set()
+        elif not step.roster.contains(self._node.id, self._node.incarnation):
+            self._wake.set()
 
     async def keep_roster(self):
         """Join the roster and follow it until cancelled."""
@@ -191,7 +96,7 @@
         entry = await self._store.get_current(self._store_key)
         before = _decode(entry)
         self._adopt(before)
-        after = function(before, *arguments, settled=self.table.settled)
+        after = function(before, *arguments, settled=self._claims.settled)
         if after is before:
             return
         await self._store.compare_and_swap(
@@ -203,11 +108,11 @@
         self._adopt(after)
 
     def _adopt(self, roster):
-        self._perform(self.table.on_roster(time.monotonic(), roster))
+        self._slots.on_roster(roster)
 
     def _silent(self, now):
         """Return the members that this agent should remove."""
-        ids = sorted(self.table.roster.current.incarnations_by_id)
+        ids = sorted(self._claims.roster.current.incarnations_by_id)
         silent = [key for key in ids if self._is_silent(key)]
         self._silent_since_by_id = {
             key: self._silent_since_by_id.get(key, now) for key in silent
@@ -216,7 +121,7 @@
         if self._node.id not in heard[:_REMOVERS]:
             return set()
         return rosters.silent_members(
-            self.table.roster,
+            self._claims.roster,
             {
                 key: now - since + defaults.SUSPECT_S
                 for key, since in self._silent_since_by_id.items()
@@ -240,9 +145,9 @@
 
     async def leave(self):
         """Remove this agent from the roster; its requests have ended."""
-        if self.table.epoch == 0:
+        if self._claims.epoch == 0:
             return
-        self._perform(self.table.on_leave(time.monotonic()))
+        self._slots.leave()
         self._leaving = True
         own = self._node.id, self._node.incarnation
         try:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -1,4 +1,4 @@
-"""The task that keeps the roster and lets requests wait for their keys."""
+"""Requests that wait for their keys, and the task that keeps the roster."""
 
 import asyncio
 import random
@@ -11,7 +11,10 @@
 from limpetlift import exceptions
 from limpetlift.protocol import messages
 from limpetlift.state import actions
-from limpetlift.tasks import keys
+from limpetlift.state import claims
+from limpetlift.state import config
+from limpetlift.tasks import roster as roster_task
+from limpetlift.tasks import slots
 
 
 @attrs.define
@@ -69,6 +72,37 @@
     sender: str
 
 
+class _Desk:
+    """The slots and the roster task of one agent."""
+
+    def __init__(self, node, store, find, peers):
+        self.table = claims.ClaimTable(node.id, node.incarnation)
+        service = config.Service(name="desk", address="127.0.0.1:1", slots=9)
+        self.slots = slots.Slots(node, service, self.table)
+        self.slots.endpoints_by_id = {
+            agent_id: find(agent_id).endpoint for agent_id in peers
+        }
+        self.tick = self.slots.tick
+        self.roster = roster_task.RosterTask(
+            node, "desk", store, self.slots, self.table, find, random.Random(1)
+        )
+
+    async def claim(self, key, request_id):
+        start = messages.structs.RequestStart(
+            request_id=request_id,
+            service_name="desk",
+            method="POST",
+            path="/",
+            headers=[],
+            timeout_ms=60_000,
+            idempotency_key=key,
+            first_attempt=False,
+            work_class="",
+            content_length=0,
+        )
+        return await self.slots.acquire(start, _deadline())
+
+
 async def _settle():
     for _ in range(50):
         await asyncio.sleep(0)
@@ -76,6 +110,7 @@
 
 async def _service(store, count=2):
     nodes, tasks = {}, []
+    ids = ["a%d" % number for number in range(1, count + 1)]
 
     def find(agent_id):
         port = int(agent_id[1:])
@@ -87,9 +122,9 @@
     for number in range(1, count + 1):
         node = _Node("a%d" % number, 7, nodes)
         nodes[number] = node
-        tasks.append(keys.Keys(node, "desk", store, find, random.Random(1)))
+        tasks.append(_Desk(node, store, find, ids))
     for task in tasks * 2:
-        await task.update_roster()
+        await task.roster.update_roster()
         await _settle()
     for _ in range(100):
         if all(task.table.may_vote for task in tasks):
@@ -120,15 +155,15 @@
     async def scenario():
         first, second = await _service(_Store())
         answer = actions.Answer(200, (("A", "b"),), b"x" * 5000)
-        assert await first.claim("key", "r1", _deadline()) is None
+        assert await first.claim("key", "r1") is None
         with pytest.raises(exceptions.Refused) as refused:
-            await second.claim("key", "r2", _deadline())
+            await second.claim("key", "r2")
         assert refused.value.refusal == "key_running"
-        waiting = asyncio.ensure_future(first.claim("key", "r3", _deadline()))
+        waiting = asyncio.ensure_future(first.claim("key", "r3"))
         await _settle()
-        first.finish("key", answer)
+        first.slots.finish("r1", answer)
         assert await waiting == answer
-        assert await second.claim("key", "r4", _deadline()) == answer
+        assert await second.claim("key", "r4") == answer
 
     _run(scenario)
 
@@ -138,17 +173,17 @@
 
     async def scenario():
         first, second = await _service(_Store())
-        task = asyncio.ensure_future(first.claim("key", "r1", _deadline()))
+        task = asyncio.ensure_future(first.claim("key", "r1"))
         await asyncio.sleep(0)
-        assert first.knows("key")
+        assert first.table.knows(0.0, "key")
         task.cancel()
         with pytest.raises(asyncio.CancelledError):
             await task
         await _settle()
-        assert await second.claim("key", "r2", _deadline()) is None
-        second.fail("key", ran=False)
+        assert await second.claim("key", "r2") is None
+        second.slots.abandon("r2")
         await _settle()
-        assert await first.claim("key", "r3", _deadline()) is None
+        assert await first.claim("key", "r3") is None
 
     _run(scenario)
 
@@ -161,8 +196,8 @@
         tasks = await _service(store, 3)
         store.up = False
         with pytest.raises(exceptions.StoreUnavailable):
-            await tasks[0].update_roster()
-        assert await tasks[0].claim("key", "r1", _deadline()) is None
+            await tasks[0].roster.update_roster()
+        assert await tasks[0].claim("key", "r1") is None
 
     _run(scenario)
 
@@ -173,13 +208,13 @@
     async def scenario():
         store = _Store(lose_answer=True)
         node = _Node("a1", 7, {})
-        task = keys.Keys(node, "desk", store, lambda _: None, random.Random(1))
+        task = _Desk(node, store, lambda _: None, [])
         with pytest.raises(exceptions.StoreOutcomeUnknown):
-            await task.update_roster()
-        await task.update_roster()
+            await task.roster.update_roster()
+        await task.roster.update_roster()
         assert rosters.decode(store.entry.value).epoch == 1
         assert task.table.may_vote
-        await task.leave()
+        await task.roster.leave()
         left = rosters.decode(store.entry.value)
         assert left.current.incarnations_by_id == {}
         assert left.has_ended("a1", 7)
--- a/tests/test_requestpath.py
+++ b/tests/test_requestpath.py
@@ -162,7 +162,9 @@
     """A balancer that missed Admit says "not run", which must be true."""
     log = []
     service = config.Service("desk", "127.0.0.1:7001")
-    requests = requestpath.AgentRequests(_Node(), service, ("127.0.0.1", 1))
+    requests = requestpath.AgentRequests(
+        _Node(), service, ("127.0.0.1", 1), None
+    )
     asyncio.run(
         requests._transfer(_Exchange(log), _Backend(log), _start("id"))
     )
