Adapt the tests of the request path to the joint table

Cause: slots take the claims and give back a stored answer. Change: arguments only; every assertion stays. Measured: the tests of the request path pass.

--- a/tests/test_requestpath.py
+++ b/tests/test_requestpath.py
@@ -50,7 +50,7 @@
 def _slots(count=1):
     node = _Node()
     service = config.Service("desk", "127.0.0.1:7001", slots=count)
-    return slots.Slots(node, service), node
+    return slots.Slots(node, service, None), node
 
 
 def _members(count):
@@ -77,7 +77,7 @@
         await asyncio.sleep(0)
         first.cancel()
         await asyncio.sleep(0)
-        taken.finish("runs")
+        taken.finish("runs", None)
         await second
         taken.abandon("next")
         await taken.acquire(_start("last"), _FAR)
@@ -124,6 +124,7 @@
     taken.endpoints_by_id = {
         "agent-%d" % number: ("127.0.0.1", number) for number in range(20)
     }
+    taken.taker_ids = list(taken.endpoints_by_id)
     taken.send_load()
     assert len(node.sent) == defaults.PEER_LOAD_FANOUT
     assert ("127.0.0.1", 0) not in [address for _, address in node.sent]
@@ -166,7 +167,11 @@
         _Node(), service, ("127.0.0.1", 1), None
     )
     asyncio.run(
-        requests._transfer(_Exchange(log), _Backend(log), _start("id"))
+        requests._transfer(
+            _Exchange(log),
+            _Backend(log),
+            requestpath._Run(_start("id"), 0.0),
+        )
     )
     assert log == ["frame", "start"]
 
