--- a/src/limpetlift/coordination/strategies.py
+++ b/src/limpetlift/coordination/strategies.py
@@ -150,7 +150,7 @@
     Each round takes the next range of distances [2^k, 2^(k+1)), in each
     direction, and chooses at random within it. The idea is that of the log
     random substrate of J. Rose, C. Hall and A. Carzaniga, "Spinneret: a log
-    random substrate for P2P networks" (IPDPS 2007).
+    random substrate for P2P networks".
     """
 
     # The ring is sorted by data centre, so that short links stay in it.
--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -3,6 +3,7 @@
 import attrs
 
 from limpetlift.coordination import actions as membership_actions
+from limpetlift.coordination import fleet
 from limpetlift.coordination import member as members
 from limpetlift.coordination import membership
 from limpetlift import defaults
@@ -150,7 +151,7 @@
     def on_start(self):
         """Build the view and empty tables."""
         own = self.record(state=members.ACTIVE)
-        self.membership = membership.BalancerMembership(
+        self.membership = fleet.BalancerMembership(
             own, self.world.rng, seeds=self.world.seeds(self.id)
         )
         self.tables_by_name = {
--- a/src/limpetlift/testing/gossiplab.py
+++ b/src/limpetlift/testing/gossiplab.py
@@ -304,10 +304,11 @@
     print("%s %d: %s" % (*job, " ".join(values)), flush=True)
 
 
-def main(sizes=(50, 200, 800, 1800), names=None, workers=3):
+def main(sizes=(50, 200), names=None, workers=3):
     """Run all jobs; each prints a line for each phase.
 
-    :param sizes: numbers of balancers.
+    :param sizes: numbers of balancers; the default takes about two minutes,
+        1,800 take more than ten.
     :param names: strategies; all by default.
     :param workers: processes to use.
     """
