Revert the shorter slow start of a cold service

The try: an agent that joins while no member is older than slow_start takes its full weight at once.

--- a/src/limpetlift/state/flows.py
+++ b/src/limpetlift/state/flows.py
@@ -130,9 +130,7 @@
 
     def join(self, now):
         """Start to take new flows, after the others have prepared."""
-        records = self._parts.view.members_by_id.values()
-        others = [r for r in records if r.agent_id != self.member.agent_id]
-        self._parts.transition.join(now, others)
+        self._parts.transition.join(now)
         return self._flush(now, self._advance(now))
 
     def set_weight(self, now, weight):
--- a/src/limpetlift/state/transition.py
+++ b/src/limpetlift/state/transition.py
@@ -56,21 +56,10 @@
             return self._change.record
         return self.member
 
-    def join(self, now, others):
-        """Take new flows as soon as the others are prepared.
-
-        :param others: records of the other members. When none of them is
-            older by the time of the slow start, the whole service is cold,
-            and unequal weights would only make it uneven.
-        """
-        if self._joined_at is not None:
-            return
-        self._joined_at = now
-        oldest = self.member.incarnation - self.slow_start_s * 1000
-        if not any(
-            other.takes_new and other.incarnation <= oldest for other in others
-        ):
-            self.slow_start_s = 0.0
+    def join(self, now):
+        """Take new flows as soon as the others are prepared."""
+        if self._joined_at is None:
+            self._joined_at = now
 
     def set_weight(self, weight):
         """Change the configured weight."""
