--- a/src/limpetlift/bench/runner.py
+++ b/src/limpetlift/bench/runner.py
@@ -6,6 +6,7 @@
 import platform
 import time
 
+from limpetlift.bench import control
 from limpetlift.bench import figures
 from limpetlift.bench import packets
 from limpetlift.bench import requests
@@ -13,7 +14,7 @@
 from limpetlift import registry
 
 # Importing a module registers its measurement.
-MODULES = (packets, view, requests)
+MODULES = (packets, view, control, requests)
 
 
 def run(scale, only=""):
