--- a/src/limpetlift/bench/fleet.py
+++ b/src/limpetlift/bench/fleet.py
@@ -11,7 +11,6 @@
 from limpetlift.coordination import member as members
 from limpetlift.coordination import membership
 from limpetlift.coordination import sponsor
-from limpetlift.coordination import view
 from limpetlift import defaults
 from limpetlift.protocol import envelope
 from limpetlift.protocol import messages
@@ -24,20 +23,12 @@
 
 
 def full_view(scale):
-    """Return the records of a fleet in a view."""
-    found = view.View("")
-    services = scale.count(views.SERVICES)
-    records = [
-        views.agent(number, services)
-        for number in range(scale.count(views.TARGETS))
-    ]
-    records += [
-        views.balancer(number)
-        for number in range(max(18, scale.count(views.BALANCERS)))
-    ]
-    for record in records:
-        found.merge(0.0, record)
-    return found
+    """Return the view of a fleet, with two balancers in each data centre."""
+    return views.full_view(
+        scale.count(views.TARGETS),
+        scale.count(views.SERVICES),
+        max(2 * views.DATA_CENTRES, scale.count(views.BALANCERS)),
+    )
 
 
 @attrs.define
--- a/src/limpetlift/bench/view.py
+++ b/src/limpetlift/bench/view.py
@@ -3,9 +3,12 @@
 import random
 import time
 
+import attrs
+
 from limpetlift.bench import figures
 from limpetlift.bench import workers
 from limpetlift.coordination import member as members
+from limpetlift.coordination import view
 from limpetlift.state import config
 from limpetlift.tasks import flowpath
 
@@ -57,33 +60,33 @@
     return members.from_message(member.to_message())
 
 
-def build_view(targets, services, balancers):
-    """Return the records and a table for each service.
+def full_view(targets, services, balancers):
+    """Return a :class:`View` with the records of a fleet."""
+    found = view.View("")
+    records = [agent(number, services) for number in range(targets)]
+    records += [balancer(number) for number in range(balancers)]
+    for record in records:
+        found.merge(0.0, _decoded(record))
+    found.take_changed()
+    return found
 
-    :returns: the members by id and the service tables by name.
-    """
-    members_by_id = {}
-    agents_by_service = {}
-    for number in range(targets):
-        member = _decoded(agent(number, services))
-        members_by_id[member.agent_id] = member
-        agents_by_service.setdefault(member.service, []).append(member)
-    for number in range(balancers):
-        member = _decoded(balancer(number))
-        members_by_id[member.agent_id] = member
+
+def build_tables(known, services):
+    """Return the table of each service, not built yet."""
     tables_by_name = {}
     for number in range(services):
         name = service_name(number)
         service = config.Service(name, "10.200.0.1:%d" % (1024 + number))
         table = flowpath.ServiceTable(service)
-        table.set_members(agents_by_service.get(name, []))
+        table.set_members(known.members_of(name))
         tables_by_name[name] = table
-    return members_by_id, tables_by_name
+    return tables_by_name
 
 
 def _worker(connection, targets, services, balancers, choices):
     empty = workers.resident_bytes()
-    _members, tables_by_name = build_view(targets, services, balancers)
+    known = full_view(targets, services, balancers)
+    tables_by_name = build_tables(known, services)
     tables = list(tables_by_name.values())
     records = workers.resident_bytes()
     build = _timed(lambda: [table.endpoint(0) for table in tables])
@@ -93,7 +96,7 @@
             "records": records,
             "whole": workers.resident_bytes(),
             "build_s": build,
-            "change_s": _change_s(tables),
+            "change_s": _change_s(known, tables_by_name),
             "choice_s": _choice_s(tables, choices),
         }
     )
@@ -106,16 +109,26 @@
     return time.perf_counter() - started
 
 
-def _change_s(tables):
-    """Return the mean time to apply the loss of one member."""
-    changed = tables[:CHANGES]
+def _change_s(known, tables_by_name):
+    """Return the mean time to apply a member's new weight.
 
-    def change():
-        for table in changed:
-            table.set_members(table.members[1:] or table.members)
-            table.endpoint(0)
+    Only the table of the member's service is built again.
+    """
+    records = [
+        attrs.evolve(record, sequence=1, weight=0.5)
+        for record in known.all_records()
+        if record.kind == members.AGENT
+    ][:CHANGES]
 
-    return _timed(change) / len(changed)
+    def change():
+        for record in records:
+            known.merge(1.0, record)
+            for name in known.take_changed():
+                table = tables_by_name[name]
+                table.set_members(known.members_of(name))
+                table.endpoint(0)
+
+    return _timed(change) / len(records)
 
 
 def _choice_s(tables, choices):
