Compare members of equal weight by their draws alone

Cause: with one weight that differs, as in a slow start, the score of every member was computed in every bucket.

--- a/src/limpetlift/coordination/placement.py
+++ b/src/limpetlift/coordination/placement.py
@@ -88,21 +88,63 @@
     """
     if not targets:
         return b""
-    ranked = sorted(
+    members_by_weight = {}
+    for index in sorted(
         range(len(targets)), key=lambda index: targets[index].agent_id
-    )
-    columns = [_draws(targets[index].agent_id) for index in ranked]
-    weights = [targets[index].weight for index in ranked]
-    if len(set(weights)) > 1:
-        columns = [
-            [_weighted(draw, weight) for draw in column]
-            for column, weight in zip(columns, weights)
-        ]
-    best = list(columns[0])
-    owner = bytearray([ranked[0]]) * defaults.BUCKETS
-    for column, index in zip(columns[1:], ranked[1:]):
+    ):
+        members_by_weight.setdefault(targets[index].weight, []).append(index)
+    parts = [
+        _first_of_equals(targets, members)
+        for members in members_by_weight.values()
+    ]
+    if len(parts) == 1:
+        return bytes(parts[0].owners)
+    return _first_of_parts(targets, parts, list(members_by_weight))
+
+
+@attrs.frozen
+class _Part:
+    """The first of some targets in each bucket, and its draw."""
+
+    owners: bytearray
+    draws: list
+
+
+def _first_of_equals(targets, members):
+    """Return the first of targets with the same weight.
+
+    The score rises strictly with the draw, so the draws are compared.
+
+    :param members: indexes by rising id.
+    """
+    best = list(_draws(targets[members[0]].agent_id))
+    owners = bytearray([members[0]]) * defaults.BUCKETS
+    for index in members[1:]:
+        for bucket, draw in enumerate(_draws(targets[index].agent_id)):
+            if draw >= best[bucket]:
+                best[bucket] = draw
+                owners[bucket] = index
+    return _Part(owners, best)
+
+
+def _first_of_parts(targets, parts, weights):
+    """Return the first of parts with different weights."""
+    log = math.log
+    scores = [
+        [-weight / log((draw + 0.5) * _SCALE) for draw in part.draws]
+        for part, weight in zip(parts, weights)
+    ]
+    owners = parts[0].owners
+    best = scores[0]
+    for part, column in zip(parts[1:], scores[1:]):
         for bucket, score in enumerate(column):
-            if score >= best[bucket]:
+            if score < best[bucket]:
+                continue
+            index = part.owners[bucket]
+            if (
+                score > best[bucket]
+                or targets[index].agent_id > targets[owners[bucket]].agent_id
+            ):
                 best[bucket] = score
-                owner[bucket] = index
-    return bytes(owner)
+                owners[bucket] = index
+    return bytes(owners)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,9 @@
 
 import collections
 
+import hypothesis
+from hypothesis import strategies as st
+
 from limpetlift.coordination import placement
 from limpetlift import defaults
 
@@ -26,6 +29,21 @@
         assert orders.order(bucket)[0].agent_id == owners[bucket]
 
 
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=30)
+@hypothesis.given(
+    weights=st.lists(st.sampled_from([0.1, 0.5, 1.0, 2.0]), max_size=6),
+    bucket=st.integers(0, defaults.BUCKETS - 1),
+)
+def test_table_of_mixed_weights_agrees_with_order(weights, bucket):
+    """Members of equal weight are compared apart, which must not show."""
+    targets = [
+        placement.Target("agent-%d" % i, weight)
+        for i, weight in enumerate(weights + [1.0])
+    ]
+    first = placement.Placement(targets).order(bucket)[0]
+    assert _owners(targets)[bucket] == first.agent_id
+
+
 def test_join_and_leave_move_only_the_share_of_the_member():
     """A change must move at most 1.2 / n of new placements."""
     before = _owners(_targets(7))
