--- a/src/limpetlift/bench/fleet.py
+++ b/src/limpetlift/bench/fleet.py
@@ -8,6 +8,7 @@
 from limpetlift.bench import view as views
 from limpetlift.bench import workers
 from limpetlift.coordination import actions
+from limpetlift.coordination import fleet
 from limpetlift.coordination import member as members
 from limpetlift.coordination import membership
 from limpetlift.coordination import sponsor
@@ -68,7 +69,7 @@
     _balancer_ids: list = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        self.twin = membership.BalancerMembership(
+        self.twin = fleet.BalancerMembership(
             self.base.get(views.balancer(_TWIN).agent_id), random.Random(2)
         )
         self.twin.view.load(self.base)
@@ -233,7 +234,7 @@
 
 def balancer_fleet(base, scale):
     """Return a fleet around a balancer and the members it sponsors."""
-    subject = membership.BalancerMembership(
+    subject = fleet.BalancerMembership(
         base.get(views.balancer(0).agent_id), random.Random(1)
     )
     subject.view.load(base)
--- a/src/limpetlift/bench/runner.py
+++ b/src/limpetlift/bench/runner.py
@@ -6,6 +6,7 @@
 import platform
 import time
 
+from limpetlift.bench import claims
 from limpetlift.bench import control
 from limpetlift.bench import figures
 from limpetlift.bench import flows
@@ -15,7 +16,7 @@
 from limpetlift import registry
 
 # Importing a module registers its measurement.
-MODULES = (packets, flows, view, control, requests)
+MODULES = (packets, flows, view, control, requests, claims)
 
 # Measurements that cannot run yet, each with the reason.
 REASONS_BY_NAME = {
--- a/src/limpetlift/bench/view.py
+++ b/src/limpetlift/bench/view.py
@@ -10,7 +10,7 @@
 from limpetlift.coordination import member as members
 from limpetlift.coordination import view
 from limpetlift.state import config
-from limpetlift.tasks import flowpath
+from limpetlift.state import servicetable
 
 TARGETS = 14_000
 SERVICES = 2_100
@@ -77,7 +77,7 @@
     for number in range(services):
         name = service_name(number)
         service = config.Service(name, "10.200.0.1:%d" % (1024 + number))
-        table = flowpath.ServiceTable(service)
+        table = servicetable.ServiceTable(service)
         table.set_members(known.members_of(name))
         tables_by_name[name] = table
     return tables_by_name
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -8,7 +8,6 @@
 REDIRECT_COPIES = 2
 REDIRECT_BATCH_S = 0.05
 SETTLE_S = 2.0
-PAUSE_S = 1.0
 # Shorter than ASK_RETRY_S * ASK_ATTEMPTS: after that time another agent may
 # accept a flow without the answer of a paused agent, which must then ask.
 FLOW_PAUSE_S = 0.05
@@ -47,6 +46,20 @@
 STORED_ANSWER_BYTES = 64 * 1024
 STORED_ANSWERS_BYTES = 16 * 1024 * 1024
 MAX_KEY_LENGTH = 128
+# A record is held this much longer than the retry window, because the last
+# permitted attempt spends time on its way, in the queue and in the claim.
+CLAIM_MARGIN_S = 30.0
+CLAIM_TIMEOUT_S = 2.0
+# A request that has waited longer does not claim its key: the votes for an
+# earlier attempt may be gone by then.
+CLAIM_ARRIVAL_S = 20.0
+CLAIM_RESEND_S = 0.02
+CLAIM_RESEND_MAX_S = 0.32
+CLAIM_RECORDS = 65536
+KEY_DIGEST_BYTES = 16
+VOTE_PULL_S = 0.05
+ROSTER_STATUS_S = 2.0
+ROSTER_HISTORY = 32
 LONG_FACTOR = 5.0
 RETRY_TOKENS_PER_REQUEST = 0.1
 # Saved tokens bound the burst of retries when many targets fail at once.
@@ -90,13 +103,13 @@
 SLOW_FACTOR = 2.0
 
 # Membership.
+PAUSE_S = 1.0
 HEARTBEAT_S = 1.0
 SPONSORS = 3
 SPONSOR_CANDIDATES = 6
 # A sponsor that does not answer is replaced after this silence.
 SPONSOR_SILENCE_S = 2.5
 SPONSOR_AVOID_S = 30.0
-SPONSOR_LEAVE_ATTEMPTS = 10
 # Probes before a suspicion: three lost heartbeats in a row are frequent at
 # 42,000 heartbeats a second and 1% loss.
 PROBE_S = 1.8
@@ -112,6 +125,11 @@
 DATA_CENTRE_BALANCERS = 3
 ANTI_ENTROPY_S = 1.0
 PULL_BUCKETS = 8
+# After a partition, what the other side changed is asked for once, and from
+# a little before it began.
+CATCH_UP_S = 10.0
+CATCH_UP_MARGIN_S = 30.0
+CATCH_UP_RECORDS = 4000
 GOSSIP_S = 0.1
 MEMBERSHIP_TICK_S = 0.05
 # Groups that do not know each other meet through the seeds.
@@ -128,6 +146,9 @@
 
 # Control messages.
 DATAGRAM_BYTES = 1400
+# Bytes of a datagram left for the body of one page; the rest is the envelope
+# and the other fields, with agent ids of up to 128 characters.
+PAGE_BYTES = 1000
 ENVELOPE_AGE_S = 30.0
 DIGEST_BYTES = 16
 PACKET_DIGEST_BYTES = 8
--- a/src/limpetlift/testing/network.py
+++ b/src/limpetlift/testing/network.py
@@ -6,7 +6,7 @@
 
 from limpetlift.coordination import actions
 from limpetlift.coordination import budget
-from limpetlift.coordination import membership
+from limpetlift.coordination import fleet
 
 
 @attrs.define
@@ -65,10 +65,14 @@
         """Stop a process; its datagrams wait."""
         self._held_by_id[agent_id] = []
 
-    def resume(self, agent_id):
-        """Continue a paused process with the datagrams that wait."""
+    def resume(self, agent_id, kept=True):
+        """Continue a paused process.
+
+        :param kept: whether the datagrams that wait are delivered.
+        """
         for arguments in self._held_by_id.pop(agent_id):
-            self._deliver(*arguments)
+            if kept:
+                self._deliver(*arguments)
 
     def run(self, seconds):
         """Run until ``seconds`` later."""
@@ -150,4 +154,4 @@
 
 def is_balancer(member):
     """Return whether a process is a balancer."""
-    return isinstance(member, membership.BalancerMembership)
+    return isinstance(member, fleet.BalancerMembership)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,6 +6,7 @@
 import pytest
 
 from limpetlift.coordination import actions
+from limpetlift.coordination import fleet
 from limpetlift.coordination import member
 from limpetlift.coordination import membership
 from limpetlift.coordination import strategies
@@ -56,7 +57,7 @@
         if is_agent:
             started = membership.AgentMembership(record, rng, seeds)
         else:
-            started = membership.BalancerMembership(
+            started = fleet.BalancerMembership(
                 record, rng, seeds, strategy=self.strategy
             )
         self.net.add(started)
@@ -171,14 +172,15 @@
     fleet.assert_complete()
 
 
+@pytest.mark.parametrize("kept", [True, False])
 @pytest.mark.parametrize("agent_id", ["a4", "b4"])
-def test_a_paused_process_resumes(agent_id):
+def test_a_paused_process_resumes(agent_id, kept):
     """It must refute its death and must not blame those it sponsored."""
     fleet = _Fleet().run(_SETTLED_S)
     fleet.net.pause(agent_id)
     fleet.run(30.0)
     assert fleet.states_of(agent_id) == {member.DEAD}
-    fleet.net.resume(agent_id)
+    fleet.net.resume(agent_id, kept)
     fleet.run(_SETTLED_S).assert_complete()
     assert {name for _, name in fleet.refuted()} == {agent_id}
 
@@ -187,7 +189,7 @@
     """Deaths that the others have forgotten must not be undone by it."""
     one = settled.get("b5")
     assert len(one.view) > 1
-    copy = membership.BalancerMembership(one.own, random.Random(1))
+    copy = fleet.BalancerMembership(one.own, random.Random(1))
     for record in one.view.all_records():
         copy.view.merge(0.0, record)
     copy.tick(1.0)
