--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -10,8 +10,10 @@
 from limpetlift.protocol import packet as packets
 from limpetlift import registry
 from limpetlift.replay import baselines
+from limpetlift.replay import keys
 from limpetlift.replay import requests
 from limpetlift.state import actions
+from limpetlift.state import claims
 from limpetlift.state import flows
 from limpetlift.state import servicetable
 
@@ -258,7 +260,12 @@
         self.table = table(own, limits)
         self._members_seen = None
         self.offers = set()
-        self.requests = requests.AgentRequests(self)
+        table = claims.ClaimTable(self.id, self.incarnation)
+        uses_claims = self.world.policies.get("keys", "votes") == "votes"
+        self.requests = requests.AgentRequests(
+            self, table if uses_claims else None
+        )
+        self.roster = keys.RosterKeeper(self, table)
         self._loads_at = self.now
         self.perform(self.table.join(self.now))
 
@@ -281,6 +288,8 @@
         self._pass_members()
         self.perform(self.table.tick(self.now))
         self.requests.tick()
+        if self.requests.table.claims is not None:
+            self.roster.tick()
         if self.now >= self._loads_at:
             self._loads_at = self.now + defaults.PEER_LOAD_S
             self._send_load()
@@ -308,6 +317,13 @@
         )
         self._pass_members()
         self.perform(self.table.on_message(self.now, sender_id, message))
+        if (
+            self.requests.table.claims is not None
+            and type(message).__name__ in claims.MESSAGE_KINDS
+        ):
+            self.requests.perform(
+                self.requests.table.on_message(self.now, sender_id, message)
+            )
 
     def on_packet(self, packet):
         """Handle a data packet."""
--- a/src/limpetlift/tasks/agent.py
+++ b/src/limpetlift/tasks/agent.py
@@ -64,6 +64,8 @@
         self.members.on_joined = self._on_joined
         self.members.on_superseded = self.on_superseded
         self.every(defaults.TICK_S, self.flows.tick)
+        self.every(defaults.TICK_S, self.requests.slots.tick)
+        self.every(defaults.PEER_LOAD_S, self.requests.slots.send_load)
         self.every(defaults.MEMBERSHIP_TICK_S, self.members.tick)
         self.members.tick()
 
@@ -102,6 +104,9 @@
         self.flows.endpoints_by_id = {
             peer.agent_id: peer.endpoint for peer in peers
         }
+        self.requests.slots.endpoints_by_id = {
+            peer.agent_id: peer.endpoint for peer in peers if peer.takes_new
+        }
         self.flows.perform(self.table.on_members(time.monotonic(), peers))
 
     def _on_joined(self):
@@ -119,7 +124,7 @@
         if not self.draining:
             self.draining = True
             self.ready = False
-            self.requests.draining = True
+            self.requests.refuse_new()
             self.flows.perform(self.table.drain(time.monotonic()))
 
     async def stop(self, deadline):
