Keep the verified headers of answers at a balancer

Cause: a balancer verified and decoded the header of each answer, which is the same for all answers of a flow until its balancer or agent changes.

--- a/src/limpetlift/protocol/packet.py
+++ b/src/limpetlift/protocol/packet.py
@@ -201,6 +201,46 @@
     return socket.inet_aton(address[0]), address[1]
 
 
+class Decoder:
+    """Decodes packets, with a cache of headers whose digest was verified.
+
+    The digest covers the header alone, so a header and digest that are equal
+    to verified ones are as authentic as those.
+
+    :param keys: the shared keys that are accepted; they must not change.
+    :param limit: number of headers kept; the cache is emptied when full.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, keys, limit):
+        self._keys = keys
+        self._limit = limit
+        self._packets_by_header = {}
+
+    def decode(self, data):
+        """Return the :class:`Packet` in ``data``; see :func:`decode`."""
+        known = self._packets_by_header.get(data[:HEADER_BYTES])
+        if known is not None:
+            return Packet(
+                known.kind,
+                known.hops,
+                known.service_id,
+                known.flow_hash,
+                known.caller,
+                known.balancer,
+                known.incarnation,
+                data[HEADER_BYTES:],
+                known.passed,
+            )
+        packet = decode(data, self._keys)
+        if len(self._packets_by_header) >= self._limit:
+            self._packets_by_header.clear()
+        header = data[:HEADER_BYTES]
+        self._packets_by_header[header] = attrs.evolve(packet, payload=b"")
+        return packet
+
+
 def decode(data, keys):
     """Return the :class:`Packet` in ``data``.
 
--- a/src/limpetlift/tasks/control.py
+++ b/src/limpetlift/tasks/control.py
@@ -2,6 +2,7 @@
 
 import time
 
+from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift import metrics
@@ -28,6 +29,13 @@
         self.id = settings.node.id
         self.incarnation = incarnation
         self.keys = settings.security.secrets
+        if settings.agent is None:
+            self._decode = packets.Decoder(
+                self.keys, defaults.CACHED_HEADERS
+            ).decode
+        else:
+            # The cost of a packet must not grow with the flows of an agent.
+            self._decode = self._decode_each
         self._sealer = envelope.Sealer(self.id, incarnation, self.keys)
         # Streams have counters of their own: a connection that was read late
         # must not fall out of the replay window of the datagrams.
@@ -86,13 +94,16 @@
 
     def _receive_packet(self, data, address):
         try:
-            packet = packets.decode(data, self.keys)
+            packet = self._decode(data)
         except exceptions.ProtocolError as error:
             metrics.PACKETS_DROPPED.labels(error.code).inc()
             return
         if self._on_packet is not None:
             self._on_packet(packet, address)
 
+    def _decode_each(self, data):
+        return packets.decode(data, self.keys)
+
     def _receive_message(self, data, address):
         metrics.CONTROL_BYTES.labels("in").inc(len(data))
         try:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -104,3 +104,32 @@
     )
     assert packet.decode(data, [KEY]) == expected
     assert packet.encode(expected, KEY) == data
+
+
+@pytest.mark.parametrize("limit", [1, 2, 100])
+def test_decoder_verifies_every_header_that_differs(limit):
+    """A cached header must not let a forged or truncated one through."""
+    service = packet.service_id("desk")
+    decoder = packet.Decoder([KEY], limit)
+    for hops in (0, 1, 0, 1, 0):
+        expected = packet.Packet(
+            kind=packet.KIND_TO_CALLER,
+            hops=hops,
+            service_id=service,
+            flow_hash=7,
+            caller=("10.0.0.9", 5000),
+            balancer=("10.0.0.1", 6000),
+            incarnation=3,
+            payload=b"answer %d" % hops,
+            passed=True,
+        )
+        data = packet.encode(expected, KEY)
+        assert decoder.decode(data) == expected
+        assert decoder.decode(data[: packet.HEADER_BYTES]).payload == b""
+        for index in range(packet.HEADER_BYTES):
+            forged = bytearray(data)
+            forged[index] ^= 1
+            with pytest.raises(exceptions.ProtocolError):
+                decoder.decode(bytes(forged))
+            with pytest.raises(exceptions.ProtocolError):
+                decoder.decode(data[:index])
