--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -51,8 +51,41 @@
 PACKET_DIGEST_BYTES = 8
 MIN_KEY_BYTES = 16
 
+# Queue and long work of a service.
+QUEUE_LIMIT = 64
+QUEUE_WAIT_S = 10.0
+RETRY_BURST = 10
+LONG_CONTENT_BYTES = 1024 * 1024
+
+# Roll-out of changes.
+MAX_DRAINING = 1
+ROLLOUT_PAUSE_S = 0.0
+
 # Configuration in the store.
 CONFIG_CHUNK_BYTES = 512 * 1024
+CONFIG_MAX_BYTES = 64 * 1024 * 1024
+CONFIG_HISTORY = 50
+APPLY_ATTEMPTS = 8
+# A lost answer is resolved by asking again for this long.
+APPLY_RESOLVE_S = 20.0
+APPLY_RETRY_S = 0.5
+
+# Configuration between processes.
+CONFIG_WITNESSES = 3
+CONFIG_CONFIRMATIONS = 2
+CONFIG_FANOUT = 4
+CONFIG_NOTICE_S = 0.5
+CONFIG_PULL_TIMEOUT_S = 2.0
+
+# Store client and relays.
+STORE_CONNECT_TIMEOUT_S = 1.0
+STORE_TIMEOUT_S = 3.0
+STORE_RETRY_S = 1.0
+STORE_RETRY_MAX_S = 30.0
+RELAY_LEASE_S = 15
+RELAY_KEEP_ALIVE_S = 5.0
+# Time for the view of the data centre to settle before a process competes.
+RELAY_SETTLE_S = 5.0
 
 # Processes.
 UDP_BATCH = 64
