--- a/src/limpetlift/state/checks.py
+++ b/src/limpetlift/state/checks.py
@@ -214,6 +214,12 @@
             raise Invalid(self.text) from None
 
 
+SERVICE_NAME = Text(
+    "[a-z0-9][a-z0-9-]{0,62}",
+    "a name of 1 to 63 characters a-z, 0-9 and -, not starting with -",
+)
+
+
 def setting(check, default=attrs.NOTHING, unit=""):
     """Return an attrs field for one setting.
 
--- a/src/limpetlift/state/config.py
+++ b/src/limpetlift/state/config.py
@@ -16,11 +16,6 @@
 SHARING_POLICIES = ("bounded", "natural", "two")
 ADMISSION_POLICIES = ("deadline", "fifo")
 
-_NAME = checks.Text(
-    "[a-z0-9][a-z0-9-]{0,62}",
-    "a name of 1 to 63 characters a-z, 0-9 and -, not starting with -",
-)
-
 
 @attrs.frozen
 class Service:
@@ -93,10 +88,18 @@
         unit="bytes",
     )
     rollout: str = checks.setting(
-        checks.Text("|" + _NAME.pattern, 'the name of a rollout, or ""'),
+        checks.Text(
+            "|" + checks.SERVICE_NAME.pattern, 'the name of a rollout, or ""'
+        ),
         default="",
     )
 
+    @property
+    def endpoint(self):
+        """The address as ``(ip, port)``."""
+        ip, _, port = self.address.rpartition(":")
+        return ip, int(port)
+
 
 @attrs.frozen
 class Rollout:
@@ -128,6 +131,11 @@
     services_by_name: dict = attrs.field(factory=dict)
     rollouts_by_name: dict = attrs.field(factory=dict)
 
+    @property
+    def services(self):
+        """The services in the order of their names."""
+        return [entry for _, entry in sorted(self.services_by_name.items())]
+
     def rollout_of(self, service):
         """Return the :class:`Rollout` of a :class:`Service`."""
         return self.rollouts_by_name.get(service.rollout, Rollout())
@@ -167,7 +175,7 @@
     for name, table in tables.items():
         path = (kind, name)
         try:
-            _NAME(name)
+            checks.SERVICE_NAME(name)
         except checks.Invalid as error:
             problems.append(
                 checks.Problem(path, "the name %r" % name, error.expected)
