--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -80,6 +80,8 @@
 # Store client and relays.
 STORE_CONNECT_TIMEOUT_S = 1.0
 STORE_TIMEOUT_S = 3.0
+# A watch is opened again after this time, which also finds dead connections.
+STORE_WATCH_S = 60.0
 STORE_RETRY_S = 1.0
 STORE_RETRY_MAX_S = 30.0
 RELAY_LEASE_S = 15
--- a/src/limpetlift/exceptions.py
+++ b/src/limpetlift/exceptions.py
@@ -102,10 +102,18 @@
 
 
 class StoreConflict(CoordinationError):
-    """A compare-and-swap found another value."""
+    """A compare-and-swap found another value; it had no effect.
+
+    :param entries_by_key: the current entries of the compared and of the
+        written keys, ``None`` for an absent one.
+    """
 
     code = "store_conflict"
 
+    def __init__(self, message="", entries_by_key=None):
+        super().__init__(message)
+        self.entries_by_key = entries_by_key or {}
+
 
 class StateError(LimpetliftError):
     """A decision or a setting is invalid."""
--- /dev/null
+++ b/src/limpetlift/testing/store.py
@@ -0,0 +1,454 @@
+"""Stand-in of the platform's store: the subset of the gateway in use.
+
+:class:`StoreState` holds the data and answers decoded requests. It is served
+over HTTP by :class:`StandinStore`, and called directly in tests through
+:class:`DirectTransport`.
+"""
+
+import asyncio
+import base64
+import collections
+import json
+import time
+
+import attrs
+from tornado import httpserver
+from tornado import web
+
+from limpetlift import exceptions
+
+WRITES = ("kv/txn", "kv/deleterange", "lease/grant", "lease/revoke")
+
+
+@attrs.frozen
+class _Value:
+    data: bytes
+    create_revision: int
+    mod_revision: int
+    lease: int
+
+
+@attrs.define
+class StoreState:
+    """Keys, leases and their history.
+
+    :param clock: returns seconds; leases lapse by it.
+
+    .. versionadded:: 0.1
+    """
+
+    clock: object = time.monotonic
+    revision: int = 1
+    values_by_key: dict = attrs.field(factory=dict)
+    deadlines_by_lease: dict = attrs.field(factory=dict)
+    calls_by_role: dict = attrs.field(
+        factory=lambda: collections.defaultdict(collections.Counter)
+    )
+    _ttls_by_lease: dict = attrs.field(factory=dict)
+    _events: list = attrs.field(factory=list)
+    _listeners: list = attrs.field(factory=list)
+    _stale_values: dict | None = None
+
+    def answer(self, path, body):
+        """Return the answer to a call as the gateway would send it."""
+        self.lapse()
+        answer = getattr(self, "_on_" + path.replace("/", "_"))(body)
+        answer["header"] = {"revision": str(self.revision)}
+        return answer
+
+    def freeze_reads(self, frozen):
+        """Answer reads from the present state until thawed."""
+        self._stale_values = dict(self.values_by_key) if frozen else None
+
+    def lapse(self, lease=None):
+        """End the leases whose time has passed, or ``lease`` now."""
+        if lease in self.deadlines_by_lease:
+            self.deadlines_by_lease[lease] = float("-inf")
+        now = self.clock()
+        for number, deadline in list(self.deadlines_by_lease.items()):
+            if deadline <= now:
+                self._end_lease(number)
+
+    def _end_lease(self, lease):
+        if self.deadlines_by_lease.pop(lease, None) is None:
+            return
+        self._delete(
+            key
+            for key, value in self.values_by_key.items()
+            if value.lease == lease
+        )
+
+    def _selected(self, body, values):
+        start = base64.b64decode(body["key"])
+        end = body.get("range_end")
+        if end is None:
+            return [start] if start in values else []
+        end = base64.b64decode(end)
+        return sorted(key for key in values if start <= key < end)
+
+    def _on_kv_range(self, body, values=None):
+        if values is None:
+            values = self._stale_values
+        if values is None:
+            values = self.values_by_key
+        keys = self._selected(body, values)
+        # Fields that are zero or empty are left out, as the gateway does.
+        if not keys:
+            return {}
+        return {
+            "kvs": [_shown(key, values[key]) for key in keys],
+            "count": str(len(keys)),
+        }
+
+    def _on_kv_deleterange(self, body):
+        keys = self._selected(body, self.values_by_key)
+        self._delete(keys)
+        return {"deleted": str(len(keys))} if keys else {}
+
+    def _delete(self, keys):
+        keys = list(keys)
+        if not keys:
+            return
+        self.revision += 1
+        gone = [(key, None) for key in keys]
+        for key in keys:
+            del self.values_by_key[key]
+        self._publish(gone)
+
+    def _on_kv_txn(self, body):
+        succeeded = all(map(self._holds, body.get("compare", ())))
+        if not succeeded:
+            return {
+                "responses": [
+                    {
+                        "response_range": self._on_kv_range(
+                            operation["request_range"], self.values_by_key
+                        )
+                    }
+                    for operation in body.get("failure", ())
+                ]
+            }
+        puts = [item["request_put"] for item in body.get("success", ())]
+        for put in puts:
+            if int(put.get("lease", 0)) not in (0, *self.deadlines_by_lease):
+                raise web.HTTPError(404, "requested lease not found")
+        if puts:
+            self._write(puts)
+        return {"succeeded": True}
+
+    def _holds(self, compare):
+        assert (compare["target"], compare["result"]) == ("MOD", "EQUAL")
+        value = self.values_by_key.get(base64.b64decode(compare["key"]))
+        found = value.mod_revision if value else 0
+        return found == int(compare["mod_revision"])
+
+    def _write(self, puts):
+        self.revision += 1
+        written = []
+        for put in puts:
+            key = base64.b64decode(put["key"])
+            earlier = self.values_by_key.get(key)
+            value = _Value(
+                base64.b64decode(put.get("value", "")),
+                earlier.create_revision if earlier else self.revision,
+                self.revision,
+                int(put.get("lease", 0)),
+            )
+            self.values_by_key[key] = value
+            written.append((key, value))
+        self._publish(written)
+
+    def _on_lease_grant(self, body):
+        lease = int(body.get("ID", 0)) or 1000 + len(self._ttls_by_lease)
+        self._ttls_by_lease[lease] = int(body["TTL"])
+        self.deadlines_by_lease[lease] = self.clock() + int(body["TTL"])
+        return {"ID": str(lease), "TTL": str(body["TTL"])}
+
+    def _on_lease_keepalive(self, body):
+        lease = int(body["ID"])
+        if lease not in self.deadlines_by_lease:
+            return {"result": {"ID": str(lease)}}
+        ttl = self._ttls_by_lease[lease]
+        self.deadlines_by_lease[lease] = self.clock() + ttl
+        return {"result": {"ID": str(lease), "TTL": str(ttl)}}
+
+    def _on_lease_revoke(self, body):
+        self._end_lease(int(body["ID"]))
+        return {}
+
+    def _publish(self, pairs):
+        for key, value in pairs:
+            self._events.append((self.revision, key, value))
+        for listener in list(self._listeners):
+            listener()
+
+    def events_after(self, body, revision):
+        """Return ``(events, revision)`` of a watch after ``revision``."""
+        events = [
+            _event(number, key, value)
+            for number, key, value in self._events
+            if number > revision and self._selected(body, {key: value})
+        ]
+        return events, self.revision
+
+    def listen(self, callback):
+        """Call ``callback()`` after each change."""
+        self._listeners.append(callback)
+
+    def unlisten(self, callback):
+        """Stop calling ``callback``."""
+        self._listeners.remove(callback)
+
+
+def _shown(key, value):
+    shown = {
+        "key": base64.b64encode(key).decode("ascii"),
+        "create_revision": str(value.create_revision),
+        "mod_revision": str(value.mod_revision),
+    }
+    if value.data:
+        shown["value"] = base64.b64encode(value.data).decode("ascii")
+    if value.lease:
+        shown["lease"] = str(value.lease)
+    return shown
+
+
+def _event(revision, key, value):
+    if value is not None:
+        return {"kv": _shown(key, value)}
+    name = base64.b64encode(key).decode("ascii")
+    return {
+        "type": "DELETE",
+        "kv": {"key": name, "mod_revision": str(revision)},
+    }
+
+
+@attrs.define
+class DirectTransport:
+    """Calls a :class:`StoreState` in the same process, with faults.
+
+    :param state: the data.
+    :param fault: called with the path before each call, returns ``""``,
+        ``"down"`` (no effect), ``"lost"`` (takes effect, answer lost) or
+        ``"late"`` (takes effect at :meth:`deliver_late`, answer lost).
+    :param pause: coroutine function awaited before each call.
+    """
+
+    state: StoreState
+    role: str = "test"
+    fault: object = lambda path: ""
+    pause: object = None
+    late: list = attrs.field(factory=list)
+
+    async def call(self, path, body, write):
+        """Answer one call."""
+        if self.pause is not None:
+            await self.pause()
+        self.state.calls_by_role[self.role][path] += 1
+        fault = self.fault(path)
+        if fault == "down" or (fault and not write):
+            raise exceptions.StoreUnavailable("down")
+        if fault == "late":
+            self.late.append((path, body))
+            raise exceptions.StoreOutcomeUnknown("late")
+        try:
+            answer = self.state.answer(path, body)
+        except web.HTTPError as error:
+            raise exceptions.StoreUnavailable(str(error)) from error
+        if fault == "lost":
+            raise exceptions.StoreOutcomeUnknown("lost")
+        return answer
+
+    def deliver_late(self):
+        """Let the delayed writes take effect."""
+        while self.late:
+            self.state.answer(*self.late.pop(0))
+
+    async def stream(self, path, body):
+        """Yield the changes that are known, then end."""
+        self.state.calls_by_role[self.role][path] += 1
+        if self.fault(path):
+            raise exceptions.StoreUnavailable("down")
+        request = body["create_request"]
+        events, _ = self.state.events_after(
+            request, int(request["start_revision"]) - 1
+        )
+        if events:
+            yield {"result": {"events": events}}
+
+
+class StandinStore:
+    """The stand-in as an HTTP server, with an admin server for faults.
+
+    ``POST /faults`` on the admin port sets any of ``down``, ``slow_s``,
+    ``stale`` and ``lose_answers`` (a count of writes that take effect
+    without an answer). ``POST /lapse`` with ``lease`` or ``key`` ends a
+    lease. ``GET /calls`` returns the calls by role.
+
+    :param address: ``(ip, port)`` of the gateway; port 0 picks a free one.
+    :param admin_address: ``(ip, port)`` of the admin server.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, address, admin_address):
+        self.state = StoreState()
+        self.slow_s = 0.0
+        self.lose_answers = 0
+        self._down = False
+        self._handlers = set()
+        self._gateway = _listen(
+            [(r"/v3/(.*)", _GatewayHandler, {"store": self})], address
+        )
+        self._admin = _listen(
+            [(r"/(.*)", _AdminHandler, {"store": self})], admin_address
+        )
+        self.address = _address(self._gateway)
+        self.admin_address = _address(self._admin)
+
+    @property
+    def down(self):
+        """Whether connections are cut without an answer."""
+        return self._down
+
+    def set_faults(
+        self, down=None, slow_s=None, stale=None, lose_answers=None
+    ):
+        """Change the faults that are given."""
+        if down is not None:
+            self._down = down
+            if down:
+                for handler in list(self._handlers):
+                    handler.cut()
+        if slow_s is not None:
+            self.slow_s = slow_s
+        if stale is not None:
+            self.state.freeze_reads(stale)
+        if lose_answers is not None:
+            self.lose_answers = lose_answers
+
+    def lapse(self, lease=0, key=""):
+        """End a lease, given by its id or by one of its keys."""
+        value = self.state.values_by_key.get(key.encode("utf-8"))
+        self.state.lapse(value.lease if value else lease)
+
+    def close(self):
+        """Stop both servers and cut all connections."""
+        self.set_faults(down=True)
+        self._gateway.stop()
+        self._admin.stop()
+
+
+def _listen(routes, address):
+    application = web.Application(routes, log_function=lambda handler: None)
+    server = httpserver.HTTPServer(application)
+    server.listen(address[1], address[0])
+    return server
+
+
+def _address(server):
+    (listener,) = server._sockets.values()
+    return "%s:%d" % listener.getsockname()
+
+
+class _GatewayHandler(web.RequestHandler):
+    """One call or one watch."""
+
+    def initialize(self, store):
+        self._store = store
+        self._changed = asyncio.Event()
+        self._cut = False
+
+    def cut(self):
+        """Close the connection without an answer."""
+        self._cut = True
+        self._changed.set()
+        if self.request.connection.stream is not None:
+            self.request.connection.stream.close()
+
+    async def post(self, path):
+        """Answer a call, or start a watch."""
+        if self._store.down:
+            self.cut()
+            return
+        body = json.loads(self.request.body)
+        role = self.request.headers.get("User-Agent", "").rpartition("/")[2]
+        self._store.state.calls_by_role[role][path] += 1
+        self._store._handlers.add(self)
+        try:
+            if path == "watch":
+                await self._watch(body["create_request"])
+            else:
+                await self._call(path, body)
+        finally:
+            self._store._handlers.discard(self)
+
+    async def _call(self, path, body):
+        if self._store.slow_s:
+            await asyncio.sleep(self._store.slow_s)
+        if self._cut:
+            return
+        answer = self._store.state.answer(path, body)
+        if path in WRITES and self._store.lose_answers > 0:
+            self._store.lose_answers -= 1
+            self.cut()
+            return
+        self.write(answer)
+
+    async def _watch(self, request):
+        state = self._store.state
+        after = int(request.get("start_revision", state.revision + 1)) - 1
+        state.listen(self._changed.set)
+        try:
+            self.write(json.dumps({"result": {"created": True}}) + "\n")
+            await self.flush()
+            while not self._cut:
+                self._changed.clear()
+                events, after = state.events_after(request, after)
+                if events:
+                    message = {"result": {"events": events}}
+                    self.write(json.dumps(message) + "\n")
+                    await self.flush()
+                await self._changed.wait()
+        finally:
+            state.unlisten(self._changed.set)
+
+    def on_connection_close(self):
+        """End the watch of a client that has gone."""
+        self._cut = True
+        self._changed.set()
+
+
+class _AdminHandler(web.RequestHandler):
+    """Sets faults and shows the calls."""
+
+    def initialize(self, store):
+        self._store = store
+
+    def get(self, path):
+        """Answer the calls by role."""
+        self.write(
+            {
+                role: dict(calls)
+                for role, calls in self._store.state.calls_by_role.items()
+            }
+        )
+
+    def post(self, path):
+        """Change the faults, or let a lease lapse."""
+        act = {"faults": self._store.set_faults, "lapse": self._store.lapse}
+        if path not in act:
+            raise web.HTTPError(404)
+        act[path](**json.loads(self.request.body))
+
+
+async def run(ip, port, admin_port):
+    """Run the stand-in until the process is stopped."""
+    store = StandinStore((ip, port), (ip, admin_port))
+    try:
+        while True:
+            # Leases lapse without a call, so that watches report it.
+            store.state.lapse()
+            await asyncio.sleep(0.1)
+    finally:
+        store.close()
