--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -48,7 +48,7 @@
         assert [entry.key for entry in entries] == ["a/1", "a/2"]
         await client.delete_range("a/1", "a/2")
         await client.delete("b")
-        ((entry,), _) = await client.get_prefix("a/")
+        (entry,), _ = await client.get_prefix("a/")
         assert entry.key == "a/2" and await client.get("b") is None
 
     _run(scenario)
