Decide on configuration revisions in a process

Cause: a process has no disk, so a restart during an outage of the store could put an older revision in force than before. Change: a revision comes in force when two of three witnesses on a ring hold it; a restarted process asks the same witnesses, and a restarted witness also asks the balancers that rely on it. Answers to an earlier incarnation and of processes that are not ready do not count. Conclusion: two answers of arbitrary peers, as the design had it, do not suffice; two of the same three witnesses do.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -71,11 +71,17 @@
 APPLY_RETRY_S = 0.5
 
 # Configuration between processes.
+# A revision is put in force when this many of the witnesses hold it.
 CONFIG_WITNESSES = 3
 CONFIG_CONFIRMATIONS = 2
 CONFIG_FANOUT = 4
 CONFIG_NOTICE_S = 0.5
 CONFIG_PULL_TIMEOUT_S = 2.0
+# A restarted balancer waits this long for the processes it is a witness of.
+CONFIG_CLIENT_WAIT_S = 5.0
+# A starting process asks the store only after this time, drawn from a range,
+# so that a restart of many processes is served by peers.
+CONFIG_STORE_WAIT_S = (1.0, 4.0)
 
 # Store client and relays.
 STORE_CONNECT_TIMEOUT_S = 1.0
--- a/src/limpetlift/exceptions.py
+++ b/src/limpetlift/exceptions.py
@@ -115,6 +115,25 @@
         self.entries_by_key = entries_by_key or {}
 
 
+class ConfigIncomplete(CoordinationError):
+    """The bytes of a configuration are missing or have another digest."""
+
+    code = "config_incomplete"
+
+
+class ConfigOverlap(CoordinationError):
+    """Another operator changed the same settings; nothing was applied.
+
+    :param problems: one line for each setting that both changed.
+    """
+
+    code = "config_overlap"
+
+    def __init__(self, problems):
+        super().__init__("\n".join(problems))
+        self.problems = list(problems)
+
+
 class StateError(LimpetliftError):
     """A decision or a setting is invalid."""
 
--- a/src/limpetlift/protocol/messages.thrift
+++ b/src/limpetlift/protocol/messages.thrift
@@ -41,6 +41,27 @@
   2: required i64 config_revision,
 }
 
+// Configuration. The notice is a datagram; the bytes travel over a framed
+// connection, whose first frame is a sealed ConfigPull.
+
+struct ConfigNotice {
+  1: required i64 revision,
+  2: required binary digest,
+  3: required i64 size,
+  4: required bool ready,
+  5: required bool wants_reply,
+  6: required i64 answers_to,
+}
+
+struct ConfigPull {
+  1: required binary digest,
+}
+
+struct ConfigChunk {
+  1: required i64 offset,
+  2: required binary data,
+}
+
 // Flow ownership.
 
 struct Prepare {
