--- a/src/limpetlift/coordination/store.py
+++ b/src/limpetlift/coordination/store.py
@@ -85,6 +85,20 @@
         answer = await self._call("get_prefix", "kv/range", body)
         return self._entries(answer), _revision(answer)
 
+    async def get_current(self, key):
+        """Return the :class:`Entry` of ``key``, or ``None``; never stale.
+
+        This costs the store a round of agreement. It is for verdicts and
+        starts, not for routine reads.
+
+        :raises StoreUnavailable: when the store does not answer.
+        """
+        # No key has this revision. A transaction that could write is ordered
+        # among the writes, so the answer of its other branch is current.
+        body = self._transaction(key, -1, {key: b""})
+        answer = await self._call("get_current", "kv/txn", body)
+        return self._found(answer).get(key)
+
     async def compare_and_swap(self, key, mod_revision, value, lease=0):
         """Write ``key`` if its last write is ``mod_revision`` (0: absent).
 
@@ -103,6 +117,18 @@
         :raises StoreOutcomeUnknown: when the answer was lost.
         :raises StoreConflict: when ``key`` was written meanwhile.
         """
+        body = self._transaction(key, mod_revision, values_by_key, lease)
+        answer = await self._call("commit", "kv/txn", body, write=True)
+        if answer.get("succeeded"):
+            return
+        metrics.STORE_CALLS.labels("commit", "conflict").inc()
+        found = self._found(answer)
+        raise exceptions.StoreConflict(
+            "%s was changed meanwhile" % key,
+            {name: found.get(name) for name in (key, *values_by_key)},
+        )
+
+    def _transaction(self, key, mod_revision, values_by_key, lease=0):
         compare = {
             "key": self._key(key),
             "target": "MOD",
@@ -113,22 +139,16 @@
             {"request_put": self._put(name, value, lease)}
             for name, value in values_by_key.items()
         ]
-        names = list(dict.fromkeys([key, *values_by_key]))
-        reads = [{"request_range": {"key": self._key(n)}} for n in names]
-        body = {"compare": [compare], "success": writes, "failure": reads}
-        answer = await self._call("commit", "kv/txn", body, write=True)
-        if answer.get("succeeded"):
-            return
-        metrics.STORE_CALLS.labels("commit", "conflict").inc()
-        found = {
+        names = dict.fromkeys([key, *values_by_key])
+        reads = [{"request_range": {"key": self._key(name)}} for name in names]
+        return {"compare": [compare], "success": writes, "failure": reads}
+
+    def _found(self, answer):
+        return {
             entry.key: entry
             for response in answer.get("responses", ())
             for entry in self._entries(response.get("response_range", {}))
         }
-        raise exceptions.StoreConflict(
-            "%s was changed meanwhile" % key,
-            {name: found.get(name) for name in names},
-        )
 
     async def delete(self, key):
         """Delete ``key``; repeating it does no harm.
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -148,6 +148,7 @@
         server.set_faults(stale=True)
         await client.compare_and_swap("k", first.mod_revision, b"2")
         assert await client.get("k") == first
+        assert (await client.get_current("k")).value == b"2"
         with pytest.raises(exceptions.StoreConflict) as caught:
             await client.commit("k", first.mod_revision, {"other": b""})
         assert caught.value.entries_by_key["k"].value == b"2"
