--- a/src/limpetlift/exceptions.py
+++ b/src/limpetlift/exceptions.py
@@ -130,8 +130,8 @@
     code = "config_overlap"
 
     def __init__(self, problems):
-        super().__init__("\n".join(problems))
         self.problems = list(problems)
+        super().__init__("\n".join(self.problems))
 
 
 class StateError(LimpetliftError):
@@ -149,5 +149,5 @@
     code = "settings"
 
     def __init__(self, problems):
-        super().__init__("\n".join(problems))
         self.problems = list(problems)
+        super().__init__("\n".join(self.problems))
