--- a/src/limpetlift/coordination/distribution.py
+++ b/src/limpetlift/coordination/distribution.py
@@ -290,6 +290,12 @@
             steps.append(self._notify(sender_id))
         return steps + self._progress(now)
 
+    def on_revision(self, now, agent_id, revision):
+        """A heartbeat or gossip shows a revision of another process."""
+        if revision <= self.held.revision:
+            return []
+        return [self._notify(agent_id, wants_reply=True)]
+
     def _log_conflict(self, source, head):
         same = head.revision == self.held.revision
         if same and head.digest != self.held.digest:
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -28,21 +28,82 @@
 MAX_KEY_LENGTH = 128
 LONG_FACTOR = 5.0
 RETRY_TOKENS_PER_REQUEST = 0.1
+# Saved tokens bound the burst of retries when many targets fail at once.
+RETRY_TOKENS_MAX = 10.0
+RETRY_ATTEMPTS = 3
+BACKOFF_BASE_S = 0.01
+BACKOFF_MAX_S = 1.0
 BODY_CHUNK_BYTES = 64 * 1024
 MAX_REQUEST_BYTES = 256 * 1024 * 1024
 MAX_FRAME_BYTES = 1024 * 1024
 
+# Admission.
+QUEUE_LIMIT = 1000
+QUEUE_QUANTUM_S = 1 / 64
+QUEUE_QUANTA = 4096
+LONG_CONTENT_BYTES = 1024 * 1024
+HISTORY_RUNS = 64
+HISTORY_ROUTES = 256
+HISTORY_MIN_RUNS = 3
+FAIR_SHARE_S = 10.0
+# Estimates are means, and a request that is likely to end late takes the slot
+# of one that would end in time. These factors widen the estimates of the wait
+# and the run time on arrival, and of the run time before the start.
+WAIT_MARGIN = 1.5
+RUN_MARGIN = 2.0
+START_MARGIN = 1.5
+# A request moves to a peer when it would wait this share of its run time.
+MOVE_FACTOR = 0.5
+PEER_LOAD_S = 0.25
+PEER_LOAD_AGE_S = 2.0
+PEER_LOAD_FANOUT = 8
+
+# Choice of an agent.
+AVOID_REFUSED_S = 0.05
+AVOID_REFUSED_MAX_S = 0.5
+AVOID_FAILED_S = 0.5
+AVOID_FAILED_MAX_S = 10.0
+LATENCY_MEMORY_S = 10.0
+# How long a wait seen at an agent counts, in ordinary run times.
+WAIT_MEMORY_RUNS = 5.0
+SLOW_FACTOR = 2.0
+
 # Membership.
 HEARTBEAT_S = 1.0
 SPONSORS = 3
+SPONSOR_CANDIDATES = 6
+# A sponsor that does not answer is replaced after this silence.
+SPONSOR_SILENCE_S = 2.5
+SPONSOR_AVOID_S = 30.0
+SPONSOR_LEAVE_ATTEMPTS = 10
+# Probes before a suspicion: three lost heartbeats in a row are frequent at
+# 42,000 heartbeats a second and 1% loss.
+PROBE_S = 1.8
+PROBE_INTERVAL_S = 0.3
 SUSPECT_S = 3.0
 DEAD_S = 10.0
-DEAD_RETENTION_S = 600.0
-ANTI_ENTROPY_S = 10.0
+# Longer than the longest partition expected (1 h), so that the other side
+# cannot bring back the record of a member that died meanwhile.
+DEAD_RETENTION_S = 7200.0
+DATA_CENTRE_QUIET_S = 1.0
+DATA_CENTRE_SILENT_S = 3.5
+# With fewer balancers, a data centre is not judged as a whole.
+DATA_CENTRE_BALANCERS = 3
+ANTI_ENTROPY_S = 1.0
+PULL_BUCKETS = 8
 GOSSIP_S = 0.1
+MEMBERSHIP_TICK_S = 0.05
+# Groups that do not know each other meet through the seeds.
+SEED_S = 30.0
+# A balancer that finds no other within this time serves alone.
+JOIN_ALONE_S = 3.0
 ROSTER_SILENCE_S = 60.0
 CONTROL_BYTES_PER_S = 14 * 1024
 RELAYS_PER_DATA_CENTRE = 3
+# Bytes of a message body that leave room for the envelope in a datagram.
+GOSSIP_BODY_BYTES = 1200
+# Envelope, digest, and IP and UDP headers around a message body.
+ENVELOPE_BYTES = 110
 
 # Control messages.
 DATAGRAM_BYTES = 1400
@@ -51,18 +112,13 @@
 PACKET_DIGEST_BYTES = 8
 MIN_KEY_BYTES = 16
 
-# Queue and long work of a service.
-QUEUE_LIMIT = 64
-QUEUE_WAIT_S = 10.0
-RETRY_BURST = 10
-LONG_CONTENT_BYTES = 1024 * 1024
-
 # Roll-out of changes.
 MAX_DRAINING = 1
 ROLLOUT_PAUSE_S = 0.0
 
 # Configuration in the store.
 CONFIG_CHUNK_BYTES = 512 * 1024
+# A process refuses to pull a configuration larger than this.
 CONFIG_MAX_BYTES = 64 * 1024 * 1024
 CONFIG_HISTORY = 50
 APPLY_ATTEMPTS = 8
@@ -75,6 +131,7 @@
 CONFIG_WITNESSES = 3
 CONFIG_CONFIRMATIONS = 2
 CONFIG_FANOUT = 4
+CONFIG_TICK_S = 0.1
 CONFIG_NOTICE_S = 0.5
 CONFIG_PULL_TIMEOUT_S = 2.0
 # A restarted balancer waits this long for the processes it is a witness of.
@@ -97,6 +154,8 @@
 
 # Processes.
 UDP_BATCH = 64
+# Twice the flows of one balancer at the design size, about 400 B each.
+CACHED_HEADERS = 16_384
 UDP_BUFFER_BYTES = 4 * 1024 * 1024
 TICK_S = 0.01
 ADMIN_IP = "127.0.0.1"
--- a/src/limpetlift/protocol/packet.py
+++ b/src/limpetlift/protocol/packet.py
@@ -5,6 +5,7 @@
 packets (``VERSION``) from control envelopes.
 """
 
+import functools
 import hashlib
 import hmac
 import socket
@@ -20,6 +21,8 @@
 KIND_TO_CALLER = 2
 
 _HEADER = struct.Struct("!BBBB8sQ4sH4sHI")
+_ENDPOINT = struct.Struct("!4sH")
+_HASH_BYTES = 8
 HEADER_BYTES = _HEADER.size + defaults.PACKET_DIGEST_BYTES
 
 
@@ -65,13 +68,21 @@
 
 def flow_hash(key):
     """Return the 64-bit placement hash of a flow key."""
-    return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "big")
+    return int.from_bytes(
+        hashlib.blake2b(key, digest_size=_HASH_BYTES).digest(), "big"
+    )
+
+
+@functools.lru_cache(maxsize=64)
+def _keyed(key):
+    return hashlib.blake2b(key=key, digest_size=defaults.PACKET_DIGEST_BYTES)
 
 
 def _digest(key, header):
-    return hashlib.blake2b(
-        header, key=key, digest_size=defaults.PACKET_DIGEST_BYTES
-    ).digest()
+    # Copying the prepared state skips the block that holds the key.
+    state = _keyed(key).copy()
+    state.update(header)
+    return state.digest()
 
 
 def encode(packet, key):
@@ -95,6 +106,97 @@
     return header + _digest(key, header) + packet.payload
 
 
+class HeaderCache:
+    """The headers of recent callers, for all services of a balancer.
+
+    An entry depends on nothing that changes, so it is never out of date. The
+    cache only saves the two hashes; it is emptied when it is full.
+
+    :param limit: number of entries of all services together.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, limit):
+        self._limit = limit
+        self._size = 0
+        self._parts = []
+
+    def part(self):
+        """Return a dict for the entries of one service."""
+        entries_by_caller = {}
+        self._parts.append(entries_by_caller)
+        return entries_by_caller
+
+    def remove(self, part):
+        """Forget a part and its entries."""
+        self._parts = [kept for kept in self._parts if kept is not part]
+        self._size -= len(part)
+
+    def grow(self):
+        """Make room for one entry, which the caller adds to its part."""
+        if self._size >= self._limit:
+            for part in self._parts:
+                part.clear()
+            self._size = 0
+        self._size += 1
+
+
+class FlowEncoder:
+    """Encodes callers' datagrams for the agents of one service.
+
+    What all packets of a service share is encoded once. The result is the
+    same as that of :func:`encode`.
+
+    :param service: 8-byte service id.
+    :param balancer: ``(ip, port)`` for answers.
+    :param key: the shared key that signs.
+    :param cache: the :class:`HeaderCache`.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("_hash", "_digest", "_head", "_tail", "_cache", "_entries")
+
+    def __init__(self, service, balancer, key, cache):
+        self._cache = cache
+        self._entries = cache.part()
+        self._hash = hashlib.blake2b(service, digest_size=_HASH_BYTES)
+        self._digest = _keyed(key)
+        self._head = bytes([VERSION, KIND_TO_AGENT, 0, 0]) + service
+        self._tail = _ENDPOINT.pack(*_packed(balancer)) + bytes(4)
+
+    def encode(self, caller, payload):
+        """Return the flow hash and the bytes of a packet without hops.
+
+        :param caller: ``(ip, port)``.
+        """
+        entry = self._entries.get(caller)
+        if entry is None:
+            entry = self._encode_header(caller)
+            self._cache.grow()
+            self._entries[caller] = entry
+        return entry[0], entry[1] + payload
+
+    def close(self):
+        """Give the entries of this service back."""
+        self._cache.remove(self._entries)
+
+    def _encode_header(self, caller):
+        source = _ENDPOINT.pack(*_packed(caller))
+        state = self._hash.copy()
+        state.update(source)
+        flow = state.digest()
+        header = self._head + flow + source + self._tail
+        state = self._digest.copy()
+        state.update(header)
+        return int.from_bytes(flow, "big"), header + state.digest()
+
+
+def _packed(address):
+    return socket.inet_aton(address[0]), address[1]
+
+
 def decode(data, keys):
     """Return the :class:`Packet` in ``data``.
 
@@ -111,17 +213,28 @@
             break
     else:
         raise exceptions.BadDigest("no key matches")
-    fields = _HEADER.unpack(header)
-    kind = fields[1]
+    (
+        _version,
+        kind,
+        hops,
+        _reserved,
+        service,
+        placed_by,
+        caller_ip,
+        caller_port,
+        balancer_ip,
+        balancer_port,
+        incarnation,
+    ) = _HEADER.unpack(header)
     if kind not in (KIND_TO_AGENT, KIND_TO_CALLER):
         raise exceptions.MalformedMessage("unknown packet kind %d" % kind)
     return Packet(
-        kind=kind,
-        hops=fields[2],
-        service_id=fields[4],
-        flow_hash=fields[5],
-        caller=(socket.inet_ntoa(fields[6]), fields[7]),
-        balancer=(socket.inet_ntoa(fields[8]), fields[9]),
-        incarnation=fields[10],
-        payload=data[HEADER_BYTES:],
+        kind,
+        hops,
+        service,
+        placed_by,
+        (socket.inet_ntoa(caller_ip), caller_port),
+        (socket.inet_ntoa(balancer_ip), balancer_port),
+        incarnation,
+        data[HEADER_BYTES:],
     )
--- a/src/limpetlift/state/checks.py
+++ b/src/limpetlift/state/checks.py
@@ -147,6 +147,16 @@
         return data
 
 
+@attrs.frozen
+class HexText(Hex):
+    """Like :class:`Hex`, but the text is kept."""
+
+    def __call__(self, value):
+        """Return ``value`` or raise :class:`Invalid`."""
+        Hex.__call__(self, value)
+        return value
+
+
 @attrs.frozen
 class Ip:
     """An IPv4 address; empty is allowed when ``optional`` is set."""
@@ -220,14 +230,16 @@
 )
 
 
-def setting(check, default=attrs.NOTHING, unit=""):
+def setting(check, default=attrs.NOTHING, unit="", required=False):
     """Return an attrs field for one setting.
 
     :param check: one of the checks above.
     :param default: as in a class, hence after conversion.
     :param unit: unit of the value, for the documentation.
+    :param required: whether it must be given although the class has a
+        default for it.
     """
-    metadata = {"check": check, "unit": unit}
+    metadata = {"check": check, "unit": unit, "required": required}
     if isinstance(default, list):
         return attrs.field(factory=default.copy, metadata=metadata)
     return attrs.field(default=default, metadata=metadata)
@@ -275,14 +287,18 @@
         return None, [Problem(path, _shown(table), "a table")]
     if cls not in _converters_by_class:
         _converters_by_class[cls] = _converter(cls)
+    problems = [
+        Problem(path + (field.name,), "nothing", field.metadata["check"].text)
+        for field in settings_of(cls)
+        if field.metadata["required"] and field.name not in table
+    ]
     try:
-        return _converters_by_class[cls].structure(table, cls), []
+        entry = _converters_by_class[cls].structure(table, cls)
     except errors.ClassValidationError as error:
-        return None, [
-            problem
-            for cause in error.exceptions
-            for problem in _problems(cause, table, cls, path)
-        ]
+        entry = None
+        for cause in error.exceptions:
+            problems += _problems(cause, table, cls, path)
+    return (None, problems) if problems else (entry, [])
 
 
 def _problems(cause, table, cls, path):
--- a/src/limpetlift/state/config.py
+++ b/src/limpetlift/state/config.py
@@ -21,8 +21,10 @@
 class Service:
     """The settings of one service, as `docs/configuration.md` lists them."""
 
-    address: str = checks.setting(checks.Endpoint(), unit="ip:port")
     name: str = ""
+    address: str = checks.setting(
+        checks.Endpoint(), default="", unit="ip:port", required=True
+    )
     sharing: str = checks.setting(
         checks.Choice(SHARING_POLICIES), default="bounded"
     )
@@ -53,9 +55,6 @@
         default=defaults.QUEUE_LIMIT,
         unit="requests per agent",
     )
-    queue_wait_s: float = checks.setting(
-        checks.Number(0, 3600), default=defaults.QUEUE_WAIT_S, unit="s"
-    )
     request_timeout_s: float = checks.setting(
         checks.Number(0.01, 86400),
         default=defaults.REQUEST_TIMEOUT_S,
@@ -69,8 +68,10 @@
         default=defaults.RETRY_TOKENS_PER_REQUEST,
         unit="tokens",
     )
-    retry_burst: int = checks.setting(
-        checks.Integer(0, 10_000), default=defaults.RETRY_BURST, unit="tokens"
+    retry_tokens_max: float = checks.setting(
+        checks.Number(0, 10_000),
+        default=defaults.RETRY_TOKENS_MAX,
+        unit="tokens",
     )
     max_request_bytes: int = checks.setting(
         checks.Integer(0, 2**40),
--- a/src/limpetlift/state/settings.py
+++ b/src/limpetlift/state/settings.py
@@ -88,14 +88,14 @@
     """Shared keys as hex strings; the first one signs."""
 
     keys: list = checks.setting(
-        checks.Items(checks.Hex(defaults.MIN_KEY_BYTES, 64), low=1),
+        checks.Items(checks.HexText(defaults.MIN_KEY_BYTES, 64), low=1),
         unit="bytes, in hexadecimal digits",
     )
 
     @property
     def secrets(self):
         """The keys as bytes."""
-        return list(self.keys)
+        return [bytes.fromhex(key) for key in self.keys]
 
 
 @attrs.frozen
--- a/src/limpetlift/tasks/agent.py
+++ b/src/limpetlift/tasks/agent.py
@@ -1,19 +1,24 @@
 """The agent process beside a backend server."""
 
+import random
 import time
 
-import attrs
-
-from limpetlift.coordination import member as members
+from limpetlift.coordination import distribution
+from limpetlift.coordination import member as records
+from limpetlift.coordination import membership
 from limpetlift import defaults
 from limpetlift import exceptions
-from limpetlift.protocol import messages
+from limpetlift import logs
 from limpetlift.state import config
 from limpetlift.state import flows
+from limpetlift.tasks import configuration
 from limpetlift.tasks import flowpath
+from limpetlift.tasks import members
 from limpetlift.tasks import process
 from limpetlift.tasks import requestpath
 
+LOG = logs.EventLogger("agent")
+
 
 class Agent(process.Process):
     """The authority on one backend server.
@@ -21,38 +26,100 @@
     .. versionadded:: 0.1
     """
 
-    kind = members.AGENT
+    kind = records.AGENT
 
     async def start(self):
         """Open the sockets and announce this agent."""
+        rng = random.Random(self.incarnation)
+        store = configuration.connect_store(
+            self.settings, self.kind, self.stack
+        )
+        seeds = await configuration.find_seeds(self.settings, store, rng)
+        self.table = None
+        self.requests = None
+        self._joined = False
+        self._configuration = None
+        self.members = members.Members(
+            self.node,
+            membership.AgentMembership(self._record(), rng, seeds),
+        )
+        self.members.on_changed = self._on_changed
+        self.members.on_joined = self._on_joined
+        self.members.on_superseded = self.on_superseded
+        if self.settings.config.folder:
+            self._begin(self._find_service(self.settings.agent.service))
+        else:
+            self._start_configuration(store, rng)
+        self.every(defaults.MEMBERSHIP_TICK_S, self.members.tick)
+        self.members.tick()
+
+    def _start_configuration(self, store, rng):
+        decisions = distribution.Distribution(
+            self.node.id,
+            self.incarnation,
+            rng,
+            is_balancer=False,
+            has_store=store is not None,
+        )
+        self._configuration = configuration.ConfigurationTask(
+            self.node,
+            self.members,
+            decisions,
+            store,
+            # An agent knows its sponsors only; they are its witnesses.
+            lambda: self.members.membership.pulse.sponsors(),
+            self._on_configuration,
+        )
+        self.stack.push_async_callback(self._configuration.close)
+        self.every(defaults.CONFIG_TICK_S, self._tick_configuration)
+
+    def _tick_configuration(self):
+        self._configuration.tick()
+        self._update_ready()
+
+    def _on_configuration(self, found):
+        service = found.services_by_name.get(self.settings.agent.service)
+        if service is None:
+            LOG.warning("service_unknown", revision=found.revision)
+        elif self.requests is None:
+            self._begin(service)
+        else:
+            self.requests.service = service
+
+    def _begin(self, service):
+        """Serve the backend server, now that its service is known."""
         own = self.settings.agent
         ip, _, port = own.backend.rpartition(":")
         backend = (ip, int(port))
-        service = self._find_service(own.service)
-        self.member = members.Member(
-            agent_id=self.node.id,
-            kind=members.AGENT,
-            address=self.address,
-            incarnation=self.incarnation,
-            service=own.service,
-            data_centre=self.settings.node.data_centre,
-            region=self.settings.node.region,
-            state=members.ACTIVE,
-            weight=own.weight,
-        )
         self.table = flows.FlowTable(self.node.id, own.service)
         self.flows = flowpath.AgentFlows(
             self.node, self.table, backend, self._perform
         )
         self.stack.callback(self.flows.close)
         self.requests = requestpath.AgentRequests(self.node, service, backend)
+        self.requests.draining = self.draining
         self.requests.listen()
         self.stack.callback(self.requests.close)
-        self.node.on_message("HeartbeatReply", self._on_reply)
         self.every(defaults.TICK_S, self.flows.tick)
-        self.every(defaults.HEARTBEAT_S, self._heartbeat)
-        self._heartbeat()
-        self.ready = True
+        if not self.draining:
+            self.members.update(state=records.ACTIVE)
+        self._on_changed(())
+
+    def _record(self):
+        node = self.settings.node
+        own = self.settings.agent
+        return records.Member(
+            agent_id=self.node.id,
+            kind=records.AGENT,
+            address=self.address,
+            incarnation=self.incarnation,
+            service=own.service,
+            data_centre=node.data_centre,
+            region=node.region,
+            # Active as soon as the settings of the service are known.
+            state=records.JOINING,
+            weight=own.weight,
+        )
 
     def _find_service(self, name):
         configuration = config.load_folder(self.settings.config.folder)
@@ -62,46 +129,47 @@
             )
         return configuration.services_by_name[name]
 
-    def _heartbeat(self):
-        message = messages.structs.Heartbeat(
-            member=self.member.to_message(), config_revision=0, view_hash=b""
-        )
-        for seed in self.settings.seeds:
-            ip, _, port = seed.rpartition(":")
-            self.node.send(message, (ip, int(port)))
-
-    def _on_reply(self, sealed, reply, address):
-        peers = [members.from_message(message) for message in reply.members]
+    def _on_changed(self, _services):
+        if self.table is None:
+            return
+        peers = self.members.view.members_of(self.settings.agent.service)
         self.flows.endpoints_by_id = {
             peer.agent_id: peer.endpoint for peer in peers
         }
         self.flows.perform(self.table.on_members(time.monotonic(), peers))
 
+    def _on_joined(self):
+        self._joined = True
+        if self._configuration is not None:
+            self._configuration.start()
+        self._update_ready()
+
+    def _update_ready(self):
+        begun = self.requests is not None
+        self.ready = self._joined and begun and not self.draining
+
     def _perform(self, step):
         raise NotImplementedError(step)
 
-    def _set_state(self, state):
-        self.member = attrs.evolve(
-            self.member, state=state, sequence=self.member.sequence + 1
-        )
-        self._heartbeat()
-
     def drain(self):
         """Take no new work."""
         if not self.draining:
             self.draining = True
             self.ready = False
-            self.requests.draining = True
-            self._set_state(members.DRAINING)
+            if self.requests is not None:
+                self.requests.draining = True
+            self.members.update(state=records.DRAINING)
 
     async def stop(self, deadline):
         """Finish the running requests, then leave."""
-        await self.finish_or_stop(self.requests.drain(deadline))
-        self._set_state(members.LEFT)
+        if self.requests is not None:
+            await self.finish_or_stop(self.requests.drain(deadline))
+        self.members.leave()
 
     def status(self):
         """Return the state as a JSON object."""
         status = super().status()
-        status["flows"] = self.table.flow_count
-        status["requests_running"] = self.requests.running
+        if self.requests is not None:
+            status["flows"] = self.table.flow_count
+            status["requests_running"] = self.requests.running
         return status
--- a/src/limpetlift/tasks/balancer.py
+++ b/src/limpetlift/tasks/balancer.py
@@ -1,17 +1,21 @@
 """The balancer process."""
 
 import asyncio
+import random
 import time
 
-import attrs
-
-from limpetlift.coordination import member as members
+from limpetlift.coordination import distribution
+from limpetlift.coordination import member as records
+from limpetlift.coordination import membership
+from limpetlift.coordination import relays
 from limpetlift import defaults
-from limpetlift.protocol import messages
 from limpetlift.state import config
+from limpetlift.tasks import configuration
 from limpetlift.tasks import flowpath
 from limpetlift.tasks import gateway
+from limpetlift.tasks import members
 from limpetlift.tasks import process
+from limpetlift.tasks import relay
 
 
 class Balancer(process.Process):
@@ -20,7 +24,7 @@
     .. versionadded:: 0.1
     """
 
-    kind = members.BALANCER
+    kind = records.BALANCER
 
     async def start(self):
         """Open the services' addresses."""
@@ -31,62 +35,119 @@
             self.node, bind_ip, self.flows.tables_by_name
         )
         self.stack.callback(self.gateway.close)
-        self._members_by_id = {}
-        self._deadlines_by_id = {}
-        services = config.load_folder(self.settings.config.folder).services
-        self.flows.set_services(services)
-        self.gateway.set_services(services)
-        self.node.on_message("Heartbeat", self._on_heartbeat)
-        self.every(defaults.HEARTBEAT_S, self._expire)
-        self.ready = True
-
-    def _on_heartbeat(self, sealed, heartbeat, address):
-        member = members.from_message(heartbeat.member)
-        known = self._members_by_id.get(member.agent_id)
-        self._deadlines_by_id[member.agent_id] = (
-            time.monotonic() + defaults.DEAD_S
+        rng = random.Random(self.incarnation)
+        store = configuration.connect_store(
+            self.settings, self.kind, self.stack
+        )
+        seeds = await configuration.find_seeds(self.settings, store, rng)
+        self.members = members.Members(
+            self.node,
+            membership.BalancerMembership(self._record(), rng, seeds),
+        )
+        self.members.on_changed = self._on_changed
+        self.members.on_joined = self._on_joined
+        self.members.on_superseded = self.on_superseded
+        self._joined = False
+        self._configuration = None
+        self._relay = None
+        if self.settings.config.folder:
+            self._on_configuration(
+                config.load_folder(self.settings.config.folder)
+            )
+        else:
+            self._start_configuration(store, rng)
+        self.every(defaults.MEMBERSHIP_TICK_S, self.members.tick)
+        self.every(defaults.HEARTBEAT_S, self._update_gauges)
+        self.members.tick()
+
+    def _start_configuration(self, store, rng):
+        decisions = distribution.Distribution(
+            self.node.id, self.incarnation, rng, has_store=store is not None
+        )
+        self._configuration = configuration.ConfigurationTask(
+            self.node,
+            self.members,
+            decisions,
+            store,
+            self._witnesses,
+            self._on_configuration,
         )
-        if known is None or known.version < member.version:
-            self._members_by_id[member.agent_id] = member
-            self._rebuild(member.service)
-        reply = messages.structs.HeartbeatReply(
-            config_revision=0,
-            members=[
-                peer.to_message() for peer in self._service(member.service)
-            ],
+        self.stack.push_async_callback(self._configuration.close)
+        server = configuration.ConfigServer(self.node, self._configuration)
+        self.stack.callback(server.close)
+        self.every(defaults.CONFIG_TICK_S, self._tick_configuration)
+        if store is not None:
+            self._relay = relay.Relay(
+                store,
+                relays.RelaySlot(self.node.id, rng),
+                self.settings.node.data_centre,
+                self.address,
+                self._configuration.on_store,
+            )
+            self.stack.push_async_callback(self._relay.close)
+
+    def _witnesses(self):
+        return self.members.view.all_balancers()
+
+    def _tick_configuration(self):
+        self._configuration.tick()
+        self._update_ready()
+        if self._relay is not None and self._joined:
+            self._relay.slot.on_view(
+                time.monotonic(),
+                self.members.view.balancers(self.settings.node.data_centre),
+            )
+            self._relay.tick()
+
+    def _on_configuration(self, found):
+        self.flows.set_services(found.services)
+        self.gateway.set_services(found.services)
+        for service in found.services:
+            members_of = self.members.view.members_of(service.name)
+            self.flows.set_members(service.name, members_of)
+
+    def _record(self):
+        node = self.settings.node
+        return records.Member(
+            agent_id=self.node.id,
+            kind=records.BALANCER,
+            address=self.address,
+            incarnation=self.incarnation,
+            data_centre=node.data_centre,
+            region=node.region,
+            state=records.ACTIVE,
         )
-        self.node.send(reply, address)
-
-    def _service(self, name):
-        return [
-            member
-            for member in self._members_by_id.values()
-            if member.service == name
-        ]
-
-    def _rebuild(self, name):
-        self.flows.set_members(name, self._service(name))
-
-    def _expire(self):
-        now = time.monotonic()
-        for agent_id, deadline in list(self._deadlines_by_id.items()):
-            if deadline < now:
-                del self._deadlines_by_id[agent_id]
-                gone = attrs.evolve(
-                    self._members_by_id[agent_id], state=members.DEAD
-                )
-                self._members_by_id[agent_id] = gone
-                self._rebuild(gone.service)
+
+    def _on_changed(self, services):
+        for name in services:
+            self.flows.set_members(name, self.members.view.members_of(name))
+
+    def _on_joined(self):
+        self._joined = True
+        if self._configuration is not None:
+            self._configuration.start()
+        self._update_ready()
+
+    def _update_ready(self):
+        configured = self._configuration is None or self._configuration.ready
+        self.ready = self._joined and configured and not self.draining
+
+    def _update_gauges(self):
+        members.update_gauges(self.members.view)
 
     def drain(self):
         """Accept no further requests; packets are still forwarded."""
+        if self.draining:
+            return
         self.draining = True
         self.ready = False
         self.gateway.stop_listening()
+        self.members.update(state=records.DRAINING)
 
     async def stop(self, deadline):
-        """Finish the running requests."""
+        """Finish the running requests, then leave."""
         await self.finish_or_stop(self._finish_requests(deadline))
+        self.members.leave()
 
     async def _finish_requests(self, deadline):
         while self.gateway.running_by_id and time.monotonic() < deadline:
--- a/src/limpetlift/testing/deployment.py
+++ b/src/limpetlift/testing/deployment.py
@@ -38,8 +38,8 @@
 level = "info"
 target = "{log}"
 
-[config]
-folder = "{folder}"
+[{source}]
+{source_line}
 """
 
 
@@ -59,6 +59,8 @@
     ip_by_name: dict = attrs.field(factory=dict)
     seed_names: list = attrs.field(factory=list)
     token: str = "demo-token"
+    # Address of a store to read the configuration from, else the folder.
+    store: str = ""
 
     def write_services(self, text, name="10-services.toml"):
         """Write a file of the operators' folder."""
@@ -111,12 +113,19 @@
             token=self.token,
             key=KEY,
             log=self.folder / (name + ".log"),
-            folder=self.folder / "services",
+            **self._source(),
         )
         path = self.folder / (name + ".toml")
         path.write_text(text, encoding="utf-8")
         self.spawn(name, role, str(path))
 
+    def _source(self):
+        if self.store:
+            line = 'endpoints = ["%s"]' % self.store
+            return {"source": "store", "source_line": line}
+        line = 'folder = "%s"' % (self.folder / "services")
+        return {"source": "config", "source_line": line}
+
     def start_fabric(self, service_addresses, balancers, seed):
         """Start the fabric before ``balancers``, a list of names."""
         entries = [
--- a/src/limpetlift/testing/store.py
+++ b/src/limpetlift/testing/store.py
@@ -48,17 +48,22 @@
     _events: list = attrs.field(factory=list)
     _listeners: list = attrs.field(factory=list)
     _stale_values: dict | None = None
+    _stale_revision: int = 0
 
     def answer(self, path, body):
         """Return the answer to a call as the gateway would send it."""
         self.lapse()
         answer = getattr(self, "_on_" + path.replace("/", "_"))(body)
-        answer["header"] = {"revision": str(self.revision)}
+        revision = self.revision
+        if path == "kv/range" and self._stale_values is not None:
+            revision = self._stale_revision
+        answer["header"] = {"revision": str(revision)}
         return answer
 
     def freeze_reads(self, frozen):
         """Answer reads from the present state until thawed."""
         self._stale_values = dict(self.values_by_key) if frozen else None
+        self._stale_revision = self.revision
 
     def lapse(self, lease=None):
         """End the leases whose time has passed, or ``lease`` now."""
