Document configuration and store

Change: docs/configuration.md, docs/store.md, section 7 of the design page, a test that every setting is documented.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,8 +1,12 @@
 """The settings of a process."""
 
+import pathlib
+
 import pytest
 
 from limpetlift import exceptions
+from limpetlift.state import checks
+from limpetlift.state import config
 from limpetlift.state import settings
 
 _VALID = """
@@ -67,3 +71,13 @@
 def test_faults_of_several_tables_come_together(tmp_path):
     """An operator must not find the faults one start at a time."""
     assert len(_problems(tmp_path, "x = 1\n[node]\nport = 0\n")) == 7
+
+
+def test_every_setting_is_documented():
+    """A setting must not be added without its line in the documentation."""
+    page = pathlib.Path(__file__).parent.parent / "docs" / "configuration.md"
+    text = page.read_text(encoding="utf-8")
+    tables = [config.Service, config.Rollout, settings.TopLevel]
+    for cls in [*tables, *settings.TABLES_BY_NAME.values()]:
+        for field in checks.settings_of(cls):
+            assert "\n| `%s` | " % field.name in text, field.name
