--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -32,6 +32,9 @@
     """Start all processes and wait until the balancers know the agents."""
     system = context.system
     system.write_services(_SERVICES.format(network=system.network))
+    system.start_store()
+    code, text = context.runner.run(system.apply_services())
+    assert code == 0, text
     context.balancers = _names("balancer", balancers)
     context.agents = _names("desk", agents)
     context.address = (system.network + ".1", _SERVICE_PORT)
--- a/src/limpetlift/cli.py
+++ b/src/limpetlift/cli.py
@@ -7,6 +7,7 @@
 import fire
 from tornado import httpclient
 
+from limpetlift import configcli
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift.state import settings as settings_module
@@ -14,11 +15,84 @@
 from limpetlift.tasks import balancer as balancers
 
 _ADMIN_TIMEOUT_S = 5.0
+_PREFIX = "limpetlift/"
+
+
+class ConfigCommands:
+    """Checks, shows and applies the operators' folder of TOML files."""
+
+    def check(self, folder):
+        """Check a folder and print all problems.
+
+        :param folder: the operators' folder.
+        """
+        sys.exit(configcli.check(folder))
+
+    def show(self, folder="", endpoints="", prefix=_PREFIX):
+        """Print the merged settings and the file that each comes from.
+
+        :param folder: a folder; without it, the settings in the store.
+        :param endpoints: ``ip:port`` of the store, separated by commas.
+        :param prefix: prefix of the keys in the store.
+        """
+        if folder:
+            sys.exit(configcli.show(folder))
+        _with_store(endpoints, prefix, configcli.show_current)
+
+    def diff(self, folder, endpoints, prefix=_PREFIX):
+        """Print what applying a folder would change.
+
+        :param folder: the operators' folder.
+        :param endpoints: ``ip:port`` of the store, separated by commas.
+        """
+        _with_store(
+            endpoints, prefix, lambda store: configcli.diff(folder, store)
+        )
+
+    def apply(self, folder, endpoints, prefix=_PREFIX, overwrite=False):
+        """Apply a folder and say whether the change is in force.
+
+        Exits with 0 when it is, 1 when the folder is invalid, 2 when another
+        operator changed the same settings, 3 when nothing was applied, and 4
+        when that is unknown.
+
+        :param folder: the operators' folder.
+        :param endpoints: ``ip:port`` of the store, separated by commas.
+        :param overwrite: let the folder win over the other operator.
+        """
+        _with_store(
+            endpoints,
+            prefix,
+            lambda store: configcli.apply(folder, store, overwrite),
+        )
+
+    def history(self, endpoints, prefix=_PREFIX):
+        """Print the latest revisions, their authors and times.
+
+        :param endpoints: ``ip:port`` of the store, separated by commas.
+        """
+        _with_store(endpoints, prefix, configcli.history)
+
+
+def _with_store(endpoints, prefix, command):
+    """Run a command on the store and exit with its code."""
+
+    async def run():
+        store, transport = configcli.connect(_words(endpoints), prefix)
+        try:
+            return await command(store)
+        finally:
+            transport.close()
+
+    sys.exit(asyncio.run(run()))
 
 
 class Commands:
     """Layer-4 load balancer for long flows and at-most-once requests."""
 
+    def __init__(self):
+        self.config = ConfigCommands()
+
     def balancer(self, settings):
         """Run a balancer.
 
@@ -97,7 +171,7 @@
             runner.write(report, json)
 
     def standin(self, kind, *arguments):
-        """Run a stand-in for tests: ``backend`` or ``fabric``.
+        """Run a stand-in for tests: ``backend``, ``fabric`` or ``store``.
 
         :param kind: which stand-in.
         :param arguments: arguments of the stand-in.
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -28,6 +28,10 @@
 PREPARE_RETRY_S = 0.05
 # A prepared record that is not announced within this time is forgotten.
 PREPARED_S = 3.0
+# Balancers forward thousands of packets a second; one that sent none for this
+# long is taken for gone when another one is heard.
+BALANCER_SILENT_S = 2.0
+BALANCER_FORGET_S = 60.0
 FLOW_IDLE_S = 4 * 3600.0
 TARGET_CONNECTIONS = 2000
 # With 1 flow of slack the noise of small counts made policy "bounded" pass
@@ -160,8 +164,45 @@
 PACKET_DIGEST_BYTES = 8
 MIN_KEY_BYTES = 16
 
+# Roll-out of changes.
+MAX_DRAINING = 1
+ROLLOUT_PAUSE_S = 0.0
+
 # Configuration in the store.
 CONFIG_CHUNK_BYTES = 512 * 1024
+# A process refuses to pull a configuration larger than this.
+CONFIG_MAX_BYTES = 64 * 1024 * 1024
+CONFIG_HISTORY = 50
+APPLY_ATTEMPTS = 8
+# A lost answer is resolved by asking again for this long.
+APPLY_RESOLVE_S = 20.0
+APPLY_RETRY_S = 0.5
+
+# Configuration between processes.
+# A revision is put in force when this many of the witnesses hold it.
+CONFIG_WITNESSES = 3
+CONFIG_CONFIRMATIONS = 2
+CONFIG_FANOUT = 4
+CONFIG_TICK_S = 0.1
+CONFIG_NOTICE_S = 0.5
+CONFIG_PULL_TIMEOUT_S = 2.0
+# A restarted balancer waits this long for the processes it is a witness of.
+CONFIG_CLIENT_WAIT_S = 5.0
+# A starting process asks the store only after this time, drawn from a range,
+# so that a restart of many processes is served by peers.
+CONFIG_STORE_WAIT_S = (1.0, 4.0)
+
+# Store client and relays.
+STORE_CONNECT_TIMEOUT_S = 1.0
+STORE_TIMEOUT_S = 3.0
+# A watch is opened again after this time, which also finds dead connections.
+STORE_WATCH_S = 60.0
+STORE_RETRY_S = 1.0
+STORE_RETRY_MAX_S = 30.0
+RELAY_LEASE_S = 15
+RELAY_KEEP_ALIVE_S = 5.0
+# Time for the view of the data centre to settle before a process competes.
+RELAY_SETTLE_S = 5.0
 
 # Processes.
 UDP_BATCH = 64
--- a/src/limpetlift/exceptions.py
+++ b/src/limpetlift/exceptions.py
@@ -102,10 +102,37 @@
 
 
 class StoreConflict(CoordinationError):
-    """A compare-and-swap found another value."""
+    """A compare-and-swap found another value; it had no effect.
+
+    :param entries_by_key: the current entries of the compared and of the
+        written keys, ``None`` for an absent one.
+    """
 
     code = "store_conflict"
 
+    def __init__(self, message="", entries_by_key=None):
+        super().__init__(message)
+        self.entries_by_key = entries_by_key or {}
+
+
+class ConfigIncomplete(CoordinationError):
+    """The bytes of a configuration are missing or have another digest."""
+
+    code = "config_incomplete"
+
+
+class ConfigOverlap(CoordinationError):
+    """Another operator changed the same settings; nothing was applied.
+
+    :param problems: one line for each setting that both changed.
+    """
+
+    code = "config_overlap"
+
+    def __init__(self, problems):
+        self.problems = list(problems)
+        super().__init__("\n".join(self.problems))
+
 
 class StateError(LimpetliftError):
     """A decision or a setting is invalid."""
@@ -122,5 +149,5 @@
     code = "settings"
 
     def __init__(self, problems):
-        super().__init__("\n".join(problems))
         self.problems = list(problems)
+        super().__init__("\n".join(self.problems))
--- a/src/limpetlift/tasks/agent.py
+++ b/src/limpetlift/tasks/agent.py
@@ -4,18 +4,24 @@
 import random
 import time
 
+from limpetlift.coordination import distribution
 from limpetlift.coordination import member as records
 from limpetlift.coordination import membership
 from limpetlift import defaults
 from limpetlift import exceptions
+from limpetlift import logs
 from limpetlift.state import actions
 from limpetlift.state import claims
 from limpetlift.state import config
 from limpetlift.state import flows
+from limpetlift.tasks import configuration
 from limpetlift.tasks import flowpath
 from limpetlift.tasks import members
 from limpetlift.tasks import process
 from limpetlift.tasks import requestpath
+from limpetlift.tasks import roster
+
+LOG = logs.EventLogger("agent")
 
 
 def _limits(service):
@@ -37,41 +43,112 @@
 
     async def start(self):
         """Open the sockets and announce this agent."""
+        rng = random.Random(self.incarnation)
+        store = configuration.connect_store(
+            self.settings, self.kind, self.stack
+        )
+        seeds = await configuration.find_seeds(self.settings, store, rng)
+        self.table = None
+        self.requests = None
+        self.roster = None
+        self._store = store
+        self._joined = False
+        self._configuration = None
+        self.members = members.Members(
+            self.node,
+            membership.AgentMembership(self._record(), rng, seeds),
+        )
+        self.members.on_changed = self._on_changed
+        self.members.on_joined = self._on_joined
+        self.members.on_superseded = self.on_superseded
+        if self.settings.config.folder:
+            self._begin(self._find_service(self.settings.agent.service))
+        else:
+            self._start_configuration(store, rng)
+        self.every(defaults.MEMBERSHIP_TICK_S, self.members.tick)
+        self.members.tick()
+
+    def _start_configuration(self, store, rng):
+        decisions = distribution.Distribution(
+            self.node.id,
+            self.incarnation,
+            rng,
+            is_balancer=False,
+            has_store=store is not None,
+        )
+        self._configuration = configuration.ConfigurationTask(
+            self.node,
+            self.members,
+            decisions,
+            store,
+            # An agent knows its sponsors only; they are its witnesses.
+            lambda: self.members.membership.pulse.sponsors(),
+            self._on_configuration,
+        )
+        self.stack.push_async_callback(self._configuration.close)
+        self.every(defaults.CONFIG_TICK_S, self._configuration.tick)
+
+    def _on_configuration(self, found):
+        service = found.services_by_name.get(self.settings.agent.service)
+        if service is None:
+            LOG.warning("service_unknown", revision=found.revision)
+        elif self.requests is None:
+            self._begin(service)
+        else:
+            self.requests.service = service
+
+    def _begin(self, service):
+        """Serve the backend server, now that its service is known."""
         own = self.settings.agent
         ip, _, port = own.backend.rpartition(":")
         backend = (ip, int(port))
-        service = self._find_service(own.service)
         self.table = flows.FlowTable(self._record(), _limits(service))
         self.flows = flowpath.AgentFlows(
             self.node,
             self.table,
             backend,
             self._perform,
-            service.reset_payload.encode("utf-8"),
+            service.reset_payload,
         )
         self.stack.callback(self.flows.close)
-        self.claims = claims.ClaimTable(self.node.id, self.incarnation)
+        self.claims = claims.ClaimTable(
+            self.node.id, self.incarnation, service.retry_window_s
+        )
         self.requests = requestpath.AgentRequests(
             self.node, service, backend, self.claims
         )
+        if self.draining:
+            self.requests.refuse_new()
         self.requests.listen()
         self.stack.callback(self.requests.close)
-        self.members = members.Members(
-            self.node,
-            membership.AgentMembership(
-                self._record(),
-                random.Random(self.incarnation),
-                self.settings.seeds,
-            ),
-        )
-        self.members.on_changed = self._on_changed
-        self.members.on_joined = self._on_joined
-        self.members.on_superseded = self.on_superseded
         self.every(defaults.TICK_S, self.flows.tick)
         self.every(defaults.TICK_S, self.requests.slots.tick)
         self.every(defaults.PEER_LOAD_S, self.requests.slots.send_load)
-        self.every(defaults.MEMBERSHIP_TICK_S, self.members.tick)
-        self.members.tick()
+        self._start_roster(service.name)
+        self._on_changed(())
+        self._join()
+
+    def _start_roster(self, service_name):
+        """Join the roster of the service.
+
+        Without a store there is no roster, and requests with a key are
+        refused as not run.
+        """
+        if self._store is None:
+            LOG.warning("no_store", effect="requests with a key are refused")
+            return
+        self.roster = roster.RosterTask(
+            self.node,
+            service_name,
+            self._store,
+            self.requests.slots,
+            self.claims,
+            self.members.view.get,
+            random.Random(self.incarnation),
+        )
+        keeper = asyncio.ensure_future(self.roster.keep_roster())
+        self.stack.callback(keeper.cancel)
+        self.every(defaults.HEARTBEAT_S, self.roster.check_silence)
 
     def _record(self):
         node = self.settings.node
@@ -84,17 +161,22 @@
             service=own.service,
             data_centre=node.data_centre,
             region=node.region,
+            # Active when the settings of the service are known.
             state=records.JOINING,
             weight=own.weight,
         )
 
     def _find_service(self, name):
-        for service in config.load_folder(self.settings.config.folder):
-            if service.name == name:
-                return service
-        raise exceptions.SettingsError(["agent.service: no service %r" % name])
+        configuration = config.load_folder(self.settings.config.folder)
+        if name not in configuration.services_by_name:
+            raise exceptions.SettingsError(
+                ["agent.service: found %r, expected a service" % name]
+            )
+        return configuration.services_by_name[name]
 
     def _on_changed(self, _services):
+        if self.table is None:
+            return
         view = self.members.view
         service = self.settings.agent.service
         peers = view.members_of(service)
@@ -115,7 +197,15 @@
         self.flows.perform(self.table.on_members(time.monotonic(), peers))
 
     def _on_joined(self):
-        self.flows.perform(self.table.join(time.monotonic()))
+        self._joined = True
+        if self._configuration is not None:
+            self._configuration.start()
+        self._join()
+
+    def _join(self):
+        """Take flows when both the service and the others are known."""
+        if self._joined and self.table is not None and not self.draining:
+            self.flows.perform(self.table.join(time.monotonic()))
 
     def _perform(self, step):
         if not isinstance(step, actions.Announce):
@@ -129,22 +219,34 @@
         if not self.draining:
             self.draining = True
             self.ready = False
+            if self.requests is None:
+                self.members.update(state=records.DRAINING)
+                return
             self.requests.refuse_new()
             self.flows.perform(self.table.drain(time.monotonic()))
 
     async def stop(self, deadline):
         """Finish the running requests, then leave."""
-        await self.finish_or_stop(self._finish(deadline))
+        if self.requests is not None:
+            await self.finish_or_stop(self._finish(deadline))
+            self.flows.end_all()
+        if self.roster is not None:
+            await self.roster.leave()
         self.members.leave()
 
     async def _finish(self, deadline):
+        """Wait for the requests, then for the flows, which may take hours.
+
+        A second signal ends the wait.
+        """
         await self.requests.drain(deadline)
-        while not self.table.is_drained and time.monotonic() < deadline:
+        while not self.table.is_drained:
             await asyncio.sleep(defaults.TICK_S)
 
     def status(self):
         """Return the state as a JSON object."""
         status = super().status()
-        status["flows"] = self.table.flow_count
-        status["requests_running"] = self.requests.running
+        if self.requests is not None:
+            status["flows"] = self.table.flow_count
+            status["requests_running"] = self.requests.running
         return status
--- a/src/limpetlift/tasks/balancer.py
+++ b/src/limpetlift/tasks/balancer.py
@@ -4,14 +4,18 @@
 import random
 import time
 
+from limpetlift.coordination import distribution
 from limpetlift.coordination import fleet
 from limpetlift.coordination import member as records
+from limpetlift.coordination import relays
 from limpetlift import defaults
 from limpetlift.state import config
+from limpetlift.tasks import configuration
 from limpetlift.tasks import flowpath
 from limpetlift.tasks import gateway
 from limpetlift.tasks import members
 from limpetlift.tasks import process
+from limpetlift.tasks import relay
 
 
 class Balancer(process.Process):
@@ -31,24 +35,77 @@
             self.node, bind_ip, self.flows.tables_by_name
         )
         self.stack.callback(self.gateway.close)
+        rng = random.Random(self.incarnation)
+        store = configuration.connect_store(
+            self.settings, self.kind, self.stack
+        )
+        seeds = await configuration.find_seeds(self.settings, store, rng)
         self.members = members.Members(
             self.node,
-            fleet.BalancerMembership(
-                self._record(),
-                random.Random(self.incarnation),
-                self.settings.seeds,
-            ),
+            fleet.BalancerMembership(self._record(), rng, seeds),
         )
         self.members.on_changed = self._on_changed
         self.members.on_joined = self._on_joined
         self.members.on_superseded = self.on_superseded
-        services = config.load_folder(self.settings.config.folder)
-        self.flows.set_services(services)
-        self.gateway.set_services(services)
+        self._joined = False
+        self._configuration = None
+        self._relay = None
+        if self.settings.config.folder:
+            self._on_configuration(
+                config.load_folder(self.settings.config.folder)
+            )
+        else:
+            self._start_configuration(store, rng)
         self.every(defaults.MEMBERSHIP_TICK_S, self.members.tick)
         self.every(defaults.HEARTBEAT_S, self._update_gauges)
         self.members.tick()
 
+    def _start_configuration(self, store, rng):
+        decisions = distribution.Distribution(
+            self.node.id, self.incarnation, rng, has_store=store is not None
+        )
+        self._configuration = configuration.ConfigurationTask(
+            self.node,
+            self.members,
+            decisions,
+            store,
+            self._witnesses,
+            self._on_configuration,
+        )
+        self.stack.push_async_callback(self._configuration.close)
+        server = configuration.ConfigServer(self.node, self._configuration)
+        self.stack.callback(server.close)
+        self.every(defaults.CONFIG_TICK_S, self._tick_configuration)
+        if store is not None:
+            self._relay = relay.Relay(
+                store,
+                relays.RelaySlot(self.node.id, rng),
+                self.settings.node.data_centre,
+                self.address,
+                self._configuration.on_store,
+            )
+            self.stack.push_async_callback(self._relay.close)
+
+    def _witnesses(self):
+        return self.members.view.all_balancers()
+
+    def _tick_configuration(self):
+        self._configuration.tick()
+        self._update_ready()
+        if self._relay is not None and self._joined:
+            self._relay.slot.on_view(
+                time.monotonic(),
+                self.members.view.balancers(self.settings.node.data_centre),
+            )
+            self._relay.tick()
+
+    def _on_configuration(self, found):
+        self.flows.set_services(found.services)
+        self.gateway.set_services(found.services)
+        for service in found.services:
+            members_of = self.members.view.members_of(service.name)
+            self.flows.set_members(service.name, members_of)
+
     def _record(self):
         node = self.settings.node
         return records.Member(
@@ -66,7 +123,14 @@
             self.flows.set_members(name, self.members.view.members_of(name))
 
     def _on_joined(self):
-        self.ready = not self.draining
+        self._joined = True
+        if self._configuration is not None:
+            self._configuration.start()
+        self._update_ready()
+
+    def _update_ready(self):
+        configured = self._configuration is None or self._configuration.ready
+        self.ready = self._joined and configured and not self.draining
 
     def _update_gauges(self):
         members.update_gauges(self.members.view)
--- a/src/limpetlift/tasks/flowpath.py
+++ b/src/limpetlift/tasks/flowpath.py
@@ -11,11 +11,15 @@
 from limpetlift.protocol import packet as packets
 from limpetlift.state import actions
 from limpetlift.state import flows
+from limpetlift.state import returnpath
 from limpetlift.state import servicetable
 from limpetlift.transport import udp
 
 LOG = logs.EventLogger("flowpath")
 
+# Ends of a flow that its caller is told of.
+_TOLD = ("backend_down", "stopped")
+
 
 class BalancerFlows:
     """Owns the sockets at the services' addresses.
@@ -137,6 +141,7 @@
         self._backend = backend
         self._perform_other = perform
         self._sessions_by_key = {}
+        self._return_path = returnpath.ReturnPath()
         self.endpoints_by_id = {}
         self._addresses_by_id = {}
         node.on_packet(self._receive)
@@ -163,7 +168,9 @@
 
     def tick(self):
         """Run the timers of the flow table."""
-        self.perform(self._table.tick(time.monotonic()))
+        now = time.monotonic()
+        self._return_path.tick(now)
+        self.perform(self._table.tick(now))
         metrics.FLOWS.set(self._table.flow_count)
         metrics.REDIRECTS.set(self._table.redirect_count)
 
@@ -171,7 +178,9 @@
         if packet.kind != packets.KIND_TO_AGENT:
             metrics.PACKETS_DROPPED.labels("unexpected").inc()
             return
-        self.perform(self._table.on_packet(time.monotonic(), packet))
+        now = time.monotonic()
+        self._return_path.on_packet(now, packet.balancer)
+        self.perform(self._table.on_packet(now, packet))
 
     def _receive_message(self, sealed, message, address):
         # A joining agent may write before its record arrives.
@@ -245,7 +254,8 @@
             packet, kind=packets.KIND_TO_CALLER, hops=0, payload=data
         )
         self._node.send_packet(
-            packets.encode(answer, self._node.keys[0]), packet.balancer
+            packets.encode(answer, self._node.keys[0]),
+            self._return_path.choose(time.monotonic(), packet.balancer),
         )
 
     def _forward(self, step):
@@ -266,9 +276,18 @@
     def _close_session(self, step):
         session = self._sessions_by_key.pop(step.key, None)
         if session is not None:
+            if step.reason in _TOLD and self._reset_payload:
+                self._send_answer(session.last_packet, self._reset_payload)
             session.socket.close()
             metrics.FLOWS_ENDED.labels(step.reason).inc()
 
+    def end_all(self):
+        """End the open flows and tell their callers."""
+        for key in list(self._sessions_by_key):
+            self.perform(
+                self._table.on_closed(time.monotonic(), key, "stopped")
+            )
+
     def close(self):
         """Close all sockets."""
         for session in self._sessions_by_key.values():
--- a/src/limpetlift/testing/demo.py
+++ b/src/limpetlift/testing/demo.py
@@ -12,6 +12,7 @@
 import attrs
 from tornado import httpclient
 
+from limpetlift import exceptions
 from limpetlift.testing import deployment
 from limpetlift.testing import traffic
 
@@ -65,6 +66,10 @@
 async def _start(state, seed):
     system = state.system
     system.write_services(_SERVICES.format(network=system.network))
+    system.start_store()
+    code, text = await system.apply_services()
+    if code:
+        raise exceptions.CoordinationError(text)
     for index, name in enumerate(_BALANCERS):
         system.ip_by_name[name] = "%s.%d" % (system.network, 11 + index)
     system.seed_names = list(_BALANCERS)
--- a/src/limpetlift/testing/deployment.py
+++ b/src/limpetlift/testing/deployment.py
@@ -1,6 +1,7 @@
 """Starts a small deployment as processes on loopback."""
 
 import asyncio
+import io
 import os
 import pathlib
 import random
@@ -11,10 +12,14 @@
 import attrs
 from tornado import httpclient
 
+from limpetlift import configcli
+
 KEY = "00112233445566778899aabbccddeeff"
 NODE_PORT = 6000
 ADMIN_PORT = 6001
 BACKEND_PORT = 6100
+STORE_PORT = 6200
+STORE_ADMIN_PORT = 6201
 _READY_S = 15.0
 
 _SETTINGS = """\
@@ -38,8 +43,8 @@
 level = "info"
 target = "{log}"
 
-[config]
-folder = "{folder}"
+[{source}]
+{source_line}
 """
 
 
@@ -59,6 +64,8 @@
     ip_by_name: dict = attrs.field(factory=dict)
     seed_names: list = attrs.field(factory=list)
     token: str = "demo-token"
+    # Address of a store to read the configuration from, else the folder.
+    store: str = ""
 
     def write_services(self, text, name="10-services.toml"):
         """Write a file of the operators' folder."""
@@ -66,11 +73,38 @@
         services.mkdir(exist_ok=True)
         (services / name).write_text(text, encoding="utf-8")
 
+    def start_store(self):
+        """Start the stand-in of the store; later processes use it."""
+        ip = "%s.9" % self.network
+        self.store = "%s:%d" % (ip, STORE_PORT)
+        self.spawn(
+            "store", "standin", "store", ip, STORE_PORT, STORE_ADMIN_PORT
+        )
+
+    async def apply_services(self):
+        """Apply the operators' folder to the store.
+
+        :returns: the exit code and the output of ``config apply``.
+        """
+        store, transport = configcli.connect([self.store], "limpetlift/")
+        out = io.StringIO()
+        try:
+            async with asyncio.timeout(_READY_S):
+                while True:
+                    code = await configcli.apply(
+                        self.folder / "services", store, out=out
+                    )
+                    if code != configcli.NOT_APPLIED:
+                        return code, out.getvalue()
+                    await asyncio.sleep(0.1)
+        finally:
+            transport.close()
+
     def spawn(self, name, *arguments):
         """Start a ``limpetlift`` process."""
         log = (self.folder / (name + ".out")).open("wb")
         self.processes_by_name[name] = subprocess.Popen(
-            [sys.executable, "-m", "limpetlift", *arguments],
+            [sys.executable, "-m", "limpetlift", *map(str, arguments)],
             stdout=log,
             stderr=log,
             env=dict(os.environ, PYTHONUNBUFFERED="1"),
@@ -111,12 +145,19 @@
             token=self.token,
             key=KEY,
             log=self.folder / (name + ".log"),
-            folder=self.folder / "services",
+            **self._source(),
         )
         path = self.folder / (name + ".toml")
         path.write_text(text, encoding="utf-8")
         self.spawn(name, role, str(path))
 
+    def _source(self):
+        if self.store:
+            line = 'endpoints = ["%s"]' % self.store
+            return {"source": "store", "source_line": line}
+        line = 'folder = "%s"' % (self.folder / "services")
+        return {"source": "config", "source_line": line}
+
     def start_fabric(self, service_addresses, balancers, seed):
         """Start the fabric before ``balancers``, a list of names."""
         entries = [
--- a/src/limpetlift/testing/standins.py
+++ b/src/limpetlift/testing/standins.py
@@ -9,6 +9,7 @@
 from tornado import httpserver
 from tornado import web
 
+from limpetlift.testing import store
 from limpetlift.transport import udp
 
 _HEALTH_CHECK_S = 0.1
@@ -125,9 +126,9 @@
 async def run(kind, arguments):
     """Run a stand-in until the process is stopped.
 
-    :param kind: ``backend`` with name, ip and port, or ``fabric`` with the
+    :param kind: ``backend`` with name, ip and port; ``fabric`` with the
         service addresses, the balancers (both separated by commas) and a
-        seed.
+        seed; or ``store`` with ip, port and the port of its faults.
     """
     if kind == "backend":
         name, ip, port = arguments
@@ -138,5 +139,8 @@
         addresses, balancers, seed = arguments
         fabric = Fabric(addresses.split(","), balancers.split(","), int(seed))
         await fabric.watch()
+    elif kind == "store":
+        ip, port, admin_port = arguments
+        await store.run(ip, int(port), int(admin_port))
     else:
         raise SystemExit("unknown stand-in %r" % kind)
--- /dev/null
+++ b/tests/test_returnpath.py
@@ -0,0 +1,29 @@
+"""The balancer that answers go through."""
+
+from limpetlift import defaults
+from limpetlift.state import returnpath
+
+_FIRST = ("127.0.0.1", 1)
+_SECOND = ("127.0.0.2", 1)
+
+
+def test_answers_leave_a_silent_balancer():
+    """A stream to a silent caller must survive the death of its balancer."""
+    path = returnpath.ReturnPath()
+    path.on_packet(0.0, _FIRST)
+    assert path.choose(1.0, _FIRST) == _FIRST
+    later = defaults.BALANCER_SILENT_S + 1.0
+    path.on_packet(later, _SECOND)
+    assert path.choose(later, _FIRST) == _SECOND
+    path.on_packet(later, _FIRST)
+    assert path.choose(later, _FIRST) == _FIRST
+
+
+def test_answers_stay_when_no_balancer_is_heard():
+    """A quiet night must not make an agent drop its answers."""
+    path = returnpath.ReturnPath()
+    path.on_packet(0.0, _FIRST)
+    path.on_packet(1.0, _SECOND)
+    assert path.choose(100.0, _FIRST) == _FIRST
+    path.tick(100.0 + defaults.BALANCER_FORGET_S)
+    assert path.choose(1000.0, _FIRST) == _FIRST
