Prove keyed requests and told callers with real processes

Cause: at most once and the end of flows were shown on virtual time only. Change: five scenarios (agent killed, agent paused, store killed, repeated key through another balancer, stopped agent); a stopping balancer forwards packets for 3 s after it is no longer ready.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -49,6 +49,31 @@
     And balancer-1 gets SIGTERM
     Then every request is answered and none runs twice
 
+  Scenario: Requests with a key run at most once while an agent dies
+    When 30 requests of 500 ms are sent
+    And desk-2 gets SIGKILL
+    Then no request runs twice
+
+  Scenario: Requests with a key run at most once while an agent is paused
+    When 30 requests of 500 ms are sent
+    And desk-3 is paused for 5 s under traffic
+    Then no request runs twice
+
+  Scenario: Requests with a key run while the store is down
+    When the store gets SIGKILL
+    And 20 requests of 200 ms are sent
+    Then every request is answered and none runs twice
+
+  Scenario: A repeated key gets the stored answer through another balancer
+    When a request with key order-1 is sent through balancer-1
+    And a request with key order-1 is sent through balancer-2
+    Then both answers are the same and the second one is replayed
+
+  Scenario: A stopped agent tells the callers of its flows
+    When 60 flows are opened
+    And desk-1 is ended by two SIGTERM
+    Then every flow of desk-1 got the reset payload
+
   Scenario: Hostile datagrams and requests stop no process
     When 60 flows are opened
     And hostile input reaches every port
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -17,6 +17,7 @@
 [services.job-desk]
 address = "{network}.1:7001"
 slots = 3
+reset_payload = "656e64"
 """
 _SERVICE_PORT = 7001
 _ROUND_S = 0.05
@@ -108,6 +109,44 @@
     context.runner.run(run())
 
 
+@behave.when("the store gets SIGKILL")
+def kill_store(context):
+    """Stop the store for good."""
+    context.system.signal("store", signal.SIGKILL)
+
+
+@behave.when("{name} is ended by two SIGTERM")
+def end_agent(context, name):
+    """Ask for a planned stop, and then for a faster one."""
+
+    async def run():
+        context.system.signal(name, signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        context.system.signal(name, signal.SIGTERM)
+        await context.system.wait_exit(name, 30.0)
+        await asyncio.sleep(0.5)
+
+    context.runner.run(run())
+
+
+@behave.when("a request with key {key} is sent through {name}")
+def send_keyed(context, key, name):
+    """Send a request and keep its answer."""
+
+    async def run():
+        return await httpclient.AsyncHTTPClient().fetch(
+            "http://%s:%d/work?ms=10"
+            % (context.system.ip_by_name[name], _SERVICE_PORT),
+            method="POST",
+            body=b"one order",
+            headers={"Idempotency-Key": key},
+        )
+
+    answers = context.__dict__.setdefault("answers", [])
+    answers.append(context.runner.run(run()))
+    context.answers = answers
+
+
 @behave.when("{name} gets {signal_name}")
 def send_signal(context, name, signal_name):
     """Send a signal to a process."""
@@ -240,29 +279,55 @@
     assert ended == code, "exit code %d" % ended
 
 
+async def _finish_requests(context):
+    """Wait for the requests; return how often each key was run."""
+    await asyncio.gather(*context.request_tasks)
+    runs = collections.Counter()
+    client = httpclient.AsyncHTTPClient()
+    for name in context.agents:
+        answer = await client.fetch(
+            "http://%s:%d/runs"
+            % (context.system.ip_by_name[name], deployment.BACKEND_PORT)
+        )
+        runs.update(json.loads(answer.body))
+    return runs
+
+
 @behave.then("every request is answered and none runs twice")
 def check_requests(context):
     """Fail when a request was lost, mixed or run twice."""
-
-    async def run():
-        await asyncio.gather(*context.request_tasks)
-        runs = collections.Counter()
-        client = httpclient.AsyncHTTPClient()
-        for name in context.agents:
-            answer = await client.fetch(
-                "http://%s:%d/runs"
-                % (context.system.ip_by_name[name], deployment.BACKEND_PORT)
-            )
-            runs.update(json.loads(answer.body))
-        return runs
-
-    runs = context.runner.run(run())
+    runs = context.runner.run(_finish_requests(context))
     counts = context.counts
     assert counts.answered == counts.sent, counts
     assert not counts.wrong, counts
     assert not [key for key, count in runs.items() if count > 1], runs
 
 
+@behave.then("no request runs twice")
+def check_runs(context):
+    """Fail when a key was run more than once, or an answer was mixed."""
+    runs = context.runner.run(_finish_requests(context))
+    assert not context.counts.wrong, context.counts
+    assert not [key for key, count in runs.items() if count > 1], runs
+
+
+@behave.then("both answers are the same and the second one is replayed")
+def check_replayed(context):
+    """Fail when a repeated key ran again or got another answer."""
+    first, second = context.answers
+    assert first.body == second.body == b"one order"
+    assert first.headers["X-Backend"] == second.headers["X-Backend"]
+    assert second.headers["Idempotent-Replayed"] == "true"
+
+
+@behave.then("every flow of {name} got the reset payload")
+def check_reset(context, name):
+    """Fail when a caller was not told that its flow has ended."""
+    own = [c for c in context.callers if name in c.backends]
+    silent = [c for c in own if "end" not in c.backends]
+    assert own and not silent, "%d of %d" % (len(silent), len(own))
+
+
 @behave.then("every process is ready")
 def check_ready(context):
     """Fail when a process has died or is not ready."""
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -212,3 +212,5 @@
 TICK_S = 0.01
 ADMIN_IP = "127.0.0.1"
 STOP_S = 30.0
+# Fabrics check readiness about once a second.
+LAME_DUCK_S = 3.0
--- a/src/limpetlift/tasks/balancer.py
+++ b/src/limpetlift/tasks/balancer.py
@@ -141,17 +141,24 @@
             return
         self.draining = True
         self.ready = False
+        self._forward_until = time.monotonic() + defaults.LAME_DUCK_S
         self.gateway.stop_listening()
         self.members.update(state=records.DRAINING)
 
     async def stop(self, deadline):
-        """Finish the running requests, then leave."""
-        await self.finish_or_stop(self._finish_requests(deadline))
+        """Finish the running requests, then leave.
+
+        Packets are forwarded until the fabric has seen that this balancer is
+        no longer ready.
+        """
+        await self.finish_or_stop(self._finish(deadline))
         self.members.leave()
 
-    async def _finish_requests(self, deadline):
+    async def _finish(self, deadline):
         while self.gateway.running_by_id and time.monotonic() < deadline:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(defaults.TICK_S)
+        while time.monotonic() < self._forward_until:
+            await asyncio.sleep(defaults.TICK_S)
 
     def status(self):
         """Return the state as a JSON object."""
