--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -3,9 +3,12 @@
 import asyncio
 import collections
 import json
+import pathlib
 import random
 import signal
 import socket
+import subprocess
+import sys
 
 import behave
 from tornado import httpclient
@@ -28,6 +31,18 @@
     return ["%s-%d" % (prefix, index + 1) for index in range(count)]
 
 
+@behave.given("the built file is used")
+def use_built_file(context):
+    """Build the zipapp and run all processes from it."""
+    root = pathlib.Path(__file__).resolve().parents[2]
+    subprocess.run(
+        [sys.executable, str(root / "tools" / "binary.py")],
+        check=True,
+        stdout=subprocess.DEVNULL,
+    )
+    context.system.command = (str(root / "dist" / "limpetlift"),)
+
+
 @behave.given("a service with {balancers:d} balancers and {agents:d} agents")
 def start_deployment(context, balancers, agents):
     """Start all processes and wait until the balancers know the agents."""
--- a/src/limpetlift/testing/deployment.py
+++ b/src/limpetlift/testing/deployment.py
@@ -54,6 +54,7 @@
 
     :param folder: an empty folder for settings and logs.
     :param network: first three parts of the loopback network used.
+    :param command: how to run ``limpetlift``.
 
     .. versionadded:: 0.1
     """
@@ -64,6 +65,7 @@
     ip_by_name: dict = attrs.field(factory=dict)
     seed_names: list = attrs.field(factory=list)
     token: str = "demo-token"
+    command: tuple = (sys.executable, "-m", "limpetlift")
     # Address of a store to read the configuration from, else the folder.
     store: str = ""
 
@@ -104,7 +106,7 @@
         """Start a ``limpetlift`` process."""
         log = (self.folder / (name + ".out")).open("wb")
         self.processes_by_name[name] = subprocess.Popen(
-            [sys.executable, "-m", "limpetlift", *map(str, arguments)],
+            [*self.command, *map(str, arguments)],
             stdout=log,
             stderr=log,
             env=dict(os.environ, PYTHONUNBUFFERED="1"),
