--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -2,12 +2,15 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pathlib
+
 import pytest
 
 from limpetlift import exceptions
 from limpetlift.protocol import envelope
 from limpetlift.protocol import messages
 from limpetlift.protocol import packet
+from limpetlift.protocol import refusal
 
 KEY = b"k" * 16
 
@@ -133,3 +136,13 @@
                 decoder.decode(bytes(forged))
             with pytest.raises(exceptions.ProtocolError):
                 decoder.decode(data[:index])
+
+
+def test_every_refusal_code_is_documented():
+    """Callers must be able to look up each code and what it promises."""
+    page = pathlib.Path(__file__).parent.parent / "docs" / "refusals.md"
+    rows = page.read_text(encoding="utf-8")
+    for entry in refusal.refusals_by_code.values():
+        outcome = entry.outcome.replace("_", " ")
+        row = "| `%s` | %d | %s |" % (entry.code, entry.status, outcome)
+        assert row in rows, row
