--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -132,6 +132,18 @@
                 if target_id is not None:
                     self.send_message(target_id, step.message)
 
+    def receive_membership(self, sender_id, incarnation, message):
+        """Hand a control message to the membership decisions."""
+        self.perform_membership(
+            self.membership.on_message(
+                self.now,
+                sender_id,
+                incarnation,
+                message,
+                self.world.address_of(sender_id),
+            )
+        )
+
     def on_control(self, sender_id, incarnation, message):
         """Handle a control message."""
         raise NotImplementedError
@@ -180,15 +192,7 @@
 
     def on_control(self, sender_id, incarnation, message):
         """Handle a control message."""
-        self.perform_membership(
-            self.membership.on_message(
-                self.now,
-                sender_id,
-                incarnation,
-                message,
-                self.world.address_of(sender_id),
-            )
-        )
+        self.receive_membership(sender_id, incarnation, message)
 
     def stop(self):
         """Finish the requests, leave the membership and end."""
@@ -306,15 +310,7 @@
 
     def on_control(self, sender_id, incarnation, message):
         """Handle a control message of membership or of flow ownership."""
-        self.perform_membership(
-            self.membership.on_message(
-                self.now,
-                sender_id,
-                incarnation,
-                message,
-                self.world.address_of(sender_id),
-            )
-        )
+        self.receive_membership(sender_id, incarnation, message)
         self._pass_members()
         self.perform(self.table.on_message(self.now, sender_id, message))
         if (
--- a/src/limpetlift/tasks/agent.py
+++ b/src/limpetlift/tasks/agent.py
@@ -151,19 +151,10 @@
         self.every(defaults.HEARTBEAT_S, self.roster.check_silence)
 
     def _record(self):
-        node = self.settings.node
         own = self.settings.agent
-        return records.Member(
-            agent_id=self.node.id,
-            kind=records.AGENT,
-            address=self.address,
-            incarnation=self.incarnation,
-            service=own.service,
-            data_centre=node.data_centre,
-            region=node.region,
-            # Active when the settings of the service are known.
-            state=records.JOINING,
-            weight=own.weight,
+        # Active when the settings of the service are known.
+        return self.record(
+            service=own.service, state=records.JOINING, weight=own.weight
         )
 
     def _find_service(self, name):
--- a/src/limpetlift/tasks/balancer.py
+++ b/src/limpetlift/tasks/balancer.py
@@ -42,7 +42,9 @@
         seeds = await configuration.find_seeds(self.settings, store, rng)
         self.members = members.Members(
             self.node,
-            fleet.BalancerMembership(self._record(), rng, seeds),
+            fleet.BalancerMembership(
+                self.record(state=records.ACTIVE), rng, seeds
+            ),
         )
         self.members.on_changed = self._on_changed
         self.members.on_joined = self._on_joined
@@ -106,18 +108,6 @@
             members_of = self.members.view.members_of(service.name)
             self.flows.set_members(service.name, members_of)
 
-    def _record(self):
-        node = self.settings.node
-        return records.Member(
-            agent_id=self.node.id,
-            kind=records.BALANCER,
-            address=self.address,
-            incarnation=self.incarnation,
-            data_centre=node.data_centre,
-            region=node.region,
-            state=records.ACTIVE,
-        )
-
     def _on_changed(self, services):
         for name in services:
             self.flows.set_members(name, self.members.view.members_of(name))
--- a/src/limpetlift/tasks/process.py
+++ b/src/limpetlift/tasks/process.py
@@ -7,6 +7,7 @@
 
 from tornado import ioloop
 
+from limpetlift.coordination import member
 from limpetlift import defaults
 from limpetlift import logs
 from limpetlift.tasks import admin
@@ -60,6 +61,23 @@
         """The node's address as ``ip:port``."""
         return "%s:%d" % self.node.address
 
+    def record(self, **fields):
+        """Return the first member record of this process.
+
+        :param fields: fields of :class:`limpetlift.coordination.member.Member`
+            beyond id, place and incarnation.
+        """
+        node = self.settings.node
+        return member.Member(
+            agent_id=self.node.id,
+            kind=self.kind,
+            address=self.address,
+            incarnation=self.incarnation,
+            data_centre=node.data_centre,
+            region=node.region,
+            **fields,
+        )
+
     def every(self, seconds, callback):
         """Call ``callback`` every ``seconds`` until the process stops."""
         timer = ioloop.PeriodicCallback(callback, seconds * 1000)
--- a/src/limpetlift/testing/demo.py
+++ b/src/limpetlift/testing/demo.py
@@ -4,10 +4,12 @@
 import collections
 import contextlib
 import json
+import math
 import pathlib
 import random
 import signal
 import tempfile
+import time
 
 import attrs
 from tornado import httpclient
@@ -30,6 +32,13 @@
 """
 
 
+_REFINED = """\
+[services.job-desk]
+request_timeout_s = 20.0
+"""
+_CONFIG_LIMIT_S = 4.0
+
+
 @attrs.define
 class _Run:
     """State of one run of the demo."""
@@ -40,6 +49,7 @@
     callers: list = attrs.field(factory=list)
     counts: traffic.RequestCounts = attrs.field(factory=traffic.RequestCounts)
     url_bases: list = attrs.field(factory=list)
+    config_s: float = math.inf
 
 
 async def run(seed):
@@ -140,6 +150,22 @@
     system.signal(_BALANCERS[0], signal.SIGTERM)
     await system.wait_exit(_BALANCERS[0], 30.0)
     await system.admin(_AGENTS[0], "/drain", "POST")
+    await _change_configuration(state)
+
+
+async def _change_configuration(state):
+    """Apply a change; note the seconds until every process has it."""
+    system = state.system
+    system.write_services(_REFINED, "20-limits.toml")
+    started = time.monotonic()
+    code, text = await system.apply_services()
+    if code:
+        raise exceptions.CoordinationError(text)
+    names = [*_BALANCERS[1:], *_AGENTS]
+    async with asyncio.timeout(20):
+        while min(await asyncio.gather(*map(system.revision, names))) < 2:
+            await asyncio.sleep(0.05)
+    state.config_s = time.monotonic() - started
 
 
 async def _collect_runs(state):
@@ -178,6 +204,11 @@
         ("requests without an answer", lost, "must be 0"),
         ("requests run twice", twice, "must be 0"),
         ("answers mixed", mixed, "must be 0"),
+        (
+            "configuration in force after (s)",
+            "%.2f" % state.config_s,
+            "must be at most %g" % _CONFIG_LIMIT_S,
+        ),
     ]
     rows += [
         ("refused: " + code, count, "")
@@ -185,6 +216,7 @@
     ]
     for label, value, remark in rows:
         print("%-34s %10s  %s" % (label, value, remark))
-    kept = not (broken or lost or twice or mixed)
+    late = state.config_s > _CONFIG_LIMIT_S
+    kept = not (broken or lost or twice or mixed or late)
     print("all promises kept" if kept else "a promise was broken")
     return 0 if kept else 1
--- a/src/limpetlift/testing/deployment.py
+++ b/src/limpetlift/testing/deployment.py
@@ -187,6 +187,14 @@
             request_timeout=2.0,
         )
 
+    async def revision(self, name):
+        """Return the revision of the configuration that a process has."""
+        answer = await self.admin(name, "/metrics")
+        for line in answer.body.decode("utf-8").splitlines():
+            if line.startswith("limpetlift_config_revision "):
+                return int(float(line.split()[1]))
+        return 0
+
     async def wait_ready(self, *names):
         """Wait until the named processes are ready.
 
--- a/tests/test_configprocesses.py
+++ b/tests/test_configprocesses.py
@@ -1,7 +1,6 @@
 """Configuration from the store, through relays, to separate processes."""
 
 import asyncio
-import io
 import json
 import random
 
@@ -13,30 +12,16 @@
 _NAMES = ("balancer-1", "balancer-2", "balancer-3")
 
 
-async def _revision(system, name):
-    answer = await system.admin(name, "/metrics")
-    for line in answer.body.decode("utf-8").splitlines():
-        if line.startswith("limpetlift_config_revision "):
-            return int(float(line.split()[1]))
-    return 0
-
-
 async def _wait_revision(system, names, revision):
     async with asyncio.timeout(20):
         for name in names:
-            while await _revision(system, name) != revision:
+            while await system.revision(name) != revision:
                 await asyncio.sleep(0.05)
 
 
-async def _apply(system, server, port):
+async def _apply(system, port):
     system.write_services(_SERVICE % (system.network, port))
-    store, transport = configcli.connect([server.address], "limpetlift/")
-    out = io.StringIO()
-    try:
-        folder = system.folder / "services"
-        return await configcli.apply(folder, store, out=out), out.getvalue()
-    finally:
-        transport.close()
+    return await system.apply_services()
 
 
 def test_processes_follow_the_store_and_survive_its_outage(tmp_path):
@@ -57,7 +42,7 @@
 
 
 async def _steps(system, server):
-    code, text = await _apply(system, server, 7001)
+    code, text = await _apply(system, 7001)
     assert code == configcli.OK, text
     for index, name in enumerate(_NAMES):
         system.ip_by_name[name] = "%s.%d" % (system.network, 11 + index)
@@ -71,7 +56,7 @@
     async with asyncio.timeout(30):
         while server.state.calls_by_role["balancer"]["watch"] < 3:
             await asyncio.sleep(0.05)
-    code, text = await _apply(system, server, 7002)
+    code, text = await _apply(system, 7002)
     assert "accepted as revision 2" in text
     await _wait_revision(system, everyone, 2)
     server.set_faults(down=True)
@@ -80,6 +65,6 @@
     system.processes_by_name[_NAMES[number]].wait()
     system.start_balancer(_NAMES[number], 11 + number)
     await system.wait_ready(_NAMES[number])
-    assert await _revision(system, _NAMES[number]) == 2
+    assert await system.revision(_NAMES[number]) == 2
     status = json.loads((await system.admin(_NAMES[number], "/status")).body)
     assert list(status["services"]) == ["job-desk"]
