Wait before asking a peer again whose pull failed

Cause: a balancer that started beside an agent asked it for the configuration about 15 times a second, because the agent did not listen yet. Change: a peer whose pull failed is asked again after 0.5 s; others at once. Ruled out: a longer time limit of a pull, which would slow the healthy peers. Measured: the test fails without the change; two attempts a second at most.

--- a/src/limpetlift/coordination/distribution.py
+++ b/src/limpetlift/coordination/distribution.py
@@ -240,6 +240,7 @@
     _answered: set = attrs.field(factory=set)
     _store_answered: bool = False
     _pull: tuple | None = None
+    _pull_again_at_by_id: dict = attrs.field(factory=dict)
     _started_at: float | None = None
     _ask_store_at: float = 0.0
     _notice_at: float = 0.0
@@ -256,6 +257,7 @@
         known = set(balancer_ids) | set(agent_ids)
         for agent_id in set(self._heads_by_id) - known:
             del self._heads_by_id[agent_id]
+            self._pull_again_at_by_id.pop(agent_id, None)
         self._answered &= known
         return self._progress(now)
 
@@ -311,6 +313,8 @@
         if self._pull is not None and now < self._pull[1]:
             if self._pull[0].head.revision >= head.revision:
                 return []
+        if now < self._pull_again_at_by_id.get(sender_id, now):
+            return []
         pull = Pull(sender_id, head)
         self._pull = (pull, now + defaults.CONFIG_PULL_TIMEOUT_S)
         return [pull]
@@ -325,6 +329,10 @@
 
     def on_pull_failed(self, now):
         """The last pull failed; another peer is asked at the next tick."""
+        if self._pull is not None:
+            peer_id = self._pull[0].agent_id
+            again_at = now + defaults.CONFIG_PULL_AGAIN_S
+            self._pull_again_at_by_id[peer_id] = again_at
         self._pull = None
         return []
 
@@ -472,6 +480,7 @@
             (head.revision, agent_id)
             for agent_id, head in sorted(self._heads_by_id.items())
             if head.revision > self.held.revision
+            and now >= self._pull_again_at_by_id.get(agent_id, now)
         ]
         if not holders:
             return []
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -186,6 +186,8 @@
 CONFIG_TICK_S = 0.1
 CONFIG_NOTICE_S = 0.5
 CONFIG_PULL_TIMEOUT_S = 2.0
+# A peer that starts may not listen yet; others are asked meanwhile.
+CONFIG_PULL_AGAIN_S = 0.5
 # A restarted balancer waits this long for the processes it is a witness of.
 CONFIG_CLIENT_WAIT_S = 5.0
 # A starting process asks the store only after this time, drawn from a range,
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -8,6 +8,7 @@
 import pytest
 
 from limpetlift.coordination import distribution
+from limpetlift import defaults
 from limpetlift import exceptions
 
 _IDS = ["balancer-%d" % i for i in range(5)]
@@ -264,6 +265,23 @@
     assert process.ready
 
 
+def test_peer_whose_pull_failed_is_not_asked_again_at_once():
+    """A peer that does not listen yet must not be asked in a tight loop."""
+    process = _process(has_store=False)
+    process.on_view(0.0, _IDS[:3])
+    one, two = _IDS[1:3]
+    pull = distribution.Pull(one, _head(1))
+    assert pull in process.on_notice(0.1, one, 1, _notice(1))
+    process.on_pull_failed(0.1)
+    assert pull not in process.on_notice(0.2, one, 1, _notice(1))
+    assert pull not in process.tick(0.3)
+    other = distribution.Pull(two, _head(1))
+    assert other in process.on_notice(0.3, two, 1, _notice(1))
+    process.on_pull_failed(0.4)
+    later = 0.1 + defaults.CONFIG_PULL_AGAIN_S
+    assert pull in process.tick(later)
+
+
 def test_same_revision_with_another_digest_is_ignored():
     """A second content of a revision must not replace the first."""
     process = _process()
