Split the replay's runner into world, events and runner

Cause: one module of 445 lines built the processes, applied events and printed. Change: three modules; the event 'apply', which nothing handled, is gone.

--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -24,7 +24,7 @@
 class Node:
     """A process of the replay.
 
-    :param world: the :class:`limpetlift.replay.runner.World`.
+    :param world: the :class:`limpetlift.replay.world.World`.
     :param process_id: id of the process.
     :param site: its data centre, a :class:`limpetlift.replay.trace.Site`.
     """
--- a/src/limpetlift/replay/outcomes.py
+++ b/src/limpetlift/replay/outcomes.py
@@ -39,7 +39,7 @@
 class Outcomes:
     """Counts what the processes of a replay do.
 
-    :param world: the :class:`limpetlift.replay.runner.World`.
+    :param world: the :class:`limpetlift.replay.world.World`.
     """
 
     world: object
--- a/src/limpetlift/replay/requests.py
+++ b/src/limpetlift/replay/requests.py
@@ -77,7 +77,7 @@
 class Callers:
     """Sends jobs to balancers and repeats them.
 
-    :param world: the :class:`limpetlift.replay.runner.World`.
+    :param world: the :class:`limpetlift.replay.world.World`.
     """
 
     def __init__(self, world):
--- a/src/limpetlift/replay/trace.py
+++ b/src/limpetlift/replay/trace.py
@@ -260,17 +260,6 @@
     for_s: float
 
 
-@_event("apply")
-@attrs.frozen(kw_only=True)
-class Apply(Event):
-    """An operator changes a setting of a service."""
-
-    operator: str
-    service: str
-    setting: str
-    value: float
-
-
 @attrs.frozen
 class Trace:
     """A header and its events by time."""
