Record the traffic of balancers as traces

Cause: a trace could only be written by hand, so no incident could be replayed. Change: setting balancer.record; the demo replays what its balancers recorded.

--- a/src/limpetlift/replay/world.py
+++ b/src/limpetlift/replay/world.py
@@ -50,7 +50,9 @@
         for event in recorded.events:
             self.clock.at(_WARM_UP_S + event.at, events.apply, self, event)
         self.trace_start = _WARM_UP_S
-        self.end = _WARM_UP_S + self.header.duration_s
+        # A recording does not know its end beforehand.
+        last = max((event.at for event in recorded.events), default=0.0)
+        self.end = _WARM_UP_S + max(self.header.duration_s, last)
 
     def run(self):
         """Run the trace and return its :class:`Outcomes`."""
--- a/src/limpetlift/state/settings.py
+++ b/src/limpetlift/state/settings.py
@@ -38,9 +38,14 @@
 
     :param bind_ip: bind services' ports on this address instead of the
         address of the service; for fabrics that translate addresses.
+    :param record: file in which a trace of the traffic is written; empty
+        writes none.
     """
 
     bind_ip: str = checks.setting(checks.Ip(optional=True), default="")
+    record: str = checks.setting(
+        checks.Text("[^\x00]{0,4096}", "a file path"), default=""
+    )
 
 
 @attrs.frozen
--- a/src/limpetlift/tasks/balancer.py
+++ b/src/limpetlift/tasks/balancer.py
@@ -9,12 +9,14 @@
 from limpetlift.coordination import member as records
 from limpetlift.coordination import relays
 from limpetlift import defaults
+from limpetlift import exceptions
 from limpetlift.state import config
 from limpetlift.tasks import configuration
 from limpetlift.tasks import flowpath
 from limpetlift.tasks import gateway
 from limpetlift.tasks import members
 from limpetlift.tasks import process
+from limpetlift.tasks import recorder
 from limpetlift.tasks import relay
 
 
@@ -52,6 +54,7 @@
         self._joined = False
         self._configuration = None
         self._relay = None
+        self._record(self.settings.balancer.record)
         if self.settings.config.folder:
             self._on_configuration(
                 config.load_folder(self.settings.config.folder)
@@ -62,6 +65,31 @@
         self.every(defaults.HEARTBEAT_S, self._update_gauges)
         self.members.tick()
 
+    def _record(self, path):
+        """Record the traffic as a trace, where a path is set."""
+        if not path:
+            return
+        try:
+            self.recorder = recorder.Recorder(path, self.node.id)
+        except OSError as error:
+            raise exceptions.SettingsError(
+                ["balancer.record: %s: %s" % (path, error.strerror)]
+            ) from error
+        self.stack.callback(self.recorder.close)
+        self.flows.recorder = self.gateway.recorder = self.recorder
+        self.every(defaults.HEARTBEAT_S, self._begin_record)
+
+    def _begin_record(self):
+        view = self.members.view
+        services = [t.service for t in self.flows.tables_by_name.values()]
+        agents = [
+            agent
+            for service in services
+            for agent in view.members_of(service.name)
+        ]
+        if self.ready and agents:
+            self.recorder.begin(services, agents, len(view.all_balancers()))
+
     def _start_configuration(self, store, rng):
         decisions = distribution.Distribution(
             self.node.id, self.incarnation, rng, has_store=store is not None
--- a/src/limpetlift/tasks/flowpath.py
+++ b/src/limpetlift/tasks/flowpath.py
@@ -38,6 +38,7 @@
         self._bind_ip = bind_ip
         self._sockets_by_id = {}
         self.tables_by_name = {}
+        self.recorder = None
         self._to_agent = metrics.PACKETS.by_direction["to_agent"]
         self._to_caller = metrics.PACKETS.by_direction["to_caller"]
         node.on_packet(self._answer)
@@ -98,6 +99,8 @@
             return
         self._node.send_packet(packet, endpoint)
         self._to_agent.count += 1
+        if self.recorder is not None:
+            self.recorder.on_datagram(table.service.name, caller)
 
     def _answer(self, packet, _address):
         socket = self._sockets_by_id.get(packet.service_id)
--- a/src/limpetlift/tasks/gateway.py
+++ b/src/limpetlift/tasks/gateway.py
@@ -59,6 +59,7 @@
         self._idle_by_endpoint = {}
         self._dispatch_by_name = {}
         self.running_by_id = {}
+        self.recorder = None
 
     def set_services(self, services):
         """Open and close servers so that they match ``services``."""
@@ -216,12 +217,14 @@
         """Find an agent that admits the request, before its body is read."""
         try:
             start, deadline = self._start_message()
+            self._start = start
             self._deadline = deadline
             self._gateway.running_by_id[self.request_id] = self
             self._opening = asyncio.ensure_future(
                 self._gateway.open_exchange(start, deadline)
             )
             self._exchange = await self._wait_opening()
+            self._admitted_at = time.monotonic()
         except exceptions.Refused as error:
             self._refuse(error)
         except asyncio.CancelledError as error:
@@ -323,6 +326,9 @@
             raise exceptions.MalformedMessage("answer of another length")
         self._gateway.release(exchange.member, exchange.frames)
         self._settle(balancing.OK)
+        recorder = self._gateway.recorder
+        if recorder is not None:
+            recorder.on_answer(self._start, self._admitted_at, self._deadline)
         self._exchange = None
         await self.finish()
 
--- a/src/limpetlift/testing/demo.py
+++ b/src/limpetlift/testing/demo.py
@@ -15,6 +15,7 @@
 from tornado import httpclient
 
 from limpetlift import exceptions
+from limpetlift.replay import runner
 from limpetlift.testing import deployment
 from limpetlift.testing import traffic
 
@@ -70,7 +71,15 @@
         runs = await _collect_runs(state)
         for caller in state.callers:
             caller.close()
-        return _report(state, runs)
+        code = _report(state, runs)
+        return max(code, _replay(system))
+
+
+def _replay(system):
+    """Replay what the balancers recorded; return 1 when a target is missed."""
+    summary = runner.run([system.recording(name) for name in _BALANCERS])
+    print("replay of the recording: %s" % summary.to_text().splitlines()[-1])
+    return 0 if summary.kept else 1
 
 
 async def _start(state, seed):
--- a/src/limpetlift/testing/deployment.py
+++ b/src/limpetlift/testing/deployment.py
@@ -115,7 +115,12 @@
 
     def start_balancer(self, name, host):
         """Start a balancer at host number ``host`` of the network."""
-        self._start("balancer", name, host, '[balancer]\nbind_ip = "{ip}"\n')
+        extra = '[balancer]\nbind_ip = "{ip}"\nrecord = "%s"\n'
+        self._start("balancer", name, host, extra % self.recording(name))
+
+    def recording(self, name):
+        """Return the path of the trace that a balancer records."""
+        return self.folder / (name + ".jsonl")
 
     def start_agent(self, name, host, service):
         """Start a backend server and its agent."""
