--- a/src/limpetlift/coordination/sponsor.py
+++ b/src/limpetlift/coordination/sponsor.py
@@ -26,9 +26,6 @@
 # One bucket of the digest each second audits all members in two minutes.
 _AUDIT_S = 1.0
 _AUDIT_PROBE_S = 0.75
-# Longer than SUSPECT_S: an audit starts without a message of the member, so a
-# round trip of 3 s would look like silence.
-_AUDIT_SUSPECT_S = 2 * defaults.SUSPECT_S
 
 
 def _score(agent_id, other):
@@ -276,7 +273,7 @@
         ):
             return
         self._watched_by_id[record.agent_id] = _Watched(
-            now + _AUDIT_SUSPECT_S, now, _AUDIT_PROBE_S, False
+            now + defaults.SUSPECT_S, now, _AUDIT_PROBE_S, False
         )
 
     def _auditor(self, record):
--- a/src/limpetlift/state/flowview.py
+++ b/src/limpetlift/state/flowview.py
@@ -55,12 +55,6 @@
     _planned: list = attrs.field(factory=list)
     _all: object = None
     _order_by_bucket: dict = attrs.field(factory=dict)
-    _lost_ids: set = attrs.field(factory=set)
-
-    @property
-    def has_lost(self):
-        """Whether a member is taken for dead, which may be false."""
-        return bool(self._lost_ids)
 
     def is_live(self, agent_id):
         """Whether the agent is known and neither dead nor gone."""
@@ -104,26 +98,12 @@
             if known.get(agent_id) != merged.get(agent_id)
         }
         self.members_by_id = merged
-        self._note_lost(known)
         for agent_id, prepared in list(self.prepared_by_id.items()):
             record = merged.get(agent_id)
             if record and _reached(record, prepared.member):
                 del self.prepared_by_id[agent_id]
         return changed
 
-    def _note_lost(self, known):
-        """Remember members that ended without leaving, until they return."""
-        self._lost_ids |= {
-            agent_id
-            for agent_id, record in known.items()
-            if record.state not in _GONE and not self.is_live(agent_id)
-        }
-        self._lost_ids -= {
-            agent_id
-            for agent_id, record in self.members_by_id.items()
-            if record.state != members.DEAD
-        }
-
     def prepare(self, record, deadline):
         """Store a prepared record; return whether it is news."""
         known = self.members_by_id.get(record.agent_id)
--- a/src/limpetlift/state/openings.py
+++ b/src/limpetlift/state/openings.py
@@ -18,8 +18,6 @@
     :param unanswered: ids of members that were asked and did not answer.
     :param granted: ids of members that know no other owner.
     :param hints: incarnations by id of owners that members named.
-    :param may_be_alone: whether the only other member may be silent, because
-        none was lost before it.
     """
 
     key: bytes
@@ -30,7 +28,6 @@
     unanswered: set = attrs.field(factory=set)
     granted: set = attrs.field(factory=set)
     hints: dict = attrs.field(factory=dict)
-    may_be_alone: bool = True
 
     @property
     def asked(self):
@@ -44,9 +41,7 @@
         The owner and REDIRECT_COPIES others know of a flow, so not all of
         them may be silent.
         """
-        spare = len(self.asked) - 1
-        if not spare and self.may_be_alone:
-            spare = 1
+        spare = max(1, len(self.asked) - 1)
         return len(self.unanswered) <= min(spare, defaults.REDIRECT_COPIES)
 
     @property
--- a/src/limpetlift/state/ownership.py
+++ b/src/limpetlift/state/ownership.py
@@ -219,7 +219,6 @@
             return self.pass_opening(now, opening)
         if self._ask_more(now, opening):
             return []
-        opening.may_be_alone = not self.view.has_lost
         if not opening.has_knower:
             # In a partition the silent members may own the flow. Until they
             # answer or are dead, a lost datagram does less harm than a flow
