Ignore keys in a request table without claims

Cause: a repeated key beside a running one asked claims that were not there. Change: without claims a request is taken as one without a key. Measured: the new test fails before the change with an AttributeError; found by reading.

--- a/src/limpetlift/state/requests.py
+++ b/src/limpetlift/state/requests.py
@@ -39,7 +39,7 @@
 
     :param queue: a :class:`limpetlift.state.admission.AdmissionQueue`.
     :param claims: a :class:`limpetlift.state.claims.ClaimTable`, or None
-        where requests carry no keys.
+        where keys have no effect.
 
     .. versionadded:: 0.1
     """
@@ -68,6 +68,8 @@
         :param key: idempotency key, or empty.
         :param queue_arguments: passed to ``AdmissionQueue.on_request``.
         """
+        if self.claims is None:
+            key = ""
         request = _Request(request_id, key, deadline, first_attempt, now)
         self._requests_by_id[request_id] = request
         if key and key in self._leader_by_key:
@@ -119,7 +121,7 @@
     def _on_admit(self, now, step):
         request = self._requests_by_id[step.request_id]
         request.admitted = True
-        if not request.key or self.claims is None:
+        if not request.key:
             request.granted = True
             return [step]
         return self._claim(now, request)
@@ -199,7 +201,7 @@
         request = self._finish(request_id)
         steps = self.queue.on_finished(now, request_id, seconds)
         results = self._on_queue(now, steps)
-        if request.key and self.claims is not None:
+        if request.key:
             results += self._on_claims(
                 now, self.claims.on_done(now, request.key, answer)
             )
@@ -212,7 +214,7 @@
         """
         request = self._finish(request_id)
         results = self._on_queue(now, self.queue.on_cancel(now, request_id))
-        if request.key and self.claims is not None:
+        if request.key:
             results += self._on_claims(
                 now, self.claims.on_failed(now, request.key, ran)
             )
@@ -230,7 +232,7 @@
         if request is None:
             return []
         results = []
-        if request.key and self.claims is not None:
+        if request.key:
             results += self._on_claims(
                 now, self.claims.on_cancel(now, request_id)
             )
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -100,3 +100,12 @@
     steps = table.on_answered(late, "long", 1.0, None)
     assert steps == [actions.Refused("a", "deadline_passed")]
     assert table.queue.busy == 0
+
+
+def test_keys_have_no_effect_without_claims():
+    """A table without claims must not fail on a repeated key."""
+    queue = admission.AdmissionQueue(2, random.Random(1))
+    table = requests.RequestTable(queue)
+    assert table.on_request(0.0, "a", 9.0, key="k") == [actions.Admit("a")]
+    assert table.on_request(0.1, "b", 9.0, key="k") == [actions.Admit("b")]
+    assert table.on_answered(1.0, "a", 1.0, None) == []
