Tell the callers when a balancer is stopped twice

Cause: a second SIGTERM closed connections without a word, so callers could not tell a request that had not run from one that may have. Change: waiting requests are refused as not run, running ones with an unknown outcome, before the balancer leaves.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -83,6 +83,12 @@
     And desk-1 is ended by two SIGTERM
     Then every flow of desk-1 got the reset payload
 
+  Scenario: A balancer that is stopped twice refuses honestly
+    Given a service with 3 balancers and 4 agents
+    When 12 requests of 3000 ms are sent
+    And balancer-1 is ended by two SIGTERM
+    Then every request is answered or refused and none runs twice
+
   Scenario: Hostile datagrams and requests stop no process
     Given a service with 3 balancers and 4 agents
     When 60 flows are opened
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -13,6 +13,7 @@
 import behave
 from tornado import httpclient
 
+from limpetlift.protocol import refusal
 from limpetlift.testing import deployment
 from limpetlift.testing import traffic
 
@@ -318,6 +319,21 @@
     assert not [key for key, count in runs.items() if count > 1], runs
 
 
+@behave.then("every request is answered or refused and none runs twice")
+def check_told(context):
+    """Fail when a caller was left without a word, or a key ran twice."""
+    runs = context.runner.run(_finish_requests(context))
+    counts = context.counts
+    refused = sum(
+        count
+        for code, count in counts.refused_by_code.items()
+        if refusal.refusals_by_code[code].outcome != refusal.NOT_RUN
+    )
+    assert refused, "no request was ended"
+    assert counts.answered + refused == counts.sent, counts
+    assert not [key for key, count in runs.items() if count > 1], runs
+
+
 @behave.then("no request runs twice")
 def check_runs(context):
     """Fail when a key was run more than once, or an answer was mixed."""
--- a/src/limpetlift/tasks/balancer.py
+++ b/src/limpetlift/tasks/balancer.py
@@ -19,6 +19,9 @@
 from limpetlift.tasks import recorder
 from limpetlift.tasks import relay
 
+# Time in which the callers of requests that are ended get their refusals.
+_REFUSE_S = 1.0
+
 
 class Balancer(process.Process):
     """Maps packets and requests to agents.
@@ -170,11 +173,16 @@
         no longer ready.
         """
         await self.finish_or_stop(self._finish(deadline))
+        self.gateway.stop_requests()
+        await self._finish_requests(time.monotonic() + _REFUSE_S)
         self.members.leave()
 
-    async def _finish(self, deadline):
+    async def _finish_requests(self, deadline):
         while self.gateway.running_by_id and time.monotonic() < deadline:
             await asyncio.sleep(defaults.TICK_S)
+
+    async def _finish(self, deadline):
+        await self._finish_requests(deadline)
         while time.monotonic() < self._forward_until:
             await asyncio.sleep(defaults.TICK_S)
 
--- a/src/limpetlift/tasks/gateway.py
+++ b/src/limpetlift/tasks/gateway.py
@@ -184,6 +184,11 @@
         for _address, server in self._servers_by_name.values():
             server.stop()
 
+    def stop_requests(self):
+        """End all running requests."""
+        for handler in list(self.running_by_id.values()):
+            handler.stop()
+
     def close(self):
         """Close the servers and the idle connections."""
         self.stop_listening()
@@ -205,6 +210,7 @@
         self._exchange = None
         self._opening = None
         self._gone = False
+        self._stopped = False
         self._sent = 0
         self._error = None
         # Two callers may choose the same id, so frames carry another one.
@@ -228,10 +234,25 @@
         except exceptions.Refused as error:
             self._refuse(error)
         except asyncio.CancelledError as error:
+            if self._stopped:
+                self._refuse(exceptions.Refused("stopping"))
+                return
             # The caller has gone, so this answer reaches nobody.
             self.on_connection_close()
             raise web.HTTPError(499) from error
 
+    def stop(self):
+        """End the request now; its caller gets a refusal that is true.
+
+        Without an agent the request has not run; else the closed connection
+        to the agent makes the outcome unknown.
+        """
+        self._stopped = True
+        if self._exchange is not None:
+            self._exchange.frames.close()
+        elif self._opening is not None:
+            self._opening.cancel()
+
     async def _wait_opening(self):
         """Wait for admission and cancel it when the caller has gone.
 
