Let the settings of the queue, the retry budget and request sizes take effect

Cause: queue_limit, retry_tokens_per_request, retry_tokens_max, long_factor, long_content_bytes and max_request_bytes were checked and then ignored; a connection that broke the protocol was logged with a traceback. Change: agents and balancers use them; a request that announces too much is refused as not run, one that turns out too large gets an unknown outcome. Measured, by hand on loopback: 2,000 bytes against a limit of 1,000 give 413 too_large, chunked 504 outcome_unknown; with one slot and a queue of one, two of four requests get queue_full and two are answered.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -78,6 +78,8 @@
 BACKOFF_BASE_S = 0.01
 BACKOFF_MAX_S = 1.0
 BODY_CHUNK_BYTES = 64 * 1024
+# Bodies are streamed; the limit of a service is checked by the balancer.
+UNLIMITED_BYTES = 1 << 62
 MAX_REQUEST_BYTES = 256 * 1024 * 1024
 MAX_FRAME_BYTES = 1024 * 1024
 
--- a/src/limpetlift/state/admission.py
+++ b/src/limpetlift/state/admission.py
@@ -83,6 +83,8 @@
     :param rng: breaks ties between equally loaded peers.
     :param policy: a key of ``policies_by_name``.
     :param limit: requests that may wait.
+    :param long_factor: work is long from this many median run times on.
+    :param long_content_bytes: bodies from this size on are long work.
 
     .. versionadded:: 0.1
     """
@@ -91,11 +93,11 @@
     rng: random.Random
     policy: str = "deadline"
     limit: int = defaults.QUEUE_LIMIT
+    long_factor: float = defaults.LONG_FACTOR
+    long_content_bytes: int = defaults.LONG_CONTENT_BYTES
     draining: bool = attrs.field(default=False, init=False)
     _rules: object = attrs.field(init=False)
-    _history: history.History = attrs.field(
-        factory=history.History, init=False
-    )
+    _history: history.History = attrs.field(init=False)
     _running_by_id: dict = attrs.field(factory=dict, init=False)
     _short: backlog.Backlog = attrs.field(factory=backlog.Backlog, init=False)
     _long: backlog.Backlog = attrs.field(factory=backlog.Backlog, init=False)
@@ -107,6 +109,7 @@
     def __attrs_post_init__(self):
         if self.slots < 1:
             raise exceptions.StateError("%d slots" % self.slots)
+        self._history = history.History(self.long_factor)
         self._rules = registry.lookup(
             policies_by_name, self.policy, "admission policy"
         )()
@@ -252,7 +255,7 @@
         key = (route, work_class)
         long = self._rules.separates and (
             work_class == LONG
-            or content_length >= defaults.LONG_CONTENT_BYTES
+            or content_length >= self.long_content_bytes
             or self._history.is_long(key)
         )
         return backlog.Entry(
--- a/src/limpetlift/state/history.py
+++ b/src/limpetlift/state/history.py
@@ -72,8 +72,12 @@
 
 @attrs.define
 class History:
-    """Run times by route, and of all short work together."""
+    """Run times by route, and of all short work together.
 
+    :param long_factor: work is long from this many median run times on.
+    """
+
+    long_factor: float = defaults.LONG_FACTOR
     _runs_by_route: collections.OrderedDict = attrs.field(
         factory=collections.OrderedDict
     )
@@ -97,7 +101,7 @@
         """Run time in seconds from which work counts as long."""
         if len(self.short) < defaults.HISTORY_MIN_RUNS:
             return float("inf")
-        return defaults.LONG_FACTOR * self.short.median
+        return self.long_factor * self.short.median
 
     def is_long(self, route):
         """Whether most runs of ``route`` were long."""
--- a/src/limpetlift/tasks/backend.py
+++ b/src/limpetlift/tasks/backend.py
@@ -95,7 +95,7 @@
             http1connection.HTTP1ConnectionParameters(
                 no_keep_alive=True,
                 chunk_size=defaults.BODY_CHUNK_BYTES,
-                max_body_size=defaults.MAX_REQUEST_BYTES,
+                max_body_size=defaults.UNLIMITED_BYTES,
             ),
         )
 
--- a/src/limpetlift/tasks/gateway.py
+++ b/src/limpetlift/tasks/gateway.py
@@ -68,6 +68,7 @@
             self._servers_by_name.pop(name)[1].stop()
             self._dispatch_by_name.pop(name, None)
         for name, service in wanted.items():
+            self._set_budget(name)
             address, server = self._servers_by_name.get(name, ("", None))
             if address == service.address:
                 continue
@@ -78,6 +79,16 @@
                 self._listen(service),
             )
 
+    def _set_budget(self, name):
+        """Follow the retry budget of a service."""
+        known = self._dispatch_by_name.get(name)
+        table = self.tables_by_name.get(name)
+        if known is not None and table is not None:
+            known.budget.tokens_per_request = (
+                table.service.retry_tokens_per_request
+            )
+            known.budget.capacity = table.service.retry_tokens_max
+
     def _listen(self, service):
         application = web.Application(
             [(r".*", RequestHandler, {"gateway": self, "name": service.name})],
@@ -85,7 +96,7 @@
         )
         server = httpserver.HTTPServer(
             application,
-            max_body_size=defaults.MAX_REQUEST_BYTES,
+            max_body_size=defaults.UNLIMITED_BYTES,
             chunk_size=defaults.BODY_CHUNK_BYTES,
         )
         ip, port = service.endpoint
@@ -129,6 +140,7 @@
         known = self._dispatch_by_name.get(name)
         if known is None:
             known = self._dispatch_by_name[name] = dispatch.Dispatch()
+            self._set_budget(name)
         return known
 
     def _members(self, name):
@@ -289,11 +301,22 @@
             work_class=headers.get(CLASS_HEADER, ""),
             content_length=int(headers.get("Content-Length", 0)),
         )
+        self._max_bytes = table.service.max_request_bytes
+        if start.content_length > self._max_bytes:
+            raise exceptions.Refused("too_large")
         return start, time.monotonic() + timeout_ms / 1000
 
     async def data_received(self, chunk):
         """Pass a part of the body on to the agent."""
+        if self._finished:
+            return
         self._sent += len(chunk)
+        if self._sent > self._max_bytes:
+            # A body without an announced length has been passed on in part.
+            self._exchange.frames.close()
+            self._settle(balancing.CANCELLED)
+            self._refuse(exceptions.Refused("outcome_unknown", "too large"))
+            return
         try:
             await self._exchange.send("BodyChunk", data=chunk)
         except exceptions.PeerClosed as error:
@@ -301,6 +324,8 @@
             self._refuse(exceptions.Refused("outcome_unknown", str(error)))
 
     async def _respond(self):
+        if self._finished:
+            return
         exchange = self._exchange
         try:
             async with asyncio.timeout(self._deadline - time.monotonic()):
--- a/src/limpetlift/tasks/requestpath.py
+++ b/src/limpetlift/tasks/requestpath.py
@@ -189,6 +189,13 @@
             await asyncio.sleep(0.02)
 
     async def _serve(self, frames):
+        """Serve a connection until it ends or breaks the protocol."""
+        try:
+            await self._serve_requests(frames)
+        except exceptions.ProtocolError as error:
+            LOG.debug("connection_ended", code=error.code, error=error)
+
+    async def _serve_requests(self, frames):
         while True:
             data = await frames.read()
             start = self._node.open_frame(data, "RequestStart")
--- a/src/limpetlift/tasks/slots.py
+++ b/src/limpetlift/tasks/slots.py
@@ -31,7 +31,12 @@
         self._node = node
         self._rng = random.Random()
         self._queue = admission.AdmissionQueue(
-            service.slots, self._rng, service.admission
+            service.slots,
+            self._rng,
+            service.admission,
+            service.queue_limit,
+            service.long_factor,
+            service.long_content_bytes,
         )
         self._table = requests.RequestTable(self._queue, claims)
         self._waiting_by_id = {}
