Name heartbeats, reachability and peers by the terms of the field

Cause: the modules pulse and reach and the property has_knower need explaining. Change: heartbeats, reachability, rules_out_owner, active_peer_ids; no logic. Measured: the tests of membership, view, flows and the request path pass.

--- a/src/limpetlift/bench/fleet.py
+++ b/src/limpetlift/bench/fleet.py
@@ -210,7 +210,7 @@
         """Let the twin hear from all data centres that are up."""
         for data_centre in self.base.data_centres():
             if data_centre not in self.silent:
-                self.twin.reach.on_heard(self.now, data_centre)
+                self.twin.reachability.on_heard(self.now, data_centre)
 
     def _send_beats(self):
         if self.now < self._next_beat or not self.beats:
--- a/src/limpetlift/coordination/fleet.py
+++ b/src/limpetlift/coordination/fleet.py
@@ -10,7 +10,7 @@
 from limpetlift.coordination import dissemination
 from limpetlift.coordination import member
 from limpetlift.coordination import membership
-from limpetlift.coordination import reach
+from limpetlift.coordination import reachability
 from limpetlift.coordination import sponsor
 from limpetlift import defaults
 from limpetlift.protocol import messages
@@ -25,7 +25,7 @@
 
     strategy: str = "logdistance"
     bucket: budget.TokenBucket = attrs.field(factory=budget.TokenBucket)
-    reach: reach.Reach = attrs.field(init=False)
+    reachability: reachability.Reachability = attrs.field(init=False)
     sponsor: sponsor.Sponsor = attrs.field(init=False)
     dissemination: dissemination.Dissemination = attrs.field(init=False)
     antientropy: antientropy.AntiEntropy = attrs.field(init=False)
@@ -34,8 +34,10 @@
 
     def __attrs_post_init__(self):
         membership.Membership.__attrs_post_init__(self)
-        self.reach = reach.Reach(self.view, self.rng, self.own.data_centre)
-        self.sponsor = sponsor.Sponsor(self.view, self.reach)
+        self.reachability = reachability.Reachability(
+            self.view, self.rng, self.own.data_centre
+        )
+        self.sponsor = sponsor.Sponsor(self.view, self.reachability)
         self.dissemination = dissemination.Dissemination(
             self.view, self.rng, self.bucket, self.strategy
         )
@@ -64,7 +66,7 @@
         """Run the timers and return the actions."""
         found = self._charge(membership.Membership.tick(self, now))
         silent = self.view.silent()
-        pings = self.reach.tick(now)
+        pings = self.reachability.tick(now)
         if self.view.silent() != silent:
             self.sponsor.forget_silent()
         for peer in pings:
@@ -92,7 +94,7 @@
     def _beat(self, now):
         if self._candidates_version != self.view.balancers_version:
             self._candidates_version = self.view.balancers_version
-            self.pulse.candidates = sponsor.choose_sponsors(
+            self.heartbeats.candidates = sponsor.choose_sponsors(
                 self.view, self.own
             )
         return membership.Membership._beat(self, now)
@@ -105,7 +107,7 @@
         """
         if self._next_seed is None:
             self._next_seed = now + self.rng.random() * defaults.SEED_S
-        if now < self._next_seed or not self.pulse.seeds:
+        if now < self._next_seed or not self.heartbeats.seeds:
             return []
         self._next_seed = now + defaults.SEED_S
         message = messages.structs.Gossip(
@@ -114,7 +116,9 @@
             root=self.view.digest.packed_root(),
         )
         return [
-            actions.SendAddress(self.rng.choice(self.pulse.seeds), message)
+            actions.SendAddress(
+                self.rng.choice(self.heartbeats.seeds), message
+            )
         ]
 
     def _publish(self, now, refuted):
@@ -124,7 +128,7 @@
 
     def _on_pause(self, now, gap):
         membership.Membership._on_pause(self, now, gap)
-        self.reach.on_pause(now)
+        self.reachability.on_pause(now)
         self.sponsor.on_pause()
 
     def _note_heard(self, now, sender):
@@ -132,7 +136,7 @@
         if record is None:
             return []
         name = record.data_centre
-        silence = self.reach.on_heard(now, name)
+        silence = self.reachability.on_heard(now, name)
         if not silence:
             return []
         self.sponsor.audit_data_centre(now, name)
--- a/src/limpetlift/coordination/pulse.py
+++ b/src/limpetlift/coordination/heartbeats.py
@@ -18,7 +18,7 @@
 
 
 @attrs.define
-class Pulse:
+class HeartbeatSender:
     """Sends the heartbeats of this process.
 
     :param view: the view, with the record of this process.
--- a/src/limpetlift/coordination/membership.py
+++ b/src/limpetlift/coordination/membership.py
@@ -10,8 +10,8 @@
 import attrs
 
 from limpetlift.coordination import actions
+from limpetlift.coordination import heartbeats
 from limpetlift.coordination import member
-from limpetlift.coordination import pulse
 from limpetlift.coordination import view
 from limpetlift import defaults
 from limpetlift.protocol import messages
@@ -33,7 +33,7 @@
     seeds: list = attrs.field(factory=list)
     config_revision: int = 0
     view: view.View = attrs.field(init=False)
-    pulse: pulse.Pulse = attrs.field(init=False)
+    heartbeats: heartbeats.HeartbeatSender = attrs.field(init=False)
     _last_event: float = attrs.field(init=False, default=None)
     _handlers: dict = attrs.field(init=False, repr=False)
 
@@ -42,7 +42,9 @@
         self.view = view.View(self.own.agent_id, scope)
         self.view.set_own(0.0, self.own)
         seeds = [name for name in self.seeds if name != self.own.address]
-        self.pulse = pulse.Pulse(self.view, self.rng, seeds)
+        self.heartbeats = heartbeats.HeartbeatSender(
+            self.view, self.rng, seeds
+        )
         self._handlers = {
             messages.structs.HeartbeatReply: self._on_reply,
             messages.structs.Probe: self._on_probe,
@@ -73,7 +75,7 @@
         """Run the timers and return the actions."""
         self._note_time(now)
         self.view.tick(now)
-        return self._beat(now) if self.pulse.is_due(now) else []
+        return self._beat(now) if self.heartbeats.is_due(now) else []
 
     def kinds(self):
         """Return the names of the messages that this process handles."""
@@ -82,7 +84,7 @@
     @property
     def is_joined(self):
         """Whether a sponsor has the record of this process."""
-        return self.pulse.is_acknowledged()
+        return self.heartbeats.is_acknowledged()
 
     def update(self, now, **changes):
         """Publish a change of the own record, such as state or weight.
@@ -108,7 +110,9 @@
         return [actions.OwnRecord(self.own, refuted)] + self._beat(now)
 
     def _beat(self, now):
-        return self.pulse.beat(now, self.config_revision, self._view_hash())
+        return self.heartbeats.beat(
+            now, self.config_revision, self._view_hash()
+        )
 
     def _refute(self, now):
         challenge, self.view.challenge = self.view.challenge, None
@@ -133,15 +137,15 @@
             for record in self.view.all_records():
                 self.view.forget(record.agent_id)
         self.view.on_pause(now)
-        self.pulse.on_pause(now)
+        self.heartbeats.on_pause(now)
 
     def _on_probe(self, now, sender, incarnation, message):
-        return self.pulse.on_probe(
+        return self.heartbeats.on_probe(
             now, sender, self.config_revision, self._view_hash()
         )
 
     def _on_reply(self, now, sender, incarnation, message):
-        self.pulse.on_reply(now, sender, message)
+        self.heartbeats.on_reply(now, sender, message)
         return self._merge_reply(now, sender, message)
 
     def _view_hash(self):
@@ -181,7 +185,7 @@
         return found
 
     def _view_hash(self):
-        return self.view.hash_for(self.own.service, self.pulse.candidates)
+        return self.view.hash_for(self.own.service, self.heartbeats.candidates)
 
     def _merge_reply(self, now, sender, message):
         newer = []
@@ -192,7 +196,7 @@
                 if held is not None and held.version > record.version:
                     newer.append(held)
         if message.sponsors:
-            self.pulse.candidates = tuple(message.sponsors)
+            self.heartbeats.candidates = tuple(message.sponsors)
         self._note_silent(now, sender, message.silent or ())
         newer = [record for record in newer if record != self.own]
         if not newer:
@@ -209,9 +213,9 @@
 
     def _prune(self):
         """Forget balancers whose end this agent would not hear of."""
-        if not self.pulse.candidates:
+        if not self.heartbeats.candidates:
             return
-        needed = {*self.pulse.candidates, *self.pulse.sponsors()}
+        needed = {*self.heartbeats.candidates, *self.heartbeats.sponsors()}
         for name in self.view.data_centres():
             for agent_id in self.view.known_balancers(name):
                 if agent_id not in needed:
--- a/src/limpetlift/coordination/reach.py
+++ b/src/limpetlift/coordination/reachability.py
@@ -28,7 +28,7 @@
 
 
 @attrs.define
-class Reach:
+class Reachability:
     """Finds the data centres that are silent for this balancer.
 
     :param view: the view of this process.
--- a/src/limpetlift/coordination/sponsor.py
+++ b/src/limpetlift/coordination/sponsor.py
@@ -71,13 +71,14 @@
     """Watches the members that chose this balancer as a sponsor.
 
     :param view: the view of this process.
-    :param reach: the :class:`limpetlift.coordination.reach.Reach`.
+    :param reachability: a
+        :class:`limpetlift.coordination.reachability.Reachability`.
 
     .. versionadded:: 0.1
     """
 
     view: object
-    reach: object
+    reachability: object
     config_revision: int = 0
     _watched_by_id: dict = attrs.field(factory=dict, repr=False)
     _sponsors_by_id: dict = attrs.field(factory=dict, repr=False)
@@ -247,7 +248,7 @@
             if record is None or record.state not in member.LIVE_STATES:
                 del self._watched_by_id[agent_id]
             elif now >= entry.suspect_at:
-                if self.reach.is_quiet(now, record.data_centre):
+                if self.reachability.is_quiet(now, record.data_centre):
                     entry.suspect_at = now + _HOLD_S
                     continue
                 del self._watched_by_id[agent_id]
--- a/src/limpetlift/coordination/view.py
+++ b/src/limpetlift/coordination/view.py
@@ -10,7 +10,8 @@
 * Dead and left records are kept for ``DEAD_RETENTION_S``, so that an older
   record cannot revive the member.
 
-A data centre that is silent as a whole is judged locally (see ``reach``) and
+A data centre that is silent as a whole is judged locally (see
+``reachability``) and
 changes no record: the members only look suspect, then dead, to this process.
 """
 
--- a/src/limpetlift/state/openings.py
+++ b/src/limpetlift/state/openings.py
@@ -35,7 +35,7 @@
         return self.unanswered | self.granted
 
     @property
-    def has_knower(self):
+    def rules_out_owner(self):
         """Whether an owner, if there is one, must have been noticed.
 
         The owner and REDIRECT_COPIES others know of a flow, so not all of
@@ -139,7 +139,7 @@
 
     def _is_answered(self, now, opening):
         """Whether enough members answered and the others were asked."""
-        if not opening.has_knower:
+        if not opening.rules_out_owner:
             return False
         return all(
             self.mail.is_tried(now, peer_id, opening.key)
--- a/src/limpetlift/state/ownership.py
+++ b/src/limpetlift/state/ownership.py
@@ -219,7 +219,7 @@
             return self.pass_opening(now, opening)
         if self._ask_more(now, opening):
             return []
-        if not opening.has_knower:
+        if not opening.rules_out_owner:
             # In a partition the silent members may own the flow. Until they
             # answer or are dead, a lost datagram does less harm than a flow
             # with two owners.
--- a/src/limpetlift/tasks/agent.py
+++ b/src/limpetlift/tasks/agent.py
@@ -82,7 +82,7 @@
             decisions,
             store,
             # An agent knows its sponsors only; they are its witnesses.
-            lambda: self.members.membership.pulse.sponsors(),
+            lambda: self.members.membership.heartbeats.sponsors(),
             self._on_configuration,
         )
         self.stack.push_async_callback(self._configuration.close)
@@ -182,7 +182,7 @@
             peer.agent_id: peer.endpoint for peer in peers
         }
         self.requests.slots.endpoints_by_id = self.flows.endpoints_by_id
-        self.requests.slots.taker_ids = [
+        self.requests.slots.active_peer_ids = [
             peer.agent_id for peer in peers if peer.takes_new
         ]
         self.flows.perform(self.table.on_members(time.monotonic(), peers))
--- a/src/limpetlift/tasks/flowpath.py
+++ b/src/limpetlift/tasks/flowpath.py
@@ -18,7 +18,7 @@
 LOG = logs.EventLogger("flowpath")
 
 # Ends of a flow that its caller is told of.
-_TOLD = ("backend_down", "stopped")
+_NOTIFIED_REASONS = ("backend_down", "stopped")
 
 
 class BalancerFlows:
@@ -279,7 +279,7 @@
     def _close_session(self, step):
         session = self._sessions_by_key.pop(step.key, None)
         if session is not None:
-            if step.reason in _TOLD and self._reset_payload:
+            if step.reason in _NOTIFIED_REASONS and self._reset_payload:
                 self._send_answer(session.last_packet, self._reset_payload)
             session.socket.close()
             metrics.FLOWS_ENDED.labels(step.reason).inc()
--- a/src/limpetlift/tasks/slots.py
+++ b/src/limpetlift/tasks/slots.py
@@ -42,7 +42,7 @@
         self._waiting_by_id = {}
         self._started_by_id = {}
         self.endpoints_by_id = {}
-        self.taker_ids = ()
+        self.active_peer_ids = ()
         self.on_roster_action = None
         node.on_message("SlotLoad", self._on_load)
         for kind in claim_table.MESSAGE_KINDS:
@@ -149,7 +149,7 @@
             wait_ms=_milliseconds(own.wait),
             long_wait_ms=_milliseconds(own.long_wait),
         )
-        peers = [key for key in self.taker_ids if key != self._node.id]
+        peers = [key for key in self.active_peer_ids if key != self._node.id]
         count = min(defaults.PEER_LOAD_FANOUT, len(peers))
         for agent_id in self._rng.sample(peers, count):
             self._node.send(message, self.endpoints_by_id[agent_id])
--- a/src/limpetlift/testing/gossiplab.py
+++ b/src/limpetlift/testing/gossiplab.py
@@ -140,7 +140,7 @@
             )
             one.view.load(known)
             if not self.judge:
-                one.reach.minimum = sys.maxsize
+                one.reachability.minimum = sys.maxsize
             self.net.add(one)
         for record in self.agents:
             self.net.add(StubAgent(record))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -200,11 +200,11 @@
 def test_the_death_of_sponsors_moves_the_heartbeats():
     """An agent must not look dead because its sponsors are."""
     fleet = _Fleet().run(_SETTLED_S)
-    gone = fleet.get("a4").pulse.sponsors()
+    gone = fleet.get("a4").heartbeats.sponsors()
     for agent_id in gone:
         fleet.net.kill(agent_id)
     fleet.run(60.0)
-    kept = fleet.get("a4").pulse.sponsors()
+    kept = fleet.get("a4").heartbeats.sponsors()
     assert len(kept) == defaults.SPONSORS and not set(kept) & set(gone)
     assert fleet.refuted() == []
     fleet.assert_complete()
@@ -213,11 +213,13 @@
 def test_a_sponsor_that_is_left_does_not_suspect():
     """A better sponsor that joins must not make the old one suspect."""
     fleet = _Fleet(balancers=6).run(_SETTLED_S)
-    before = {name: fleet.get(name).pulse.sponsors() for name in ["a0", "a1"]}
+    before = {
+        name: fleet.get(name).heartbeats.sponsors() for name in ["a0", "a1"]
+    }
     for index in range(6, 24):
         fleet.start("b%d" % index)
     fleet.run(30.0).assert_complete()
-    after = {name: fleet.get(name).pulse.sponsors() for name in before}
+    after = {name: fleet.get(name).heartbeats.sponsors() for name in before}
     assert before != after
     assert fleet.refuted() == []
 
--- a/tests/test_requestpath.py
+++ b/tests/test_requestpath.py
@@ -124,7 +124,7 @@
     taken.endpoints_by_id = {
         "agent-%d" % number: ("127.0.0.1", number) for number in range(20)
     }
-    taken.taker_ids = list(taken.endpoints_by_id)
+    taken.active_peer_ids = list(taken.endpoints_by_id)
     taken.send_load()
     assert len(node.sent) == defaults.PEER_LOAD_FANOUT
     assert ("127.0.0.1", 0) not in [address for _, address in node.sent]
