--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -173,7 +173,8 @@
             for spec in self.world.header.services
         }
         self.accepts = True
-        self.attempts = set()
+        # Ordered, so that a replay does not depend on memory addresses.
+        self.attempts = {}
         self.requests = requests.BalancerRequests(self)
 
     def kill(self):
@@ -263,7 +264,7 @@
         )
         self.table = table(own, limits)
         self._members_seen = None
-        self.offers = set()
+        self.offers = {}
         table = claims.ClaimTable(self.id, self.incarnation)
         uses_claims = self.world.policies.get("keys", "votes") == "votes"
         self.requests = requests.AgentRequests(
--- a/src/limpetlift/replay/requests.py
+++ b/src/limpetlift/replay/requests.py
@@ -98,7 +98,7 @@
         self.attempts += 1
         balancer = world.rng.choice(alive)
         attempt = Attempt(job, balancer, balancer.started)
-        balancer.attempts.add(attempt)
+        balancer.attempts[attempt] = None
         world.clock.after(
             world.header.client_ms / 1000,
             balancer.receive,
@@ -119,7 +119,7 @@
         if attempt.settled:
             return
         attempt.settled = True
-        attempt.balancer.attempts.discard(attempt)
+        attempt.balancer.attempts.pop(attempt, None)
         job = attempt.job
         job.outcomes.append((code, attempt))
         if code == _ANSWERED:
@@ -193,9 +193,9 @@
             and budget.may_retry(now)
         )
         chooser.on_sent(now, agent.id)
-        agent.offers.add(offer)
+        agent.offers[offer] = None
         if not self._stream(agent, agent.requests.on_offer, offer):
-            agent.offers.discard(offer)
+            agent.offers.pop(offer, None)
             self.on_refused(offer, "connect_failed", "")
 
     def _stream(self, agent, callback, *arguments):
@@ -271,7 +271,7 @@
 
     def _end(self, offer, outcome):
         offer.closed = True
-        offer.agent.offers.discard(offer)
+        offer.agent.offers.pop(offer, None)
         now = self.node.now
         self.chooser_by_service[offer.attempt.job.service].on_outcome(
             now, offer.agent.id, outcome, now - offer.sent_at
