Remove dead fields and join the replay's handlers of process events

Cause: a read of the whole change found fields that nothing reads and five handlers of the same shape. Conclusion: no behaviour changes.

--- a/src/limpetlift/replay/events.py
+++ b/src/limpetlift/replay/events.py
@@ -33,6 +33,13 @@
         world.note_change(process.service.name)
 
 
+def _changing(world, event):
+    """Return the process of an event that changes its service."""
+    process = _process(world, event)
+    _note(world, process)
+    return process
+
+
 @_handles(trace.Flows)
 def _open_flows(world, event):
     for index in range(event.count):
@@ -108,24 +115,19 @@
 
 @_handles(trace.Kill)
 def _kill(world, event):
-    process = _process(world, event)
+    process = _changing(world, event)
     process.died_at = world.clock.now
     process.kill()
-    _note(world, process)
 
 
 @_handles(trace.Start)
 def _start(world, event):
-    process = _process(world, event)
-    process.start()
-    _note(world, process)
+    _changing(world, event).start()
 
 
 @_handles(trace.Stop)
 def _stop(world, event):
-    process = _process(world, event)
-    process.stop()
-    _note(world, process)
+    _changing(world, event).stop()
 
 
 @_handles(trace.Join)
@@ -145,23 +147,17 @@
 
 @_handles(trace.Drain)
 def _drain(world, event):
-    process = _process(world, event)
-    process.drain()
-    _note(world, process)
+    _changing(world, event).drain()
 
 
 @_handles(trace.Weight)
 def _weight(world, event):
-    process = _process(world, event)
-    process.set_weight(event.weight)
-    _note(world, process)
+    _changing(world, event).set_weight(event.weight)
 
 
 @_handles(trace.Pause)
 def _pause(world, event):
-    process = _process(world, event)
-    process.pause(event.for_s)
-    _note(world, process)
+    _changing(world, event).pause(event.for_s)
 
 
 @_handles(trace.Lag)
--- a/src/limpetlift/tasks/backend.py
+++ b/src/limpetlift/tasks/backend.py
@@ -45,7 +45,6 @@
     on_start: object
     on_chunk: object
     finished: bool = False
-    _pending: object = None
 
     def headers_received(self, start_line, headers):
         """Pass on status and headers, but not interim responses."""
--- a/src/limpetlift/tasks/gateway.py
+++ b/src/limpetlift/tasks/gateway.py
@@ -213,8 +213,6 @@
 class RequestHandler(web.RequestHandler):
     """One request of a caller."""
 
-    SUPPORTED_METHODS = web.RequestHandler.SUPPORTED_METHODS
-
     def initialize(self, gateway, name):
         """Take the gateway and the name of the service."""
         self._gateway = gateway
@@ -224,7 +222,6 @@
         self._gone = False
         self._stopped = False
         self._sent = 0
-        self._error = None
         # Two callers may choose the same id, so frames carry another one.
         self.request_id = str(uuid.uuid4())
         self._callers_id = self.request.headers.get(
