--- a/src/limpetlift/coordination/store.py
+++ b/src/limpetlift/coordination/store.py
@@ -15,37 +15,12 @@
 
 import base64
 
-import attrs
-
+from limpetlift.coordination import entries
 from limpetlift import exceptions
 from limpetlift import metrics
 
-
-@attrs.frozen
-class Entry:
-    """A key and its value.
-
-    :param mod_revision: changes with each write of the key; 0 when absent.
-    :param lease: the lease that the key lives with, or 0.
-    """
-
-    key: str
-    value: bytes
-    mod_revision: int
-    lease: int = 0
-
-
-@attrs.frozen
-class Change:
-    """A change that a watch reports.
-
-    :param entry: the new entry, or ``None`` when the key was deleted.
-    :param revision: the store's revision; a later watch resumes after it.
-    """
-
-    key: str
-    entry: object
-    revision: int
+Entry = entries.Entry
+Change = entries.Change
 
 
 class Store:
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -218,3 +218,76 @@
 STOP_S = 30.0
 # Fabrics check readiness about once a second.
 LAME_DUCK_S = 3.0
+
+# Placing of new flows by load.
+# A backend server that has just started takes up to 1.6 times as long.
+WARMING_FACTOR = 1.6
+# Requests per slot that the own data centre is preferred by; crossing one
+# costs at most 1.4 ms each way, a queued request tens of milliseconds.
+NEAR_BONUS = 0.05
+# Requests per slot; spreads the choices of balancers with the same news.
+PLACING_JITTER = 0.1
+
+# Steering of segments.
+# An agent reports its load at least every LOAD_MAX_S; two reports may be lost.
+LOAD_FRESH_S = 0.6
+LOAD_MAX_S = 0.2
+# Reports after changes; shorter than the shortest usual request.
+LOAD_MIN_S = 0.02
+HELLO_S = 0.5
+# An agent forgets a balancer that has not said hello for this long.
+HELLO_FRESH_S = 2.0
+# A balancer that hears no agent for this long is of no use to callers.
+AGENTS_SILENT_S = 1.2
+# Twice the longest way between data centres, and a report's own delay.
+PLACED_UNSEEN_S = 0.03
+# Longer than a round trip between data centres and a slow agent's turn;
+# shorter than the caller's first retransmission after 200 ms.
+SEARCH_S = 0.15
+# A caller has at most 16 segments under way.
+SEARCH_SEGMENTS = 16
+SWEEP_S = 1.0
+# Clocks of caller and balancer start at different segments.
+IDLE_MARGIN_S = 2.0
+STEERING_TICK_S = 0.02
+
+# Hosting of flows.
+# A backend server answers the first segment of a flow within a millisecond;
+# the rest is for turns of a slow instance.
+SERVER_ANSWER_S = 0.04
+# Flows in a row that a backend server did not answer, until it gets no more.
+SILENT_FLOWS = 3
+# Ends of a closed flow may still send copies of their last segments.
+CLOSED_FLOW_S = 3.0
+# No flow is older; see the deployments' bounds.
+FLOW_LIFETIME_S = 60.0
+HOSTED_IDLE_S = 60.0
+HOSTING_TICK_S = 0.02
+# Two reports of a backend server are missing.
+SERVER_SILENT_S = 3.0
+
+# Announcing and following in the store.
+# An entry that lapsed is back within this time if its process lives.
+LAPSED_ENTRY_S = 2.0
+ENTRY_LEASE_S = 6.0
+ENTRY_RENEW_S = 2.0
+# After a failed call; doubled up to the maximum, with jitter.
+ANNOUNCE_RETRY_S = 0.2
+ANNOUNCE_RETRY_MAX_S = 1.0
+# A connection that goes silent is noticed soon after this, which keeps a
+# change of the routes in force within 3 s of its acknowledgement.
+FOLLOW_WAIT_S = 2.5
+# Changes that come in quick succession are read together.
+FOLLOW_PAUSE_S = 0.1
+
+# Stopping.
+# The fabric's probes come twice a second and two must fail.
+STOP_QUIET_S = 1.0
+STOP_MIN_S = 1.5
+# The platform kills a process 6 s after it asked it to stop.
+STOP_MAX_S = 4.5
+
+# Logging.
+# Lines of one event in a second; what is left out is counted.
+LOG_EVENT_LINES = 100
+SETTINGS_POLL_S = 2.0
--- a/src/limpetlift/exceptions.py
+++ b/src/limpetlift/exceptions.py
@@ -115,6 +115,12 @@
         self.entries_by_key = entries_by_key or {}
 
 
+class LeaseEnded(CoordinationError):
+    """A write named a lease that has ended; it had no effect."""
+
+    code = "lease_ended"
+
+
 class ConfigIncomplete(CoordinationError):
     """The bytes of a configuration are missing or have another digest."""
 
--- /dev/null
+++ b/src/limpetlift/platform/deployment.py
@@ -0,0 +1,34 @@
+"""The platform as balancers and agents use it."""
+
+import asyncio
+import os
+import sys
+
+from limpetlift import exceptions
+from limpetlift.platform import documents
+from limpetlift.platform import packet
+from limpetlift.platform import store
+from limpetlift.platform import web
+from limpetlift.tasks import segmentprocess
+
+_SETTINGS_VARIABLE = "LIMPETLIFT_SETTINGS"
+
+DEPLOYMENT = segmentprocess.Deployment(
+    packet.decode,
+    packet.encode_reset,
+    store.PlatformStore,
+    web.Server,
+    documents.CONFIG_KEY,
+    documents.decode_routes,
+)
+
+
+def run(process_class):
+    """Run a process with the settings that the platform names."""
+    try:
+        process = process_class(os.environ[_SETTINGS_VARIABLE], DEPLOYMENT)
+    except exceptions.SettingsError as error:
+        sys.exit(str(error))
+    except KeyError:
+        sys.exit("%s is not set" % _SETTINGS_VARIABLE)
+    asyncio.run(process.run())
--- /dev/null
+++ b/src/limpetlift/platform/store.py
@@ -0,0 +1,254 @@
+"""Client of the platform's metadata store.
+
+It raises the errors of :mod:`limpetlift.coordination.store` and returns its
+types.
+"""
+
+import base64
+import json
+import urllib.parse
+
+from tornado import httpclient
+from tornado import simple_httpclient
+
+from limpetlift.coordination import entries
+from limpetlift import exceptions
+
+# A call takes 4 ms, and up to some hundred when the store is slow.
+_CALL_TIMEOUT_S = 1.5
+# Shorter, so that a silent watch is replaced before the routes are overdue.
+_WATCH_MARGIN_S = 0.7
+_CONNECT_TIMEOUT_S = 0.5
+_MAX_ANSWER_BYTES = 8 * 1024 * 1024
+_HISTORY_GONE = 410
+_LEASE_ENDED = 404
+_CONFLICT = 412
+
+
+class PlatformStore:
+    """The store as processes of this project use it.
+
+    Every call has a connection of its own: one that goes silent without a
+    reset costs that call only.
+
+    :param address: ``ip:port`` of the store.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, address):
+        self.set_address(address)
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True,
+            max_clients=16,
+            max_body_size=_MAX_ANSWER_BYTES,
+        )
+
+    def set_address(self, address):
+        """Use the store at ``address`` from the next call on."""
+        self._base = "http://%s/-/" % address
+
+    def close(self):
+        """Close the connections."""
+        self._client.close()
+
+    async def get(self, key):
+        """Return the :class:`entries.Entry` of ``key``, or None.
+
+        :raises StoreUnavailable: when the store does not answer.
+        """
+        status, answer = await self._read("kv-key", {"key": key}, (404,))
+        return None if status == 404 else _entry(answer)
+
+    async def get_prefix(self, prefix):
+        """Return ``(entries, revision)`` below ``prefix``.
+
+        The pages are read one after the other. A watch continues after the
+        revision of the first one and so reports what changed meanwhile.
+
+        :raises StoreUnavailable: when the store does not answer.
+        """
+        found = []
+        revision = None
+        after = ""
+        while True:
+            query = {"prefix": prefix}
+            if after:
+                query["after"] = after
+            _, answer = await self._read("kv-range", query)
+            found += [_entry(item) for item in _field(answer, "items", list)]
+            if revision is None:
+                revision = _field(answer, "store_revision", int)
+            if not answer.get("more_pages") or not found:
+                return found, revision
+            after = found[-1].key
+
+    async def changes(self, prefix, revision, wait_s):
+        """Wait for changes below ``prefix``.
+
+        :param revision: changes after this one are wanted.
+        :param wait_s: longest wait in seconds.
+        :returns: ``(changes, revision)``; the next call goes on after it.
+        :raises StoreUnavailable: when the store does not answer, or with the
+            code ``compacted`` when it has forgotten that revision.
+        """
+        query = {
+            "prefix": prefix,
+            "after": revision,
+            "wait_ms": int(wait_s * 1000),
+        }
+        status, answer = await self._read(
+            "kv-watch", query, (_HISTORY_GONE,), wait_s
+        )
+        if status == _HISTORY_GONE:
+            raise exceptions.StoreUnavailable(
+                "the history after %d is gone" % revision, "compacted"
+            )
+        found = [_change(item) for item in _field(answer, "events", list)]
+        return found, _field(answer, "store_revision", int)
+
+    async def compare_and_swap(self, key, mod_revision, value, lease=0):
+        """Write ``key`` if its last write is ``mod_revision`` (0: absent).
+
+        :returns: the revision of the write.
+        :raises StoreUnavailable: without effect.
+        :raises StoreOutcomeUnknown: when the answer was lost.
+        :raises StoreConflict: when the key was written meanwhile.
+        :raises LeaseEnded: when there is no such lease.
+        """
+        body = {
+            "precondition": [{"key": key, "revision": mod_revision}],
+            "writes": [{"key": key, "value": _encode(value), "lease": lease}],
+            "remove": [],
+        }
+        status, answer = await self._write(
+            "POST", "kv-txn", body, (_CONFLICT, _LEASE_ENDED)
+        )
+        if status == _LEASE_ENDED:
+            raise exceptions.LeaseEnded("lease %d has ended" % lease)
+        if status == _CONFLICT:
+            items = [_entry(item) for item in _field(answer, "items", list)]
+            raise exceptions.StoreConflict(
+                "%s was changed meanwhile" % key,
+                {entry.key: entry for entry in items if entry.mod_revision},
+            )
+        return _field(answer, "revision", int)
+
+    async def grant(self, ttl_s):
+        """Return the id of a new lease that lapses after ``ttl_s`` seconds.
+
+        :raises StoreUnavailable: without effect.
+        :raises StoreOutcomeUnknown: when the answer was lost.
+        """
+        body = {"ttl_ms": int(ttl_s * 1000)}
+        _, answer = await self._write("POST", "kv-lease", body)
+        return _field(answer, "lease", int)
+
+    async def keep_alive(self, lease):
+        """Renew a lease; return the seconds it has, 0 when it has ended.
+
+        :raises StoreUnavailable: when the store does not answer.
+        :raises StoreOutcomeUnknown: when the answer was lost.
+        """
+        status, answer = await self._write(
+            "POST", "kv-keep/%d" % lease, {}, (_LEASE_ENDED,)
+        )
+        if status == _LEASE_ENDED:
+            return 0
+        return _field(answer, "ttl_ms", int) / 1000
+
+    async def revoke(self, lease):
+        """End a lease; its keys are deleted.
+
+        :raises StoreUnavailable: without effect.
+        :raises StoreOutcomeUnknown: when the answer was lost.
+        """
+        path = "kv-lease-end/%d" % lease
+        await self._write("DELETE", path, None, (_LEASE_ENDED,))
+
+    async def _read(self, path, query, statuses=(), wait_s=0.0):
+        url = self._base + path + "?" + urllib.parse.urlencode(query)
+        try:
+            return await self._call(url, statuses, wait_s=wait_s)
+        except _CALL_ERRORS as error:
+            raise exceptions.StoreUnavailable(str(error)) from error
+
+    async def _write(self, method, path, body, statuses=()):
+        try:
+            return await self._call(self._base + path, statuses, method, body)
+        except _CALL_ERRORS as error:
+            if isinstance(error, httpclient.HTTPError) and error.code in (
+                429,
+                503,
+            ):
+                raise exceptions.StoreUnavailable(str(error)) from error
+            raise exceptions.StoreOutcomeUnknown(str(error)) from error
+
+    async def _call(self, url, statuses, method="GET", body=None, wait_s=0.0):
+        """Return ``(status, decoded body)`` of one call.
+
+        :param statuses: those besides success that the caller understands.
+        """
+        request = httpclient.HTTPRequest(
+            url,
+            method=method,
+            body=None if body is None else json.dumps(body),
+            headers={"Content-Type": "application/json"},
+            connect_timeout=_CONNECT_TIMEOUT_S,
+            request_timeout=(
+                wait_s + _WATCH_MARGIN_S if wait_s else _CALL_TIMEOUT_S
+            ),
+            allow_nonstandard_methods=True,
+        )
+        response = await self._client.fetch(request, raise_error=False)
+        if response.error is not None and response.code not in statuses:
+            raise response.error
+        answer = json.loads(response.body) if response.body else {}
+        if not isinstance(answer, dict):
+            raise ValueError("the answer is not a JSON object")
+        return response.code, answer
+
+
+_CALL_ERRORS = (httpclient.HTTPError, OSError, ValueError)
+
+
+def _field(answer, name, kind):
+    """Return a field of an answer.
+
+    :raises StoreUnavailable: when it is missing or of another type.
+    """
+    value = answer.get(name)
+    if not isinstance(value, kind):
+        raise exceptions.StoreUnavailable(
+            "the answer has no %s: %r" % (name, value)
+        )
+    return value
+
+
+def _encode(value):
+    return base64.b64encode(value).decode("ascii")
+
+
+def _entry(item):
+    try:
+        return entries.Entry(
+            item["key"],
+            base64.b64decode(item.get("value") or "", validate=True),
+            int(item.get("revision", 0)),
+            int(item.get("lease", 0)),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise exceptions.StoreUnavailable(
+            "unreadable item: %r" % error
+        ) from error
+
+
+def _change(item):
+    try:
+        key, revision = item["key"], int(item["revision"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise exceptions.StoreUnavailable(
+            "unreadable event: %r" % error
+        ) from error
+    entry = None if item.get("removed") else _entry(item)
+    return entries.Change(key, entry, revision)
--- /dev/null
+++ b/src/limpetlift/protocol/tunnel.py
@@ -0,0 +1,294 @@
+"""Messages between balancers and agents that carry segments.
+
+They are fixed structures rather than thrift: one is decoded for every packet
+of a flow, and a round trip of the compact codec costs more than forwarding.
+"""
+
+import hashlib
+import socket
+import struct
+
+import attrs
+
+from limpetlift import exceptions
+from limpetlift import registry
+
+# First byte of each message; it changes with the format.
+_VERSION = 1
+
+_SERVICE_BYTES = 8
+_KEY_BYTES = 12
+
+decoders_by_kind = {}
+
+FORWARD = 1
+LOCATE = 2
+HELLO = 3
+LOAD = 4
+OWNED = 5
+DECLINED = 6
+UNKNOWN = 7
+FLOWS = 8
+FLOWS_WANTED = 9
+
+# Codes on the wire of the reasons why an agent declines a new flow.
+REASONS = (
+    "draining",
+    "server_unknown",
+    "server_refused",
+    "server_silent",
+    "stopping",
+    "other_service",
+    "too_many_flows",
+    "server_gone",
+)
+_CODE_BY_REASON = {reason: code for code, reason in enumerate(REASONS)}
+
+_HEAD = struct.Struct("!BB")
+_LOAD = struct.Struct("!QIBBHHHH8s")
+_RECORD = struct.Struct("!12s4sHB")
+# Entries in one message of flows: it fits in one datagram of 1,400 bytes.
+FLOWS_PER_MESSAGE = 70
+
+
+@attrs.frozen
+class Forward:
+    """A balancer hands a segment to the agent of its flow.
+
+    :param service: :func:`service_id` of the service that the route names;
+        it tells an agent whose address was another service's before.
+    """
+
+    service: bytes
+    data: bytes
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, FORWARD) + self.service + self.data
+
+
+@attrs.frozen
+class Locate:
+    """A balancer asks all agents which of them has the segment's flow."""
+
+    data: bytes
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, LOCATE) + self.data
+
+
+@attrs.frozen
+class Hello:
+    """A balancer asks an agent for reports of its load."""
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, HELLO)
+
+
+@attrs.frozen
+class Load:
+    """An agent's load, as balancers place new flows by it.
+
+    :param incarnation: start time of the agent in milliseconds.
+    :param number: rises with each report of the incarnation.
+    :param accepting: whether the agent takes new flows.
+    :param is_warming: whether its backend server has just started.
+    :param slots: requests that the backend server runs at a time.
+    :param busy: flows whose caller waits for an answer.
+    :param flows: open flows.
+    :param unanswered: new flows that wait for the backend server's first
+        packet.
+    :param service: :func:`service_id` of its service.
+    """
+
+    incarnation: int
+    number: int
+    accepting: bool
+    is_warming: bool
+    slots: int
+    busy: int
+    flows: int
+    unanswered: int
+    service: bytes
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, LOAD) + _LOAD.pack(
+            self.incarnation,
+            self.number,
+            self.accepting,
+            self.is_warming,
+            min(self.slots, 0xFFFF),
+            min(self.busy, 0xFFFF),
+            min(self.flows, 0xFFFF),
+            min(self.unanswered, 0xFFFF),
+            self.service,
+        )
+
+
+@attrs.frozen
+class Owned:
+    """An agent answers that a flow is its own.
+
+    :param key: flow key.
+    """
+
+    key: bytes
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, OWNED) + self.key
+
+
+@attrs.frozen
+class Declined:
+    """An agent hands back the first segment of a flow.
+
+    :param reason: one of :data:`REASONS`.
+    """
+
+    reason: str
+    data: bytes
+
+    def encode(self):
+        """Return the datagram."""
+        code = _CODE_BY_REASON[self.reason]
+        return _HEAD.pack(_VERSION, DECLINED) + bytes((code,)) + self.data
+
+
+@attrs.frozen
+class Unknown:
+    """An agent hands back a segment of a flow that it does not have."""
+
+    data: bytes
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, UNKNOWN) + self.data
+
+
+@attrs.frozen
+class FlowRecord:
+    """Where a flow is.
+
+    :param key: flow key.
+    :param address: ``(ip, port)`` of its agent.
+    :param is_placed: whether a balancer placed it just now; otherwise the
+        agent said that it owns the flow, which goes first.
+    """
+
+    key: bytes
+    address: tuple
+    is_placed: bool = False
+
+
+@attrs.frozen
+class Flows:
+    """A balancer tells the others of its data centre where flows are.
+
+    :param records: at most :data:`FLOWS_PER_MESSAGE` :class:`FlowRecord`.
+    """
+
+    records: list
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, FLOWS) + b"".join(
+            _RECORD.pack(
+                record.key,
+                socket.inet_aton(record.address[0]),
+                record.address[1],
+                record.is_placed,
+            )
+            for record in self.records
+        )
+
+
+@attrs.frozen
+class FlowsWanted:
+    """A balancer that has just started asks for all flows of another one."""
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, FLOWS_WANTED)
+
+
+def digest(data):
+    """Return 8 pseudo-random bytes that every process derives from data."""
+    return hashlib.blake2b(data, digest_size=_SERVICE_BYTES).digest()
+
+
+def service_id(name):
+    """Return the 8 bytes that stand for a service in messages."""
+    return digest(name.encode("utf-8"))
+
+
+def decode(data):
+    """Return the message in a datagram.
+
+    :raises MalformedMessage: when it is none of this version.
+    """
+    if len(data) < _HEAD.size or data[0] != _VERSION:
+        raise exceptions.MalformedMessage("no message of this version")
+    decoder = decoders_by_kind.get(data[1])
+    if decoder is None:
+        raise exceptions.MalformedMessage("unknown kind")
+    try:
+        return decoder(data[_HEAD.size :])
+    except (struct.error, IndexError) as error:
+        raise exceptions.MalformedMessage(str(error)) from None
+
+
+@registry.register(decoders_by_kind, FORWARD)
+def _decode_forward(body):
+    return Forward(body[:_SERVICE_BYTES], body[_SERVICE_BYTES:])
+
+
+@registry.register(decoders_by_kind, LOCATE)
+def _decode_locate(body):
+    return Locate(body)
+
+
+@registry.register(decoders_by_kind, HELLO)
+def _decode_hello(_body):
+    return Hello()
+
+
+@registry.register(decoders_by_kind, LOAD)
+def _decode_load(body):
+    incarnation, number, accepting, warming, *rest = _LOAD.unpack(body)
+    return Load(incarnation, number, bool(accepting), bool(warming), *rest)
+
+
+@registry.register(decoders_by_kind, OWNED)
+def _decode_owned(body):
+    if len(body) != _KEY_BYTES:
+        raise exceptions.MalformedMessage("wrong length")
+    return Owned(body)
+
+
+@registry.register(decoders_by_kind, DECLINED)
+def _decode_declined(body):
+    return Declined(REASONS[body[0]], body[1:])
+
+
+@registry.register(decoders_by_kind, UNKNOWN)
+def _decode_unknown(body):
+    return Unknown(body)
+
+
+@registry.register(decoders_by_kind, FLOWS)
+def _decode_flows(body):
+    return Flows(
+        [
+            FlowRecord(key, (socket.inet_ntoa(ip), port), bool(is_placed))
+            for key, ip, port, is_placed in _RECORD.iter_unpack(body)
+        ]
+    )
+
+
+@registry.register(decoders_by_kind, FLOWS_WANTED)
+def _decode_flows_wanted(_body):
+    return FlowsWanted()
--- /dev/null
+++ b/src/limpetlift/segmentmetrics.py
@@ -0,0 +1,47 @@
+"""Metrics of balancers and agents that forward segments."""
+
+import prometheus_client
+from prometheus_client import core
+
+
+class _Snapshot:
+    """The counts and values of one moment.
+
+    :param counts_by_event: how often each decision was made.
+    :param gauges_by_name: current values.
+    :param lines_dropped: log lines that were not written.
+    """
+
+    def __init__(self, counts_by_event, gauges_by_name, lines_dropped):
+        self._counts_by_event = counts_by_event
+        self._gauges_by_name = gauges_by_name
+        self._lines_dropped = lines_dropped
+
+    def collect(self):
+        """Yield the metrics as prometheus_client expects them."""
+        decisions = core.CounterMetricFamily(
+            "limpetlift_decisions",
+            "Decisions and changed beliefs, by event.",
+            labels=("event",),
+        )
+        for event, count in sorted(self._counts_by_event.items()):
+            decisions.add_metric((event,), count)
+        yield decisions
+        yield core.CounterMetricFamily(
+            "limpetlift_log_lines_dropped",
+            "Log lines that were not written.",
+            value=self._lines_dropped,
+        )
+        for name, value in sorted(self._gauges_by_name.items()):
+            yield core.GaugeMetricFamily(
+                "limpetlift_" + name, "Current value.", value=value
+            )
+
+
+def exposition(counts_by_event, gauges_by_name, lines_dropped):
+    """Return the metrics in the Prometheus text format, as bytes."""
+    registry = prometheus_client.CollectorRegistry()
+    registry.register(
+        _Snapshot(counts_by_event, gauges_by_name, lines_dropped)
+    )
+    return prometheus_client.generate_latest(registry)
--- /dev/null
+++ b/src/limpetlift/state/hosting.py
@@ -0,0 +1,520 @@
+"""Hosting at an agent: the flows of its backend server.
+
+The agent sees every segment to and from its backend server, so it is the
+authority on which flows the server holds. An agent that was started later
+than the server does not know all of them, and lets the server decide.
+"""
+
+import attrs
+
+from limpetlift import defaults
+from limpetlift.protocol import tunnel
+from limpetlift import registry
+from limpetlift.state import steps
+
+_handlers_by_type = {}
+
+READY = "ready"
+DRAINING = "draining"
+# The server said that it leaves; it ends by itself.
+GONE = "gone"
+
+# Number of the first report after a server's start, at most.
+_FIRST_REPORT = 1
+_SEQUENCE_MASK = 0xFFFFFFFF
+
+
+@attrs.frozen
+class Report:
+    """What a backend server says of itself.
+
+    :param server_id: its id.
+    :param service: name of its service.
+    :param started_ms: its start, in Unix milliseconds, or 0 when not said.
+    :param number: rises with each report since that start.
+    :param state: :data:`READY`, :data:`DRAINING` or :data:`GONE`.
+    :param slots: requests that it runs at a time.
+    :param warming_s: how much longer it is slow after its start.
+    """
+
+    server_id: str
+    service: str
+    started_ms: int
+    number: int
+    state: str
+    slots: int
+    warming_s: float = 0.0
+
+
+def _is_same_start(first, second):
+    return (first.server_id, first.started_ms) == (
+        second.server_id,
+        second.started_ms,
+    )
+
+
+def _is_after(first, second):
+    """Whether a sequence number follows another one, which may wrap."""
+    return 0 < (first - second) & _SEQUENCE_MASK < 1 << 31
+
+
+@attrs.define
+class _Flow:
+    """A flow of the backend server.
+
+    :param balancer: address of the balancer that sent its last segment.
+    :param first: its first segment while the server has not answered.
+    :param answer_by: when the server must have answered it.
+    :param is_tentative: whether the server may not hold it at all.
+    :param server_sequence: the server's first sequence number, or None.
+    :param caller_next: the caller's highest sequence number so far, or None.
+    :param ack: what the caller acknowledged last.
+    :param is_busy: whether the caller waits for an answer.
+    :param closed_at: when both ends had finished, or None.
+    """
+
+    balancer: tuple
+    active_at: float
+    first: bytes = b""
+    answer_by: float = 0.0
+    is_tentative: bool = False
+    server_sequence: object = None
+    caller_next: object = None
+    ack: int = 0
+    is_busy: bool = False
+    caller_done: bool = False
+    server_done: bool = False
+    closed_at: object = None
+
+    @property
+    def is_open(self):
+        return self.closed_at is None and not self.is_tentative
+
+
+@attrs.define
+class FlowHosting:
+    """Decides on the segments, reports and messages of one agent.
+
+    All methods take ``now`` in seconds (monotonic) and return steps.
+
+    :param service: name of the backend server's service.
+    :param incarnation: start time of this agent in milliseconds.
+    :param decode: turns a datagram of a caller into a segment.
+    :param knows_all: whether no other agent served the server before.
+
+    .. versionadded:: 0.2
+    """
+
+    service: str
+    incarnation: int
+    decode: object
+    # Whether this agent knows every flow of the server.
+    knows_all: bool = False
+    report: object = None
+    flows_by_key: dict = attrs.field(factory=dict)
+    is_stopping: bool = False
+    _warm_at: float = 0.0
+    _reported_alive_at: float = float("-inf")
+    _rival: object = None
+    _silent_flows: int = 0
+    _balancers_by_address: dict = attrs.field(factory=dict)
+    _number: int = 0
+    _reported_at: float = float("-inf")
+    _reported: object = None
+    _started_at: object = None
+    _swept_at: float = float("-inf")
+    _service_id: bytes = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._service_id = tunnel.service_id(self.service)
+
+    # The backend server's own words.
+
+    def on_report(self, now, report):
+        """Take over a report of the server.
+
+        A report that is older than the last one, or of a server that was
+        there before, changes nothing.
+
+        :returns: steps; the state is in force when this returns.
+        """
+        known = self.report
+        if known is not None and not self._is_news(now, report):
+            return [
+                steps.Note(
+                    "report_ignored",
+                    fields={
+                        "server": report.server_id,
+                        "number": report.number,
+                        "known_number": known.number,
+                        "started_ms": report.started_ms,
+                        "known_started_ms": known.started_ms,
+                    },
+                )
+            ]
+        found = []
+        if known is not None and not _is_same_start(report, known):
+            found += self._end_flows(now, "server_restarted")
+            self.knows_all = True
+        if known is None and report.number <= _FIRST_REPORT:
+            # The server takes flows from its first report on.
+            self.knows_all = True
+        self.report = report
+        self._reported_alive_at = now
+        self._rival = None
+        self._warm_at = now + report.warming_s
+        # A server that reports gets another flow to show that it answers.
+        self._silent_flows = min(self._silent_flows, defaults.SILENT_FLOWS - 1)
+        if (
+            known is None
+            or known.state != report.state
+            or known.started_ms != report.started_ms
+        ):
+            found.append(
+                steps.Note(
+                    "server_state",
+                    fields={
+                        "server": report.server_id,
+                        "state": report.state,
+                        "was": known.state if known else "unknown",
+                        "number": report.number,
+                        "started_ms": report.started_ms,
+                        "slots": report.slots,
+                    },
+                )
+            )
+            found += self._tell_load(now)
+        return found
+
+    def _is_news(self, now, report):
+        """Whether a report replaces the one that is known.
+
+        Starts are told in the time of day, which may be set back. A start
+        that looks older is believed when it goes on reporting while the one
+        that looks newer is silent; a report that was held up comes once.
+        """
+        known = self.report
+        if _is_same_start(report, known):
+            return report.number > known.number
+        if report.started_ms > known.started_ms:
+            return True
+        rival = self._rival
+        self._rival = report
+        return (
+            now - self._reported_alive_at > defaults.SERVER_SILENT_S
+            and rival is not None
+            and _is_same_start(rival, report)
+            and report.number > rival.number
+        )
+
+    def on_leave(self, now, server_id):
+        """Note that the server ends now."""
+        if self.report is None or self.report.server_id != server_id:
+            return [steps.Note("leave_ignored", fields={"server": server_id})]
+        if self.report.state == GONE:
+            return []
+        self.report = attrs.evolve(self.report, state=GONE)
+        return [
+            steps.Note(
+                "server_state",
+                fields={
+                    "server": server_id,
+                    "state": GONE,
+                    "flows": len(self.flows_by_key),
+                },
+            )
+        ] + self._tell_load(now)
+
+    def stop(self, now):
+        """Take no new flow from now on.
+
+        When the server has left before, it has ended by now, and the callers
+        of its flows are told.
+        """
+        self.is_stopping = True
+        found = self._tell_load(now)
+        if self.report is not None and self.report.state == GONE:
+            found += self._end_flows(now, "server_gone")
+        return found
+
+    @property
+    def is_idle(self):
+        """Whether no caller waits for an answer."""
+        return not any(flow.is_busy for flow in self.flows_by_key.values())
+
+    def _end_flows(self, now, reason):
+        """Tell the callers of all flows that the server does not hold them."""
+        found = []
+        for key, flow in self.flows_by_key.items():
+            if flow.is_open and flow.server_sequence is not None:
+                found.append(steps.Reset(key, flow.ack, reason))
+        self.flows_by_key.clear()
+        return found
+
+    # Segments of callers, from balancers.
+
+    def on_message(self, now, address, message):
+        """Decide on a message of a balancer."""
+        handler = _handlers_by_type.get(type(message))
+        if handler is None:
+            return [steps.Note("message_unexpected", fields={"from": address})]
+        return handler(self, now, address, message)
+
+    @registry.register(_handlers_by_type, tunnel.Forward)
+    def _on_forward(self, now, balancer, forward):
+        segment = self.decode(forward.data)
+        flow = self.flows_by_key.get(segment.key)
+        if flow is None:
+            if segment.opens:
+                return self._accept(now, balancer, forward.service, segment)
+            if self.knows_all:
+                return [steps.ToPeer(balancer, tunnel.Unknown(segment.data))]
+            flow = _Flow(balancer, now, is_tentative=True)
+            self.flows_by_key[segment.key] = flow
+        return self._deliver(now, balancer, flow, segment)
+
+    @registry.register(_handlers_by_type, tunnel.Locate)
+    def _on_locate(self, now, balancer, locate):
+        segment = self.decode(locate.data)
+        flow = self.flows_by_key.get(segment.key)
+        if flow is None:
+            if self.knows_all:
+                return []
+            flow = _Flow(balancer, now, is_tentative=True)
+            self.flows_by_key[segment.key] = flow
+            return self._deliver(now, balancer, flow, segment)
+        if not self._holds(flow, segment):
+            return []
+        return [
+            steps.ToPeer(balancer, tunnel.Owned(segment.key))
+        ] + self._deliver(now, balancer, flow, segment)
+
+    @staticmethod
+    def _holds(flow, segment):
+        """Whether the segment belongs to the flow that the server holds.
+
+        Two servers can have answered copies of one first segment; the caller
+        goes on with one of them.
+        """
+        return (
+            not flow.is_tentative
+            and flow.server_sequence is not None
+            and segment.acknowledges(flow.server_sequence)
+        )
+
+    @registry.register(_handlers_by_type, tunnel.Hello)
+    def _on_hello(self, now, balancer, _message):
+        is_new = balancer not in self._balancers_by_address
+        self._balancers_by_address[balancer] = now
+        if not is_new:
+            return []
+        return [steps.ToPeer(balancer, self._load(now))]
+
+    def _deliver(self, now, balancer, flow, segment):
+        flow.balancer = balancer
+        flow.active_at = now
+        if not segment.is_open:
+            flow.ack = segment.ack
+        if segment.is_reset:
+            self.flows_by_key.pop(segment.key, None)
+        elif segment.length:
+            end = segment.sequence + segment.length & _SEQUENCE_MASK
+            if flow.caller_next is None or _is_after(end, flow.caller_next):
+                flow.caller_next = end
+                flow.is_busy = True
+        if segment.is_final:
+            flow.caller_done = True
+            self._close(now, flow)
+        return [steps.ToServer(segment.data)]
+
+    def _close(self, now, flow):
+        if flow.caller_done and flow.server_done and flow.closed_at is None:
+            flow.closed_at = now
+            flow.is_busy = False
+
+    def refusal(self, service_id):
+        """Return why no new flow is taken, or an empty string."""
+        if self.is_stopping:
+            return "stopping"
+        if service_id != self._service_id:
+            return "other_service"
+        if self.report is None:
+            return "server_unknown"
+        if self.report.state == DRAINING:
+            return "draining"
+        if self.report.state == GONE:
+            return "server_gone"
+        if self._silent_flows >= defaults.SILENT_FLOWS:
+            return "server_silent"
+        if len(self.flows_by_key) >= defaults.TARGET_CONNECTIONS:
+            return "too_many_flows"
+        return ""
+
+    def _accept(self, now, balancer, service_id, segment):
+        reason = self.refusal(service_id)
+        if reason:
+            return self._decline(balancer, segment.key, reason, segment.data)
+        flow = _Flow(
+            balancer,
+            now,
+            first=segment.data,
+            answer_by=now + defaults.SERVER_ANSWER_S,
+        )
+        self.flows_by_key[segment.key] = flow
+        return self._deliver(now, balancer, flow, segment) + [
+            steps.Note("flow_accepted", segment.key, {"copy": segment.ack})
+        ]
+
+    def _decline(self, balancer, key, reason, data):
+        return [
+            steps.ToPeer(balancer, tunnel.Declined(reason, data)),
+            steps.Note(
+                "flow_passed_on",
+                key,
+                {
+                    "reason": reason,
+                    "report": self.report.number if self.report else "none",
+                },
+            ),
+        ]
+
+    # Segments of the backend server.
+
+    def on_server_segment(self, now, segment):
+        """Decide on a segment that the backend server sent or returned."""
+        self._silent_flows = 0
+        if segment.is_returned:
+            return self._on_returned(now, segment)
+        flow = self.flows_by_key.get(segment.key)
+        found = []
+        if flow is None:
+            if not segment.is_reset:
+                # Known to the server from before this agent's start.
+                flow = _Flow((), now)
+                self.flows_by_key[segment.key] = flow
+        elif flow.is_tentative:
+            flow.is_tentative = False
+            if flow.balancer:
+                found.append(
+                    steps.ToPeer(flow.balancer, tunnel.Owned(segment.key))
+                )
+        if flow is not None:
+            self._note_answer(now, flow, segment)
+        return found + [steps.ToCaller(segment.key, segment.data)]
+
+    def _note_answer(self, now, flow, segment):
+        flow.active_at = now
+        flow.first = b""
+        if flow.server_sequence is None:
+            flow.server_sequence = segment.sequence
+        if segment.length:
+            flow.is_busy = False
+        if segment.is_reset:
+            self.flows_by_key.pop(segment.key, None)
+        elif segment.is_final:
+            flow.server_done = True
+            flow.is_busy = False
+            self._close(now, flow)
+
+    def _on_returned(self, now, segment):
+        """Decide on a segment that the server did not accept."""
+        flow = self.flows_by_key.get(segment.key)
+        if flow is None:
+            return [steps.Note("returned_dropped", segment.key)]
+        if segment.opens:
+            if flow.server_sequence is not None:
+                return []
+            del self.flows_by_key[segment.key]
+            return self._decline(
+                flow.balancer, segment.key, "server_refused", segment.data
+            )
+        del self.flows_by_key[segment.key]
+        if self._holds(flow, segment):
+            return [steps.Reset(segment.key, segment.ack, "server_lost_flow")]
+        if not flow.balancer:
+            return [steps.Note("returned_dropped", segment.key)]
+        return [steps.ToPeer(flow.balancer, tunnel.Unknown(segment.data))]
+
+    # Timers and reports of load.
+
+    def tick(self, now):
+        """Run the timers."""
+        if self._started_at is None:
+            self._started_at = now
+        found = self._pass_on_unanswered(now)
+        if now - self._swept_at >= defaults.SWEEP_S:
+            self._swept_at = now
+            self._forget(now)
+        return found + self._report_load(now)
+
+    def _pass_on_unanswered(self, now):
+        """Hand flows on that the server has not answered."""
+        found = []
+        for key, flow in list(self.flows_by_key.items()):
+            if flow.first and flow.answer_by <= now:
+                self._silent_flows += 1
+                del self.flows_by_key[key]
+                found += self._decline(
+                    flow.balancer, key, "server_silent", flow.first
+                )
+        return found
+
+    def _forget(self, now):
+        idle = now - defaults.HOSTED_IDLE_S
+        closed = now - defaults.CLOSED_FLOW_S
+        for key, flow in list(self.flows_by_key.items()):
+            if flow.active_at < idle or (
+                flow.closed_at is not None and flow.closed_at < closed
+            ):
+                del self.flows_by_key[key]
+        if now - self._started_at > defaults.FLOW_LIFETIME_S:
+            self.knows_all = True
+
+    def _load(self, now):
+        self._number += 1
+        flows = self.flows_by_key.values()
+        report = self.report
+        return tunnel.Load(
+            self.incarnation,
+            self._number,
+            not self.refusal(self._service_id),
+            self._warm_at > now,
+            report.slots if report else 1,
+            sum(flow.is_busy or bool(flow.first) for flow in flows),
+            sum(flow.is_open for flow in flows),
+            sum(bool(flow.first) for flow in flows),
+            self._service_id,
+        )
+
+    def _report_load(self, now):
+        since = now - self._reported_at
+        if since < defaults.LOAD_MIN_S:
+            return []
+        load = self._load(now)
+        if since < defaults.LOAD_MAX_S and self._is_reported(load):
+            self._number -= 1
+            return []
+        return self._send_load(now, load)
+
+    def _is_reported(self, load):
+        known = self._reported
+        return known is not None and (
+            known.accepting,
+            known.is_warming,
+            known.busy,
+        ) == (load.accepting, load.is_warming, load.busy)
+
+    def _tell_load(self, now):
+        return self._send_load(now, self._load(now))
+
+    def _send_load(self, now, load):
+        self._reported_at = now
+        self._reported = load
+        horizon = now - defaults.HELLO_FRESH_S
+        for address, heard_at in list(self._balancers_by_address.items()):
+            if heard_at < horizon:
+                del self._balancers_by_address[address]
+        return [
+            steps.ToPeer(address, load)
+            for address in self._balancers_by_address
+        ]
--- /dev/null
+++ b/src/limpetlift/state/steering.py
@@ -0,0 +1,490 @@
+"""Steering at a balancer: which agent gets a segment.
+
+A balancer places new flows by the load that agents report. It remembers where
+it placed them and tells the other balancers of its data centre, because the
+fabric may hand the next segment to any of them. A flow that none of them knows
+is searched for at all agents; the agent beside the backend server that holds
+the flow is the authority.
+"""
+
+import random
+
+import attrs
+
+from limpetlift import defaults
+from limpetlift.protocol import segment as segments
+from limpetlift.protocol import tunnel
+from limpetlift import registry
+from limpetlift.state import placing
+from limpetlift.state import routing
+from limpetlift.state import steps
+
+_handlers_by_type = {}
+
+
+@attrs.define
+class _Agent:
+    """What a balancer knows of an agent.
+
+    :param entry: its :class:`~limpetlift.coordination.directory.Entry`.
+    :param load: its last :class:`~limpetlift.protocol.tunnel.Load`, or None.
+    :param heard_at: when the load arrived.
+    :param placed_at: times of the flows placed there since.
+    """
+
+    entry: object
+    load: object = None
+    heard_at: float = float("-inf")
+    placed_at: list = attrs.field(factory=list)
+
+    def is_fresh(self, now):
+        return now - self.heard_at < defaults.LOAD_FRESH_S
+
+    def on_load(self, now, load):
+        """Take over a report; return whether it is news."""
+        known = self.load
+        if known is not None and (load.incarnation, load.number) <= (
+            known.incarnation,
+            known.number,
+        ):
+            return False
+        self.load = load
+        self.heard_at = now
+        # Flows placed within the time of a message may be missing in it.
+        horizon = now - defaults.PLACED_UNSEEN_S
+        self.placed_at = [at for at in self.placed_at if at > horizon]
+        return True
+
+
+@attrs.define
+class _Flow:
+    """Where a flow is.
+
+    :param address: of its agent.
+    :param active_at: time of its last segment.
+    :param is_open: whether its caller has sent more than the first segment.
+    :param tried: addresses of agents that declined it.
+    """
+
+    address: tuple
+    active_at: float
+    is_open: bool = False
+    tried: set = attrs.field(factory=set)
+
+
+@attrs.define
+class _Search:
+    """A flow that the agents are asked for.
+
+    :param expires_at: when it is given up.
+    :param waiting: segments that came meanwhile.
+    """
+
+    expires_at: float
+    waiting: list = attrs.field(factory=list)
+
+
+@attrs.define
+class FlowSteering:
+    """Decides on the segments of callers and on messages of other processes.
+
+    All methods take ``now`` in seconds (monotonic) and return steps.
+
+    :param address: ``(ip, port)`` of this balancer.
+    :param data_centre: its data centre.
+    :param decode: turns a datagram of a caller into a segment.
+    :param rng: a :class:`random.Random`.
+    :param policy: name of a placing policy.
+    :raises StateError: when there is no such policy.
+
+    .. versionadded:: 0.2
+    """
+
+    address: tuple
+    data_centre: str
+    decode: object
+    rng: random.Random = attrs.field(factory=random.Random)
+    policy: str = "least"
+    routes: routing.RouteTable = attrs.field(factory=routing.RouteTable)
+    flows_by_key: dict = attrs.field(factory=dict)
+    _agents_by_address: dict = attrs.field(factory=dict)
+    _searches_by_key: dict = attrs.field(factory=dict)
+    _peers: list = attrs.field(factory=list)
+    _records: list = attrs.field(factory=list)
+    _hello_at: float = float("-inf")
+    _swept_at: float = float("-inf")
+    _choose: object = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._choose = registry.lookup(
+            placing.policies_by_name, self.policy, "placing policy"
+        )
+
+    # News.
+
+    def on_routes(self, now, routes):
+        """Take over a newer version of the routes."""
+        if routes.version <= self.routes.version:
+            return [
+                steps.Note(
+                    "routes_ignored",
+                    fields={
+                        "version": routes.version,
+                        "in_force": self.routes.version,
+                    },
+                )
+            ]
+        self.routes = routes
+        return [
+            steps.Note(
+                "routes_in_force",
+                fields={
+                    "version": routes.version,
+                    "routes": len(routes.routes_by_address),
+                },
+            )
+        ]
+
+    def on_entries(self, now, agents, balancers):
+        """Take over the directory.
+
+        :param agents: entries of the live agents.
+        :param balancers: entries of the live balancers.
+        """
+        found = []
+        known = self._agents_by_address
+        self._agents_by_address = {}
+        for entry in agents:
+            agent = known.pop(entry.address, None)
+            if agent is None or agent.entry.service != entry.service:
+                agent = _Agent(entry)
+                found += [
+                    steps.ToPeer(entry.address, tunnel.Hello()),
+                    _agent_note("agent_joined", entry),
+                ]
+            agent.entry = entry
+            self._agents_by_address[entry.address] = agent
+        found += [
+            _agent_note("agent_gone", agent.entry) for agent in known.values()
+        ]
+        peers = [
+            entry.address
+            for entry in balancers
+            if entry.data_centre == self.data_centre
+            and entry.address != self.address
+        ]
+        for address in set(peers) - set(self._peers):
+            found.append(steps.ToPeer(address, tunnel.FlowsWanted()))
+        self._peers = peers
+        return found
+
+    def is_connected(self, now):
+        """Whether an agent was heard lately, or none is known."""
+        return not self._agents_by_address or any(
+            now - agent.heard_at < defaults.AGENTS_SILENT_S
+            for agent in self._agents_by_address.values()
+        )
+
+    def is_heard(self, now, address):
+        """Whether the agent at ``address`` was heard lately."""
+        agent = self._agents_by_address.get(address)
+        return agent is not None and agent.is_fresh(now)
+
+    # Segments of callers.
+
+    def on_segment(self, now, segment):
+        """Decide on a segment that the fabric handed to this balancer."""
+        flow = self.flows_by_key.get(segment.key)
+        if flow is None:
+            if segment.opens:
+                return self._open(now, segment)
+            return self._search(now, segment)
+        flow.active_at = now
+        if segment.opens:
+            return self._repeat(now, segment, flow)
+        flow.is_open = True
+        if segment.is_reset:
+            del self.flows_by_key[segment.key]
+        return [self._forward(flow.address, segment.data)]
+
+    def _forward(self, address, data):
+        agent = self._agents_by_address.get(address)
+        service = agent.entry.service_id if agent else b"\0" * 8
+        return steps.ToPeer(address, tunnel.Forward(service, data))
+
+    def _open(self, now, segment):
+        """Place a new flow."""
+        flow = _Flow((), now)
+        return self._place(now, segment, flow)
+
+    def _repeat(self, now, segment, flow):
+        """Decide on a copy of a flow's first segment."""
+        agent = self._agents_by_address.get(flow.address)
+        if flow.is_open or agent is not None and agent.is_fresh(now):
+            return [self._forward(flow.address, segment.data)]
+        flow.tried.add(flow.address)
+        return self._place(now, segment, flow)
+
+    def _place(self, now, segment, flow):
+        """Choose an agent for a first segment, or refuse it."""
+        key = segment.key
+        route = self.routes.routes_by_address.get(segments.service_of(key))
+        if route is None:
+            return self._refuse(segment, "no_route")
+        draw = int.from_bytes(tunnel.digest(key), "big") / (1 << 64)
+        for service in route.services_for(draw):
+            candidates = self._candidates(now, service, flow.tried)
+            if candidates:
+                break
+        else:
+            return self._refuse(segment, "no_agent", len(flow.tried))
+        address = self._choose(candidates, self.rng).agent_id
+        agent = self._agents_by_address[address]
+        agent.placed_at.append(now)
+        flow.address = address
+        self.flows_by_key[key] = flow
+        self._records.append(tunnel.FlowRecord(key, address, True))
+        load = agent.load
+        return [
+            self._forward(address, segment.data),
+            steps.Note(
+                "flow_placed",
+                key,
+                {
+                    "agent": agent.entry.agent_id,
+                    "copy": segment.ack,
+                    "declined": len(flow.tried),
+                    "candidates": len(candidates),
+                    "busy": load.busy if load else "unknown",
+                    "age_s": round(now - agent.heard_at, 3),
+                    "routes": self.routes.version,
+                },
+            ),
+        ]
+
+    def _candidates(self, now, service, tried):
+        """Return the agents that may take a flow of ``service``.
+
+        Without news of any of them, all count: silence of all is more likely
+        a fault of this balancer's links than of every agent.
+        """
+        agents = [
+            agent
+            for address, agent in self._agents_by_address.items()
+            if agent.entry.service == service and address not in tried
+        ]
+        able = [
+            agent
+            for agent in agents
+            if agent.is_fresh(now) and agent.load.accepting
+        ]
+        if not able:
+            able = [agent for agent in agents if not agent.is_fresh(now)]
+        return [self._candidate(agent) for agent in able]
+
+    def _candidate(self, agent):
+        load = agent.load
+        return placing.Candidate(
+            agent.entry.address,
+            load.slots if load else 1,
+            load.busy if load else 0,
+            load.flows if load else 0,
+            len(agent.placed_at),
+            bool(load and load.is_warming),
+            agent.entry.data_centre == self.data_centre,
+        )
+
+    def _refuse(self, segment, reason, declined=0):
+        """Refuse a new flow.
+
+        A copy is left alone: the first segment may have opened the flow by
+        way of another balancer.
+        """
+        key = segment.key
+        self.flows_by_key.pop(key, None)
+        note = steps.Note(
+            "flow_refused" if not segment.ack else "copy_dropped",
+            key,
+            {
+                "reason": reason,
+                "copy": segment.ack,
+                "declined": declined,
+                "routes": self.routes.version,
+            },
+        )
+        if segment.ack or not self.routes.version:
+            return [note]
+        return [steps.Reset(key, 0, reason), note]
+
+    def _search(self, now, segment, without=None):
+        """Ask the agents for the flow of a segment."""
+        search = self._searches_by_key.get(segment.key)
+        if search is not None:
+            if len(search.waiting) < defaults.SEARCH_SEGMENTS:
+                search.waiting.append(segment.data)
+            return []
+        self._searches_by_key[segment.key] = _Search(
+            now + defaults.SEARCH_S, [segment.data]
+        )
+        message = tunnel.Locate(segment.data)
+        found = [
+            steps.ToPeer(address, message)
+            for address in self._agents_by_address
+            if address != without
+        ]
+        found.append(
+            steps.Note("flow_searched", segment.key, {"asked": len(found)})
+        )
+        return found
+
+    # Messages.
+
+    def on_message(self, now, address, message):
+        """Decide on a message of an agent or another balancer."""
+        handler = _handlers_by_type.get(type(message))
+        if handler is None:
+            return [steps.Note("message_unexpected", fields={"from": address})]
+        return handler(self, now, address, message)
+
+    @registry.register(_handlers_by_type, tunnel.Load)
+    def _on_load(self, now, address, load):
+        agent = self._agents_by_address.get(address)
+        if agent is None or load.service != agent.entry.service_id:
+            return []
+        known = agent.load
+        was_fresh = agent.is_fresh(now)
+        if not agent.on_load(now, load):
+            return []
+        if was_fresh and known and known.accepting == load.accepting:
+            return []
+        fields = {
+            "agent": agent.entry.agent_id,
+            "accepting": load.accepting,
+            "was_silent": not was_fresh,
+            "incarnation": load.incarnation,
+        }
+        return [steps.Note("agent_state", fields=fields)]
+
+    @registry.register(_handlers_by_type, tunnel.Owned)
+    def _on_owned(self, now, address, owned):
+        key = owned.key
+        search = self._searches_by_key.pop(key, None)
+        known = self.flows_by_key.get(key)
+        if known is not None and known.address == address:
+            known.is_open = True
+        else:
+            self.flows_by_key[key] = _Flow(address, now, True)
+            self._records.append(tunnel.FlowRecord(key, address))
+        if search is None:
+            return []
+        # The owner delivered the first one when it was asked.
+        return [
+            self._forward(address, data) for data in search.waiting[1:]
+        ] + [steps.Note("flow_found", key, {"agent": "%s:%d" % address})]
+
+    @registry.register(_handlers_by_type, tunnel.Declined)
+    def _on_declined(self, now, address, declined):
+        segment = self.decode(declined.data)
+        agent = self._agents_by_address.get(address)
+        if agent is not None and agent.load is not None:
+            if declined.reason != "server_refused":
+                agent.load = attrs.evolve(agent.load, accepting=False)
+        flow = self.flows_by_key.get(segment.key)
+        if flow is None:
+            flow = _Flow(address, now)
+        elif flow.address != address:
+            return []
+        note = steps.Note(
+            "flow_declined",
+            segment.key,
+            {"agent": "%s:%d" % address, "reason": declined.reason},
+        )
+        flow.tried.add(address)
+        return [note] + self._place(now, segment, flow)
+
+    @registry.register(_handlers_by_type, tunnel.Unknown)
+    def _on_unknown(self, now, address, unknown):
+        segment = self.decode(unknown.data)
+        flow = self.flows_by_key.get(segment.key)
+        if flow is not None and flow.address != address:
+            return [self._forward(flow.address, segment.data)]
+        self.flows_by_key.pop(segment.key, None)
+        return self._search(now, segment, without=address)
+
+    @registry.register(_handlers_by_type, tunnel.Flows)
+    def _on_flows(self, now, _address, message):
+        for record in message.records:
+            known = self.flows_by_key.get(record.key)
+            if known is None:
+                self.flows_by_key[record.key] = _Flow(
+                    record.address, now, not record.is_placed
+                )
+            elif not (record.is_placed and known.is_open):
+                known.address = record.address
+        return []
+
+    @registry.register(_handlers_by_type, tunnel.FlowsWanted)
+    def _on_flows_wanted(self, _now, address, _message):
+        records = [
+            tunnel.FlowRecord(key, flow.address, not flow.is_open)
+            for key, flow in self.flows_by_key.items()
+        ]
+        return [
+            steps.ToPeer(address, message) for message in _batches(records)
+        ]
+
+    # Timers.
+
+    def tick(self, now):
+        """Run the timers."""
+        found = []
+        if self._records:
+            for message in _batches(self._records):
+                found += [
+                    steps.ToPeer(address, message) for address in self._peers
+                ]
+            self._records = []
+        if now - self._hello_at >= defaults.HELLO_S:
+            self._hello_at = now
+            found += [
+                steps.ToPeer(address, tunnel.Hello())
+                for address in self._agents_by_address
+            ]
+        for key, search in list(self._searches_by_key.items()):
+            if search.expires_at <= now:
+                del self._searches_by_key[key]
+                found.append(
+                    steps.Note(
+                        "flow_not_found", key, {"waited": len(search.waiting)}
+                    )
+                )
+        if now - self._swept_at >= defaults.SWEEP_S:
+            self._swept_at = now
+            self._forget(now)
+        return found
+
+    def _forget(self, now):
+        """Forget flows without segments for the time that routes allow."""
+        horizon = now - self.routes.idle_s - defaults.IDLE_MARGIN_S
+        for key, flow in list(self.flows_by_key.items()):
+            if flow.active_at < horizon:
+                del self.flows_by_key[key]
+
+
+def _batches(records):
+    size = tunnel.FLOWS_PER_MESSAGE
+    return [
+        tunnel.Flows(records[start : start + size])
+        for start in range(0, len(records), size)
+    ]
+
+
+def _agent_note(event, entry):
+    return steps.Note(
+        event,
+        fields={
+            "agent": entry.agent_id,
+            "address": "%s:%d" % entry.address,
+            "service": entry.service,
+        },
+    )
--- /dev/null
+++ b/src/limpetlift/state/steps.py
@@ -0,0 +1,65 @@
+"""Steps that the decisions on segments return and tasks carry out."""
+
+import attrs
+
+
+@attrs.frozen
+class ToPeer:
+    """Send a message to another process.
+
+    :param address: ``(ip, port)`` of the receiver.
+    :param message: a message of :mod:`limpetlift.protocol.tunnel`.
+    """
+
+    address: tuple
+    message: object
+
+
+@attrs.frozen
+class ToServer:
+    """Hand a segment to the own backend server.
+
+    :param data: the datagram.
+    """
+
+    data: bytes
+
+
+@attrs.frozen
+class ToCaller:
+    """Send a segment to the caller of a flow.
+
+    :param key: flow key.
+    :param data: the datagram.
+    """
+
+    key: bytes
+    data: bytes
+
+
+@attrs.frozen
+class Reset:
+    """Tell the caller of a flow that it has ended or was refused.
+
+    :param key: flow key.
+    :param ack: what the caller acknowledged last.
+    :param reason: for logs and counters.
+    """
+
+    key: bytes
+    ack: int
+    reason: str
+
+
+@attrs.frozen
+class Note:
+    """A decision or a changed belief, for logs and counters.
+
+    :param event: a short stable word.
+    :param key: flow key, or empty bytes.
+    :param fields: the inputs, their age or version, and the outcome.
+    """
+
+    event: str
+    key: bytes = b""
+    fields: dict = attrs.field(factory=dict)
--- /dev/null
+++ b/src/limpetlift/tasks/announcing.py
@@ -0,0 +1,135 @@
+"""Task that keeps the entry of this process in the store."""
+
+import asyncio
+import time
+
+from limpetlift import defaults
+from limpetlift import exceptions
+from limpetlift import logs
+
+LOG = logs.EventLogger("announcing")
+
+
+class Announcer:
+    """Writes an entry under a lease and renews the lease.
+
+    Every write depends on the entry's last known revision, so that a write
+    whose answer was lost cannot undo a later one when it takes effect late.
+
+    :param store: has ``get``, ``compare_and_swap``, ``grant``,
+        ``keep_alive`` and ``revoke`` like
+        :class:`limpetlift.platform.store.PlatformStore`.
+    :param key: of the entry.
+    :param value: called without arguments; returns the bytes to announce.
+    :param rng: a :class:`random.Random`, for the pauses after failures.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, store, key, value, rng):
+        self._store = store
+        self._key = key
+        self._value = value
+        self._rng = rng
+        self._lease = 0
+        self._revision = 0
+        self._written = None
+        self._renew_at = 0.0
+        self._changed = asyncio.Event()
+        self._missing_at = float("-inf")
+        self._is_announced = False
+
+    def on_changed(self):
+        """Announce a changed value now."""
+        self._changed.set()
+
+    def on_missing(self):
+        """Note that another process does not find the entry in the store."""
+        now = time.monotonic()
+        if self._written is None or now < self._missing_at:
+            return
+        self._missing_at = now + defaults.LAPSED_ENTRY_S
+        LOG.warning("entry_missing", key=self._key, lease=self._lease)
+        self._written = None
+        self._changed.set()
+
+    async def run(self):
+        """Announce until cancelled."""
+        pause_s = defaults.ANNOUNCE_RETRY_S
+        while True:
+            self._changed.clear()
+            try:
+                await self._step()
+            except exceptions.CoordinationError as error:
+                self._note(False, error)
+                await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+                pause_s = min(2 * pause_s, defaults.ANNOUNCE_RETRY_MAX_S)
+                continue
+            self._note(True, "")
+            pause_s = defaults.ANNOUNCE_RETRY_S
+            wait_s = max(self._renew_at - time.monotonic(), 0.0)
+            try:
+                await asyncio.wait_for(self._changed.wait(), wait_s)
+            except asyncio.TimeoutError:
+                continue
+
+    async def _step(self):
+        now = time.monotonic()
+        if self._lease and now >= self._renew_at:
+            left_s = await self._store.keep_alive(self._lease)
+            if not left_s:
+                LOG.warning("lease_lapsed", key=self._key, lease=self._lease)
+                self._lease = 0
+            self._renew_at = now + defaults.ENTRY_RENEW_S
+        if not self._lease:
+            self._lease = await self._store.grant(defaults.ENTRY_LEASE_S)
+            self._written = None
+            self._renew_at = now + defaults.ENTRY_RENEW_S
+        value = self._value()
+        if value != self._written:
+            await self._write(value)
+
+    async def _write(self, value):
+        try:
+            self._revision = await self._store.compare_and_swap(
+                self._key, self._revision, value, self._lease
+            )
+        except exceptions.StoreConflict as error:
+            entry = error.entries_by_key.get(self._key)
+            self._revision = entry.mod_revision if entry else 0
+            raise
+        except exceptions.LeaseEnded:
+            self._lease = 0
+            raise
+        self._written = value
+        LOG.info(
+            "entry_written",
+            key=self._key,
+            revision=self._revision,
+            lease=self._lease,
+        )
+
+    def _note(self, is_announced, error):
+        if is_announced == self._is_announced:
+            return
+        self._is_announced = is_announced
+        if is_announced:
+            LOG.info("announced", key=self._key)
+        else:
+            LOG.warning(
+                "announcing_failed",
+                key=self._key,
+                code=error.code,
+                error=error,
+            )
+
+    async def withdraw(self):
+        """End the lease, which removes the entry."""
+        if not self._lease:
+            return
+        lease, self._lease = self._lease, 0
+        try:
+            await self._store.revoke(lease)
+        except exceptions.CoordinationError as error:
+            # The lease lapses by itself.
+            LOG.warning("withdraw_failed", lease=lease, error=error)
--- /dev/null
+++ b/src/limpetlift/tasks/following.py
@@ -0,0 +1,84 @@
+"""Task that follows the keys under a prefix in the store."""
+
+import asyncio
+
+from limpetlift import defaults
+from limpetlift import exceptions
+from limpetlift import logs
+
+LOG = logs.EventLogger("following")
+
+
+class Follower:
+    """Reads the entries under a prefix and then every change of them.
+
+    :param store: has ``get_prefix`` and ``changes`` like
+        :class:`limpetlift.platform.store.PlatformStore`.
+    :param prefix: of the keys.
+    :param rng: a :class:`random.Random`, for the pauses after failures.
+    :param on_snapshot: called with a list of
+        :class:`limpetlift.coordination.store.Entry`.
+    :param on_changes: called with a list of
+        :class:`limpetlift.coordination.store.Change`.
+    :param on_unreachable: called without arguments after a failed call.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self, store, prefix, rng, on_snapshot, on_changes, on_unreachable
+    ):
+        self._store = store
+        self._prefix = prefix
+        self._rng = rng
+        self._on_snapshot = on_snapshot
+        self._on_changes = on_changes
+        self._on_unreachable = on_unreachable
+        self._revision = None
+        self._is_reached = True
+
+    async def run(self):
+        """Follow until cancelled."""
+        pause_s = defaults.ANNOUNCE_RETRY_S
+        while True:
+            try:
+                await self._step()
+            except exceptions.CoordinationError as error:
+                self._note(False, error)
+                if error.code == "compacted":
+                    self._revision = None
+                await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+                pause_s = min(2 * pause_s, defaults.ANNOUNCE_RETRY_MAX_S)
+            else:
+                self._note(True, "")
+                pause_s = defaults.ANNOUNCE_RETRY_S
+                await asyncio.sleep(defaults.FOLLOW_PAUSE_S)
+
+    async def _step(self):
+        if self._revision is None:
+            entries, revision = await self._store.get_prefix(self._prefix)
+            self._revision = revision
+            self._on_snapshot(entries)
+            return
+        changes, revision = await self._store.changes(
+            self._prefix, self._revision, defaults.FOLLOW_WAIT_S
+        )
+        self._revision = max(revision, self._revision)
+        self._on_changes(changes)
+
+    def _note(self, is_reached, error):
+        if error:
+            self._on_unreachable()
+        if is_reached == self._is_reached:
+            return
+        self._is_reached = is_reached
+        if is_reached:
+            LOG.info("store_regained", prefix=self._prefix)
+        else:
+            LOG.warning(
+                "store_lost",
+                prefix=self._prefix,
+                revision=self._revision,
+                code=error.code,
+                error=error,
+            )
--- /dev/null
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -0,0 +1,154 @@
+"""The agent: segments to and from the backend server beside it."""
+
+import asyncio
+import time
+
+from limpetlift.coordination import directory as directories
+from limpetlift import defaults
+from limpetlift import exceptions
+from limpetlift import logs
+from limpetlift.protocol import segment as segments
+from limpetlift.state import hosting
+from limpetlift.state import steps
+from limpetlift.tasks import announcing
+from limpetlift.tasks import segmentprocess
+
+LOG = logs.EventLogger("agent")
+
+
+class SegmentAgent(segmentprocess.SegmentProcess):
+    """Stands between balancers and one backend server.
+
+    .. versionadded:: 0.2
+    """
+
+    kind = "agent"
+
+    def start(self):
+        """Open sockets and start timers and tasks."""
+        settings = self.settings
+        self._hosting = hosting.FlowHosting(
+            settings.service,
+            self.incarnation,
+            self.decode_caller,
+            settings.is_first_start,
+        )
+        self._peers = self.open_socket(settings.segments, self._on_datagram)
+        self._server = self.open_socket(
+            settings.server_segments, self._on_server_datagram
+        )
+        self._caller_port = settings.segments[1]
+        self.serve(settings.reports)
+        self.serve(settings.probes)
+        self._announcer = announcing.Announcer(
+            self.store,
+            segmentprocess.PREFIX + directories.AGENTS + settings.id,
+            self._entry,
+            self.rng,
+        )
+        self.run_task(self._announcer.run())
+        self.every(defaults.HOSTING_TICK_S, self._tick)
+
+    def _entry(self):
+        settings = self.settings
+        report = self._hosting.report
+        return directories.Entry(
+            settings.id,
+            settings.segments,
+            settings.data_centre,
+            settings.service,
+            report.state if report else "",
+        ).encode()
+
+    # Messages, segments and reports.
+
+    def _on_datagram(self, data, address):
+        message = self.decode_message(data, address)
+        if message is None:
+            return
+        try:
+            found = self._hosting.on_message(
+                time.monotonic(), address, message
+            )
+        except exceptions.ProtocolError as error:
+            self.count("segment_malformed")
+            LOG.warning("segment_malformed", error=error)
+            return
+        self.perform(found)
+
+    def _on_server_datagram(self, data, _address):
+        try:
+            segment = self.deployment.decode(data, False)
+        except exceptions.ProtocolError as error:
+            self.count("segment_malformed")
+            LOG.warning("segment_malformed", error=error)
+            return
+        self.perform(
+            self._hosting.on_server_segment(time.monotonic(), segment)
+        )
+
+    def on_report(self, report):
+        """Take over what the backend server says of itself.
+
+        :raises MalformedMessage: when it is another service's server.
+        """
+        if report.service != self.settings.service:
+            raise exceptions.MalformedMessage("another service's server")
+        self.perform(self._hosting.on_report(time.monotonic(), report))
+        self._announcer.on_changed()
+
+    def on_leave(self, server_id):
+        """Note that the backend server ends now."""
+        self.perform(self._hosting.on_leave(time.monotonic(), server_id))
+        self._announcer.on_changed()
+
+    def perform(self, found):
+        """Carry out the steps of a decision."""
+        for step in found:
+            if isinstance(step, steps.ToServer):
+                self._server.send(step.data, self.settings.server)
+            elif isinstance(step, steps.ToCaller):
+                self._send_caller(step.key, step.data)
+            elif isinstance(step, steps.ToPeer):
+                if not self._peers.send(step.message.encode(), step.address):
+                    self.count("send_failed")
+            elif isinstance(step, steps.Reset):
+                self._reset(step)
+            else:
+                self.note(step)
+
+    def _send_caller(self, key, data):
+        ip, _ = segments.caller_of(key)
+        if not self._peers.send(data, (ip, self._caller_port)):
+            self.count("send_failed")
+
+    def _reset(self, step):
+        self.note(steps.Note("flow_reset", step.key, {"reason": step.reason}))
+        self._send_caller(
+            step.key, self.deployment.encode_reset(step.key, step.ack)
+        )
+
+    def _tick(self):
+        self.perform(self._hosting.tick(time.monotonic()))
+
+    def is_ready(self):
+        """Whether this agent takes new flows."""
+        return not self.is_stopping
+
+    def gauges(self):
+        """Return the current values for the metrics, by name."""
+        return {
+            **super().gauges(),
+            "flows": len(self._hosting.flows_by_key),
+        }
+
+    async def stop(self):
+        """Serve until no caller waits for an answer."""
+        now = time.monotonic()
+        latest = now + defaults.STOP_MAX_S
+        self.perform(self._hosting.stop(now))
+        # Balancers hear of it before the last look.
+        await asyncio.sleep(defaults.LOAD_FRESH_S)
+        while time.monotonic() < latest and not self._hosting.is_idle:
+            await asyncio.sleep(defaults.HOSTING_TICK_S)
+        await asyncio.wait_for(self._announcer.withdraw(), 1.0)
--- /dev/null
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -0,0 +1,227 @@
+"""The balancer: segments of callers go to agents."""
+
+import asyncio
+import time
+
+from limpetlift.coordination import directory as directories
+from limpetlift.coordination import entries
+from limpetlift import defaults
+from limpetlift import exceptions
+from limpetlift import logs
+from limpetlift.protocol import segment as segments
+from limpetlift.state import steering
+from limpetlift.state import steps
+from limpetlift.tasks import announcing
+from limpetlift.tasks import following
+from limpetlift.tasks import segmentprocess
+
+LOG = logs.EventLogger("balancer")
+
+
+class SegmentBalancer(segmentprocess.SegmentProcess):
+    """Forwards the segments that the fabric hands to this instance.
+
+    .. versionadded:: 0.2
+    """
+
+    kind = "balancer"
+
+    def start(self):
+        """Open sockets and start timers and tasks."""
+        settings = self.settings
+        address = (settings.ip, settings.peer_port)
+        self._directory = directories.Directory()
+        self._knows_directory = False
+        self._segment_at = time.monotonic()
+        self._steering = steering.FlowSteering(
+            address, settings.data_centre, self.decode_caller, self.rng
+        )
+        self._peers = self.open_socket(address, self._on_datagram)
+        self._segments = self.open_socket(settings.segments, self._on_segment)
+        self._caller_port = settings.segments[1]
+        self.serve(settings.probes)
+        self._key = directories.BALANCERS + settings.id
+        entry = directories.Entry(settings.id, address, settings.data_centre)
+        self._announcer = announcing.Announcer(
+            self.store,
+            segmentprocess.PREFIX + self._key,
+            entry.encode,
+            self.rng,
+        )
+        self.run_task(self._announcer.run())
+        self._follow(
+            self.deployment.routes_key,
+            self._on_route_entries,
+            self._on_route_changes,
+            lambda: None,
+        )
+        self._follow(
+            segmentprocess.PREFIX,
+            self._on_entries,
+            self._on_entry_changes,
+            self._directory.on_unreachable,
+        )
+        self.every(defaults.STEERING_TICK_S, self._tick)
+        self.every(defaults.HELLO_S, self._check_directory)
+
+    def _follow(self, prefix, on_snapshot, on_changes, on_unreachable):
+        follower = following.Follower(
+            self.store,
+            prefix,
+            self.rng,
+            on_snapshot,
+            on_changes,
+            on_unreachable,
+        )
+        self.run_task(follower.run())
+
+    # Segments and messages.
+
+    def _on_segment(self, data, _address):
+        try:
+            segment = self.decode_caller(data)
+        except exceptions.ProtocolError as error:
+            self.count("segment_malformed")
+            LOG.warning("segment_malformed", error=error)
+            return
+        self._segment_at = now = time.monotonic()
+        self.perform(self._steering.on_segment(now, segment))
+
+    def _on_datagram(self, data, address):
+        message = self.decode_message(data, address)
+        if message is None:
+            return
+        try:
+            found = self._steering.on_message(
+                time.monotonic(), address, message
+            )
+        except exceptions.ProtocolError as error:
+            self.count("segment_malformed")
+            LOG.warning("segment_malformed", error=error)
+            return
+        self.perform(found)
+
+    def perform(self, found):
+        """Carry out the steps of a decision."""
+        for step in found:
+            if isinstance(step, steps.ToPeer):
+                if not self._peers.send(step.message.encode(), step.address):
+                    self.count("send_failed")
+            elif isinstance(step, steps.Reset):
+                self._reset(step)
+            else:
+                self.note(step)
+
+    def _reset(self, step):
+        self.count("reset_" + step.reason)
+        ip, _ = segments.caller_of(step.key)
+        self._segments.send(
+            self.deployment.encode_reset(step.key, step.ack),
+            (ip, self._caller_port),
+        )
+
+    # Routes and directory.
+
+    def _on_route_entries(self, found):
+        for entry in found:
+            if entry.key == self.deployment.routes_key:
+                self._on_routes(entry)
+
+    def _on_route_changes(self, changes):
+        self._on_route_entries(
+            [change.entry for change in changes if change.entry is not None][
+                -1:
+            ]
+        )
+
+    def _on_routes(self, entry):
+        try:
+            routes = self.deployment.decode_routes(entry.value)
+        except exceptions.ProtocolError as error:
+            self.count("routes_unreadable")
+            LOG.error(
+                "routes_unreadable", revision=entry.mod_revision, error=error
+            )
+            return
+        self.perform(self._steering.on_routes(time.monotonic(), routes))
+
+    def _on_entries(self, found):
+        self._directory.on_snapshot(
+            time.monotonic(), [_without_prefix(entry) for entry in found]
+        )
+        self._on_directory()
+
+    def _on_entry_changes(self, changes):
+        self._directory.on_changes(
+            time.monotonic(),
+            [
+                entries.Change(
+                    change.key.removeprefix(segmentprocess.PREFIX),
+                    change.entry and _without_prefix(change.entry),
+                    change.revision,
+                )
+                for change in changes
+            ],
+        )
+        if changes:
+            self._on_directory()
+
+    def _on_directory(self):
+        self._knows_directory = True
+        self.perform(
+            self._steering.on_entries(
+                time.monotonic(),
+                self._directory.agents(),
+                self._directory.balancers(),
+            )
+        )
+
+    def _check_directory(self):
+        now = time.monotonic()
+        if self._directory.expire(
+            now, lambda entry: self._steering.is_heard(now, entry.address)
+        ):
+            self._on_directory()
+        if self._knows_directory and not self._directory.is_listed(self._key):
+            self._announcer.on_missing()
+
+    def _tick(self):
+        self.perform(self._steering.tick(time.monotonic()))
+
+    def is_ready(self):
+        """Whether this balancer can serve callers."""
+        return (
+            not self.is_stopping
+            and self._steering.routes.version > 0
+            and self._knows_directory
+            and self._steering.is_connected(time.monotonic())
+        )
+
+    def gauges(self):
+        """Return the current values for the metrics, by name."""
+        return {
+            **super().gauges(),
+            "routes_version": self._steering.routes.version,
+            "flows": len(self._steering.flows_by_key),
+            "agents": len(self._directory.agents()),
+        }
+
+    async def stop(self):
+        """Forward until the fabric has noticed that this balancer stops."""
+        now = time.monotonic()
+        earliest = now + defaults.STOP_MIN_S
+        latest = now + defaults.STOP_MAX_S
+        while now < latest:
+            await asyncio.sleep(defaults.STEERING_TICK_S)
+            now = time.monotonic()
+            if now > max(earliest, self._segment_at + defaults.STOP_QUIET_S):
+                break
+        await asyncio.wait_for(self._announcer.withdraw(), 1.0)
+
+
+def _without_prefix(entry):
+    return entries.Entry(
+        entry.key.removeprefix(segmentprocess.PREFIX),
+        entry.value,
+        entry.mod_revision,
+    )
