Tell callers of flows that no backend server holds any more

Ruled out: a reset after any unanswered search, which is a guess: an agent that is cut off may still hold the flow.

Change: agents answer a search with certainty (all flows seen, or the server returned the segment). When all agents of a list that was read from the store after the segment came are without the flow, the caller is told. Entries of agents have no lease any more, so that the list is whole after an outage; an agent removes its entry when its server left, balancers that of an agent that was silent for 15 s.

The seconds after the fault are bound by the backlog.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -1,8 +1,9 @@
 """The directory: which agents and balancers there are.
 
-Each process announces itself in the store under a lease. A balancer follows
-these entries; it also hears the agents themselves, which tells more about who
-lives than an entry does.
+Each process announces itself in the store. The entry of a balancer lives with
+a lease. That of an agent stays until the agent leaves or is silent for long,
+so that a list of the agents is whole even after an outage of the store. Who
+lives is told by the agents themselves, which report to every balancer.
 """
 
 import json
@@ -185,6 +186,19 @@
         listing = self._listings_by_key.get(key)
         return listing is not None and listing.gone_at is None
 
+    def revision(self, key):
+        """Return the revision of the entry ``key`` in the store, or 0."""
+        listing = self._listings_by_key.get(key)
+        return listing.revision if listing and listing.gone_at is None else 0
+
+    def unlisted(self):
+        """Return the ids of processes that the store does not have now."""
+        return {
+            listing.entry.agent_id
+            for listing in self._listings_by_key.values()
+            if listing.gone_at is not None
+        }
+
     def agents(self):
         """Return the entries of the agents."""
         return self._entries(AGENTS)
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -291,3 +291,9 @@
 # Lines of one event in a second; what is left out is counted.
 LOG_EVENT_LINES = 100
 SETTINGS_POLL_S = 2.0
+# A call of the store takes 4 ms, and some hundred when the store is slow.
+DIRECTORY_READ_S = 0.5
+# An agent that is silent for this long is gone for good; restarts and
+# outages of an instance last a few seconds.
+SILENT_ENTRY_S = 15.0
+SILENT_CHECK_S = 5.0
--- a/src/limpetlift/platform/store.py
+++ b/src/limpetlift/platform/store.py
@@ -116,10 +116,23 @@
         :raises StoreConflict: when the key was written meanwhile.
         :raises LeaseEnded: when there is no such lease.
         """
+        write = {"key": key, "value": _encode(value), "lease": lease}
+        return await self._commit(key, mod_revision, [write], [], lease)
+
+    async def remove(self, key, mod_revision):
+        """Remove ``key`` if its last write is ``mod_revision``.
+
+        :raises StoreUnavailable: without effect.
+        :raises StoreOutcomeUnknown: when the answer was lost.
+        :raises StoreConflict: when the key was written meanwhile.
+        """
+        await self._commit(key, mod_revision, [], [key])
+
+    async def _commit(self, key, mod_revision, writes, removed, lease=0):
         body = {
             "precondition": [{"key": key, "revision": mod_revision}],
-            "writes": [{"key": key, "value": _encode(value), "lease": lease}],
-            "remove": [],
+            "writes": writes,
+            "remove": removed,
         }
         status, answer = await self._write(
             "POST", "kv-txn", body, (_CONFLICT, _LEASE_ENDED)
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -30,6 +30,7 @@
 UNKNOWN = 7
 FLOWS = 8
 FLOWS_WANTED = 9
+NOT_HERE = 10
 
 # Codes on the wire of the reasons why an agent declines a new flow.
 REASONS = (
@@ -80,11 +81,16 @@
 
 @attrs.frozen
 class Hello:
-    """A balancer asks an agent for reports of its load."""
+    """A balancer asks an agent for reports of its load.
+
+    :param is_listed: whether the balancer finds the agent in the store.
+    """
+
+    is_listed: bool = True
 
     def encode(self):
         """Return the datagram."""
-        return _HEAD.pack(_VERSION, HELLO)
+        return _HEAD.pack(_VERSION, HELLO) + bytes((self.is_listed,))
 
 
 @attrs.frozen
@@ -142,6 +148,23 @@
         return _HEAD.pack(_VERSION, OWNED) + self.key
 
 
+@attrs.frozen
+class NotHere:
+    """An agent answers that its backend server does not hold a flow.
+
+    It is certain: the agent has seen every flow of the server, or the server
+    has returned a segment of the flow.
+
+    :param key: flow key.
+    """
+
+    key: bytes
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, NOT_HERE) + self.key
+
+
 @attrs.frozen
 class Declined:
     """An agent hands back the first segment of a flow.
@@ -252,8 +275,8 @@
 
 
 @registry.register(decoders_by_kind, HELLO)
-def _decode_hello(_body):
-    return Hello()
+def _decode_hello(body):
+    return Hello(bool(body[0]))
 
 
 @registry.register(decoders_by_kind, LOAD)
@@ -264,9 +287,18 @@
 
 @registry.register(decoders_by_kind, OWNED)
 def _decode_owned(body):
+    return Owned(_checked_key(body))
+
+
+@registry.register(decoders_by_kind, NOT_HERE)
+def _decode_not_here(body):
+    return NotHere(_checked_key(body))
+
+
+def _checked_key(body):
     if len(body) != _KEY_BYTES:
         raise exceptions.MalformedMessage("wrong length")
-    return Owned(body)
+    return body
 
 
 @registry.register(decoders_by_kind, DECLINED)
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -66,6 +66,7 @@
     :param first: its first segment while the server has not answered.
     :param answer_by: when the server must have answered it.
     :param is_tentative: whether the server may not hold it at all.
+    :param asked_by: balancers that search for it.
     :param server_sequence: the server's first sequence number, or None.
     :param caller_next: the caller's highest sequence number so far, or None.
     :param ack: what the caller acknowledged last.
@@ -78,6 +79,7 @@
     first: bytes = b""
     answer_by: float = 0.0
     is_tentative: bool = False
+    asked_by: set = attrs.field(factory=set)
     server_sequence: object = None
     caller_next: object = None
     ack: int = 0
@@ -277,17 +279,18 @@
     def _on_locate(self, now, balancer, locate):
         segment = self.decode(locate.data)
         flow = self.flows_by_key.get(segment.key)
-        if flow is None:
-            if self.knows_all:
-                return []
+        if flow is None and not self.knows_all:
             flow = _Flow(balancer, now, is_tentative=True)
             self.flows_by_key[segment.key] = flow
-            return self._deliver(now, balancer, flow, segment)
-        if not self._holds(flow, segment):
-            return []
-        return [
-            steps.ToPeer(balancer, tunnel.Owned(segment.key))
-        ] + self._deliver(now, balancer, flow, segment)
+        if flow is None or not (
+            flow.is_tentative or self._holds(flow, segment)
+        ):
+            return [steps.ToPeer(balancer, tunnel.NotHere(segment.key))]
+        found = self._deliver(now, balancer, flow, segment)
+        if flow.is_tentative:
+            flow.asked_by.add(balancer)
+            return found
+        return [steps.ToPeer(balancer, tunnel.Owned(segment.key))] + found
 
     @staticmethod
     def _holds(flow, segment):
@@ -296,19 +299,19 @@
         Two servers can have answered copies of one first segment; the caller
         goes on with one of them.
         """
-        return (
-            not flow.is_tentative
-            and flow.server_sequence is not None
-            and segment.acknowledges(flow.server_sequence)
+        return flow.server_sequence is not None and segment.acknowledges(
+            flow.server_sequence
         )
 
     @registry.register(_handlers_by_type, tunnel.Hello)
-    def _on_hello(self, now, balancer, _message):
-        is_new = balancer not in self._balancers_by_address
+    def _on_hello(self, now, balancer, hello):
+        found = []
+        if balancer not in self._balancers_by_address:
+            found.append(steps.ToPeer(balancer, self._load(now)))
         self._balancers_by_address[balancer] = now
-        if not is_new:
-            return []
-        return [steps.ToPeer(balancer, self._load(now))]
+        if not hello.is_listed:
+            found.append(steps.Announce())
+        return found
 
     def _deliver(self, now, balancer, flow, segment):
         flow.balancer = balancer
@@ -394,10 +397,10 @@
                 self.flows_by_key[segment.key] = flow
         elif flow.is_tentative:
             flow.is_tentative = False
-            if flow.balancer:
-                found.append(
-                    steps.ToPeer(flow.balancer, tunnel.Owned(segment.key))
-                )
+            found += [
+                steps.ToPeer(balancer, tunnel.Owned(segment.key))
+                for balancer in flow.asked_by | {flow.balancer}
+            ]
         if flow is not None:
             self._note_answer(now, flow, segment)
         return found + [steps.ToCaller(segment.key, segment.data)]
@@ -431,6 +434,11 @@
         del self.flows_by_key[segment.key]
         if self._holds(flow, segment):
             return [steps.Reset(segment.key, segment.ack, "server_lost_flow")]
+        if flow.asked_by:
+            return [
+                steps.ToPeer(balancer, tunnel.NotHere(segment.key))
+                for balancer in flow.asked_by
+            ]
         if not flow.balancer:
             return [steps.Note("returned_dropped", segment.key)]
         return [steps.ToPeer(flow.balancer, tunnel.Unknown(segment.data))]
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -29,12 +29,16 @@
     :param entry: its :class:`~limpetlift.coordination.directory.Entry`.
     :param load: its last :class:`~limpetlift.protocol.tunnel.Load`, or None.
     :param heard_at: when the load arrived.
+    :param known_at: when its entry was read first.
+    :param is_listed: whether the store has its entry.
     :param placed_at: times of the flows placed there since.
     """
 
     entry: object
     load: object = None
     heard_at: float = float("-inf")
+    known_at: float = 0.0
+    is_listed: bool = True
     placed_at: list = attrs.field(factory=list)
 
     def is_fresh(self, now):
@@ -76,12 +80,20 @@
 class _Search:
     """A flow that the agents are asked for.
 
+    :param began_at: when its segment came.
     :param expires_at: when it is given up.
+    :param ack: what the caller acknowledged last.
     :param waiting: segments that came meanwhile.
+    :param asked: addresses of agents that have not answered.
+    :param without: addresses of agents that do not have it.
     """
 
+    began_at: float
     expires_at: float
+    ack: int
     waiting: list = attrs.field(factory=list)
+    asked: set = attrs.field(factory=set)
+    without: set = attrs.field(factory=set)
 
 
 @attrs.define
@@ -145,11 +157,12 @@
             )
         ]
 
-    def on_entries(self, now, agents, balancers):
+    def on_entries(self, now, agents, balancers, unlisted=()):
         """Take over the directory.
 
         :param agents: entries of the live agents.
         :param balancers: entries of the live balancers.
+        :param unlisted: ids of agents that are not in the store any more.
         """
         found = []
         known = self._agents_by_address
@@ -157,12 +170,13 @@
         for entry in agents:
             agent = known.pop(entry.address, None)
             if agent is None or agent.entry.service != entry.service:
-                agent = _Agent(entry)
+                agent = _Agent(entry, known_at=now)
                 found += [
                     steps.ToPeer(entry.address, tunnel.Hello()),
                     _agent_note("agent_joined", entry),
                 ]
             agent.entry = entry
+            agent.is_listed = entry.agent_id not in unlisted
             self._agents_by_address[entry.address] = agent
         found += [
             _agent_note("agent_gone", agent.entry) for agent in known.values()
@@ -185,6 +199,21 @@
             for agent in self._agents_by_address.values()
         )
 
+    def silent_agents(self, now):
+        """Return the entries of agents that are most likely gone for good.
+
+        A balancer that does not hear most of the agents blames its own links.
+        """
+        silent = [
+            agent.entry
+            for agent in self._agents_by_address.values()
+            if now - max(agent.heard_at, agent.known_at)
+            > defaults.SILENT_ENTRY_S
+        ]
+        if 2 * len(silent) >= len(self._agents_by_address):
+            return []
+        return silent
+
     def is_heard(self, now, address):
         """Whether the agent at ``address`` was heard lately."""
         agent = self._agents_by_address.get(address)
@@ -198,6 +227,9 @@
         if flow is None:
             if segment.opens:
                 return self._open(now, segment)
+            if segment.is_reset:
+                # The caller gave up a flow that is not known here.
+                return []
             return self._search(now, segment)
         flow.active_at = now
         if segment.opens:
@@ -323,20 +355,59 @@
             if len(search.waiting) < defaults.SEARCH_SEGMENTS:
                 search.waiting.append(segment.data)
             return []
-        self._searches_by_key[segment.key] = _Search(
-            now + defaults.SEARCH_S, [segment.data]
+        search = _Search(
+            now, now + defaults.SEARCH_S, segment.ack, [segment.data]
         )
-        message = tunnel.Locate(segment.data)
-        found = [
-            steps.ToPeer(address, message)
-            for address in self._agents_by_address
-            if address != without
-        ]
+        self._searches_by_key[segment.key] = search
+        if without is not None:
+            search.without.add(without)
+        found = self._ask(search)
         found.append(
-            steps.Note("flow_searched", segment.key, {"asked": len(found)})
+            steps.Note(
+                "flow_searched", segment.key, {"asked": len(search.asked)}
+            )
         )
         return found
 
+    def _ask(self, search):
+        """Ask the agents that were not asked before."""
+        message = tunnel.Locate(search.waiting[0])
+        asked = self._agents_by_address.keys() - search.without - search.asked
+        search.asked |= asked
+        return [steps.ToPeer(address, message) for address in asked]
+
+    def on_directory_read(self, now, began_at):
+        """Decide on searches after all entries were read from the store.
+
+        An agent is listed before it takes its first flow. When all agents of
+        a list that was read after the segment came are without the flow, no
+        backend server holds it, and its caller need not wait for a time-out.
+
+        :param began_at: when the read began.
+        """
+        found = []
+        for key, search in list(self._searches_by_key.items()):
+            if search.asked or search.began_at > began_at:
+                continue
+            newcomers = self._ask(search)
+            if newcomers:
+                search.expires_at = now + defaults.SEARCH_S
+                found += newcomers
+                continue
+            del self._searches_by_key[key]
+            found += [
+                steps.Reset(key, search.ack, "flow_lost"),
+                steps.Note(
+                    "flow_lost",
+                    key,
+                    {
+                        "agents_without": len(search.without),
+                        "directory_age_s": round(now - began_at, 3),
+                    },
+                ),
+            ]
+        return found
+
     # Messages.
 
     def on_message(self, now, address, message):
@@ -382,6 +453,18 @@
             self._forward(address, data) for data in search.waiting[1:]
         ] + [steps.Note("flow_found", key, {"agent": "%s:%d" % address})]
 
+    @registry.register(_handlers_by_type, tunnel.NotHere)
+    def _on_not_here(self, now, address, not_here):
+        search = self._searches_by_key.get(not_here.key)
+        if search is None or address not in search.asked:
+            return []
+        search.asked.discard(address)
+        search.without.add(address)
+        if search.asked:
+            return []
+        search.expires_at = now + defaults.DIRECTORY_READ_S
+        return [steps.ReadDirectory()]
+
     @registry.register(_handlers_by_type, tunnel.Declined)
     def _on_declined(self, now, address, declined):
         segment = self.decode(declined.data)
@@ -447,8 +530,8 @@
         if now - self._hello_at >= defaults.HELLO_S:
             self._hello_at = now
             found += [
-                steps.ToPeer(address, tunnel.Hello())
-                for address in self._agents_by_address
+                steps.ToPeer(address, tunnel.Hello(agent.is_listed))
+                for address, agent in self._agents_by_address.items()
             ]
         for key, search in list(self._searches_by_key.items()):
             if search.expires_at <= now:
--- a/src/limpetlift/state/steps.py
+++ b/src/limpetlift/state/steps.py
@@ -63,3 +63,13 @@
     event: str
     key: bytes = b""
     fields: dict = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Announce:
+    """Write the own entry again: a balancer does not find it."""
+
+
+@attrs.frozen
+class ReadDirectory:
+    """Read all entries from the store now."""
--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -11,7 +11,7 @@
 
 
 class Announcer:
-    """Writes an entry under a lease and renews the lease.
+    """Writes an entry, and renews its lease if it lives with one.
 
     Every write depends on the entry's last known revision, so that a write
     whose answer was lost cannot undo a later one when it takes effect late.
@@ -22,15 +22,18 @@
     :param key: of the entry.
     :param value: called without arguments; returns the bytes to announce.
     :param rng: a :class:`random.Random`, for the pauses after failures.
+    :param lease_s: seconds that the entry outlives the process, or 0 for an
+        entry without a lease.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, store, key, value, rng):
+    def __init__(self, store, key, value, rng, lease_s=0.0):
         self._store = store
         self._key = key
         self._value = value
         self._rng = rng
+        self._lease_s = lease_s
         self._lease = 0
         self._revision = 0
         self._written = None
@@ -67,14 +70,22 @@
                 continue
             self._note(True, "")
             pause_s = defaults.ANNOUNCE_RETRY_S
-            wait_s = max(self._renew_at - time.monotonic(), 0.0)
+            wait_s = None
+            if self._lease_s:
+                wait_s = max(self._renew_at - time.monotonic(), 0.0)
             try:
                 await asyncio.wait_for(self._changed.wait(), wait_s)
             except asyncio.TimeoutError:
                 continue
 
     async def _step(self):
-        now = time.monotonic()
+        if self._lease_s:
+            await self._keep_lease(time.monotonic())
+        value = self._value()
+        if value != self._written:
+            await self._write(value)
+
+    async def _keep_lease(self, now):
         if self._lease and now >= self._renew_at:
             left_s = await self._store.keep_alive(self._lease)
             if not left_s:
@@ -82,12 +93,9 @@
                 self._lease = 0
             self._renew_at = now + defaults.ENTRY_RENEW_S
         if not self._lease:
-            self._lease = await self._store.grant(defaults.ENTRY_LEASE_S)
+            self._lease = await self._store.grant(self._lease_s)
             self._written = None
             self._renew_at = now + defaults.ENTRY_RENEW_S
-        value = self._value()
-        if value != self._written:
-            await self._write(value)
 
     async def _write(self, value):
         try:
@@ -124,12 +132,13 @@
             )
 
     async def withdraw(self):
-        """End the lease, which removes the entry."""
-        if not self._lease:
-            return
-        lease, self._lease = self._lease, 0
+        """Remove the entry."""
         try:
-            await self._store.revoke(lease)
+            if self._lease:
+                await self._store.revoke(self._lease)
+            elif self._revision:
+                await self._store.remove(self._key, self._revision)
         except exceptions.CoordinationError as error:
-            # The lease lapses by itself.
-            LOG.warning("withdraw_failed", lease=lease, error=error)
+            # The lease lapses by itself, and balancers remove the entry of
+            # an agent that stays silent.
+            LOG.warning("withdraw_failed", key=self._key, error=error)
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -114,6 +114,8 @@
                     self.count("send_failed")
             elif isinstance(step, steps.Reset):
                 self._reset(step)
+            elif isinstance(step, steps.Announce):
+                self._announcer.on_missing()
             else:
                 self.note(step)
 
@@ -151,4 +153,7 @@
         await asyncio.sleep(defaults.LOAD_FRESH_S)
         while time.monotonic() < latest and not self._hosting.is_idle:
             await asyncio.sleep(defaults.HOSTING_TICK_S)
-        await asyncio.wait_for(self._announcer.withdraw(), 1.0)
+        report = self._hosting.report
+        if report is not None and report.state == hosting.GONE:
+            # Otherwise the agent comes back beside the same server.
+            await asyncio.wait_for(self._announcer.withdraw(), 1.0)
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -32,6 +32,8 @@
         address = (settings.ip, settings.peer_port)
         self._directory = directories.Directory()
         self._knows_directory = False
+        self._is_reading = False
+        self._is_read_wanted = False
         self._segment_at = time.monotonic()
         self._steering = steering.FlowSteering(
             address, settings.data_centre, self.decode_caller, self.rng
@@ -47,6 +49,7 @@
             segmentprocess.PREFIX + self._key,
             entry.encode,
             self.rng,
+            defaults.ENTRY_LEASE_S,
         )
         self.run_task(self._announcer.run())
         self._follow(
@@ -63,6 +66,7 @@
         )
         self.every(defaults.STEERING_TICK_S, self._tick)
         self.every(defaults.HELLO_S, self._check_directory)
+        self.every(defaults.SILENT_CHECK_S, self._check_silent)
 
     def _follow(self, prefix, on_snapshot, on_changes, on_unreachable):
         follower = following.Follower(
@@ -109,6 +113,8 @@
                     self.count("send_failed")
             elif isinstance(step, steps.Reset):
                 self._reset(step)
+            elif isinstance(step, steps.ReadDirectory):
+                self._request_directory()
             else:
                 self.note(step)
 
@@ -173,9 +179,48 @@
                 time.monotonic(),
                 self._directory.agents(),
                 self._directory.balancers(),
+                self._directory.unlisted(),
             )
         )
 
+    def _request_directory(self):
+        """Read all entries, once for all searches that wait for it."""
+        self._is_read_wanted = True
+        if not self._is_reading:
+            self._is_reading = True
+            self.run_task(self._read_directory())
+
+    async def _read_directory(self):
+        try:
+            while self._is_read_wanted:
+                self._is_read_wanted = False
+                began_at = time.monotonic()
+                found, _ = await self.store.get_prefix(segmentprocess.PREFIX)
+                self._on_entries(found)
+                self.perform(
+                    self._steering.on_directory_read(
+                        time.monotonic(), began_at
+                    )
+                )
+        except exceptions.CoordinationError as error:
+            self.count("directory_read_failed")
+            LOG.warning("directory_read_failed", error=error)
+        finally:
+            self._is_reading = False
+
+    async def _remove_silent(self):
+        """Remove the entries of agents that are gone for good."""
+        for entry in self._steering.silent_agents(time.monotonic()):
+            key = directories.AGENTS + entry.agent_id
+            revision = self._directory.revision(key)
+            if not revision:
+                continue
+            LOG.info("silent_agent_removed", agent=entry.agent_id)
+            try:
+                await self.store.remove(segmentprocess.PREFIX + key, revision)
+            except exceptions.CoordinationError as error:
+                LOG.warning("remove_failed", key=key, error=error)
+
     def _check_directory(self):
         now = time.monotonic()
         if self._directory.expire(
@@ -185,6 +230,9 @@
         if self._knows_directory and not self._directory.is_listed(self._key):
             self._announcer.on_missing()
 
+    def _check_silent(self):
+        self.run_task(self._remove_silent())
+
     def _tick(self):
         self.perform(self._steering.tick(time.monotonic()))
 
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -17,7 +17,6 @@
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift.state import segmentsettings
-from limpetlift.state import steps
 from limpetlift.transport import udp
 
 LOG = logs.EventLogger("process")
@@ -68,7 +67,7 @@
         self.counts_by_event = collections.Counter()
         self.is_stopping = False
         self._stop_requested = None
-        self._tasks = []
+        self._tasks = set()
         self._log_handler = boundedlog.configure()
 
     async def run(self):
@@ -94,9 +93,10 @@
             LOG.info("stopping", kind=self.kind, id=self.settings.id)
             self.is_stopping = True
             await self.stop()
-            for task in self._tasks:
+            tasks = list(self._tasks)
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
         LOG.info("stopped", kind=self.kind, id=self.settings.id)
 
     def start(self):
@@ -119,10 +119,10 @@
         """Run a coroutine until the process stops."""
         task = asyncio.ensure_future(work)
         task.add_done_callback(self._on_task_done)
-        self._tasks.append(task)
+        self._tasks.add(task)
 
-    @staticmethod
-    def _on_task_done(task):
+    def _on_task_done(self, task):
+        self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             LOG.error("task_failed", exc_info=_exc_info(task.exception()))
 
@@ -210,8 +210,3 @@
 
 def _exc_info(error):
     return type(error), error, error.__traceback__
-
-
-def is_note(step):
-    """Whether a step is only for logs."""
-    return isinstance(step, steps.Note)
