Try: refuse new flows at once when their request would be late

Change: agents report the mean run time, balancers refuse a new flow whose expected wait passes the route's aim (policy timely; always is the baseline).

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -297,3 +297,12 @@
 # outages of an instance last a few seconds.
 SILENT_ENTRY_S = 15.0
 SILENT_CHECK_S = 5.0
+
+# Admission of new flows.
+# Weight of a request's run time in the mean.
+RUN_WEIGHT = 0.1
+# Handshake and request take three ways of 3 ms between caller and balancer,
+# and those between data centres.
+WAY_S = 0.02
+# A queue shorter than this is not refused, whatever the aim.
+QUEUE_MIN_S = 0.03
--- a/src/limpetlift/platform/documents.py
+++ b/src/limpetlift/platform/documents.py
@@ -42,7 +42,14 @@
     shares = tuple(
         routing.Share(part["service"], float(part["weight"])) for part in split
     )
-    return routing.Route(fields["name"], address, shares)
+    return routing.Route(
+        fields["name"],
+        address,
+        shares,
+        fields.get("aim_ms", 0) / 1000,
+        fields.get("timeout_ms", 0) / 1000,
+        fields.get("priority", 0),
+    )
 
 
 def decode_report(server_id, body):
--- /dev/null
+++ b/src/limpetlift/state/admitting.py
@@ -0,0 +1,37 @@
+"""Admission policies: whether a new flow is worth its place in a queue.
+
+A policy is called by a balancer with the agent that would take the flow. Every
+policy is a function ``(route, candidate)`` that returns whether to place it.
+Flows that are open already are not asked for.
+"""
+
+from limpetlift import defaults
+from limpetlift import registry
+
+policies_by_name = {}
+
+
+def expected_wait_s(candidate):
+    """Return the seconds until the candidate's server runs a new request."""
+    work = candidate.busy + candidate.placed
+    ahead = max(work + 1 - candidate.slots, 0)
+    return ahead / max(candidate.slots, 1) * candidate.run_s
+
+
+@registry.register(policies_by_name, "always")
+def admit_always(_route, _candidate):
+    """Place every flow; the baseline."""
+    return True
+
+
+@registry.register(policies_by_name, "timely")
+def admit_timely(route, candidate):
+    """Place a flow whose request can still be answered within its aim.
+
+    Beyond the capacity of all servers, a queue only makes every answer late.
+    A caller that is refused at once can come back when the queue is short.
+    """
+    if not route.aim_s or not candidate.run_s:
+        return True
+    left_s = route.aim_s - defaults.WAY_S - candidate.run_s
+    return expected_wait_s(candidate) <= max(left_s, defaults.QUEUE_MIN_S)
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -71,6 +71,8 @@
     :param caller_next: the caller's highest sequence number so far, or None.
     :param ack: what the caller acknowledged last.
     :param is_busy: whether the caller waits for an answer.
+    :param started_at: when the server was free to run its request, or None
+        when others were ahead of it.
     :param closed_at: when both ends had finished, or None.
     """
 
@@ -84,6 +86,7 @@
     caller_next: object = None
     ack: int = 0
     is_busy: bool = False
+    started_at: object = None
     caller_done: bool = False
     server_done: bool = False
     closed_at: object = None
@@ -119,6 +122,8 @@
     _reported_alive_at: float = float("-inf")
     _rival: object = None
     _silent_flows: int = 0
+    # Mean run time of requests, in seconds.
+    _run_s: float = 0.0
     _balancers_by_address: dict = attrs.field(factory=dict)
     _number: int = 0
     _reported_at: float = float("-inf")
@@ -324,12 +329,29 @@
             end = segment.sequence + segment.length & _SEQUENCE_MASK
             if flow.caller_next is None or _is_after(end, flow.caller_next):
                 flow.caller_next = end
-                flow.is_busy = True
+                self._begin_request(now, flow)
         if segment.is_final:
             flow.caller_done = True
             self._close(now, flow)
         return [steps.ToServer(segment.data)]
 
+    def _begin_request(self, now, flow):
+        slots = self.report.slots if self.report else 1
+        if not flow.is_busy:
+            flow.is_busy = True
+            busy = sum(other.is_busy for other in self.flows_by_key.values())
+            flow.started_at = now if busy <= slots else None
+        elif flow.started_at is not None:
+            # More of the same request; the server runs it when it is whole.
+            flow.started_at = now
+
+    def _end_request(self, now, flow):
+        if flow.is_busy and flow.started_at is not None:
+            took_s = now - flow.started_at
+            known_s = self._run_s or took_s
+            self._run_s = known_s + defaults.RUN_WEIGHT * (took_s - known_s)
+        flow.is_busy = False
+
     def _close(self, now, flow):
         if flow.caller_done and flow.server_done and flow.closed_at is None:
             flow.closed_at = now
@@ -411,7 +433,7 @@
         if flow.server_sequence is None:
             flow.server_sequence = segment.sequence
         if segment.length:
-            flow.is_busy = False
+            self._end_request(now, flow)
         if segment.is_reset:
             self.flows_by_key.pop(segment.key, None)
         elif segment.is_final:
@@ -491,6 +513,7 @@
             sum(flow.is_busy or bool(flow.first) for flow in flows),
             sum(flow.is_open for flow in flows),
             sum(bool(flow.first) for flow in flows),
+            round(self._run_s * 1000),
             self._service_id,
         )
 
--- a/src/limpetlift/state/placing.py
+++ b/src/limpetlift/state/placing.py
@@ -23,6 +23,8 @@
     :param flows: open flows there.
     :param placed: flows that this balancer gave it since that report.
     :param is_warming: whether its backend server is slow after a start.
+    :param run_s: seconds in which its server answers a request that it can
+        run at once; 0 when it is not known.
     :param is_near: whether it is in the balancer's data centre.
     """
 
@@ -33,6 +35,7 @@
     placed: int = 0
     is_warming: bool = False
     is_near: bool = False
+    run_s: float = 0.0
 
 
 def expected_work(candidate, busy_per_flow):
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -15,6 +15,7 @@
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift import registry
+from limpetlift.state import admitting
 from limpetlift.state import placing
 from limpetlift.state import routing
 from limpetlift.state import steps
@@ -107,6 +108,7 @@
     :param decode: turns a datagram of a caller into a segment.
     :param rng: a :class:`random.Random`.
     :param policy: name of a placing policy.
+    :param admission: name of an admission policy.
     :raises StateError: when there is no such policy.
 
     .. versionadded:: 0.2
@@ -117,6 +119,7 @@
     decode: object
     rng: random.Random = attrs.field(factory=random.Random)
     policy: str = "least"
+    admission: str = "timely"
     routes: routing.RouteTable = attrs.field(factory=routing.RouteTable)
     flows_by_key: dict = attrs.field(factory=dict)
     _agents_by_address: dict = attrs.field(factory=dict)
@@ -126,11 +129,15 @@
     _hello_at: float = float("-inf")
     _swept_at: float = float("-inf")
     _choose: object = attrs.field(init=False)
+    _admit: object = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self._choose = registry.lookup(
             placing.policies_by_name, self.policy, "placing policy"
         )
+        self._admit = registry.lookup(
+            admitting.policies_by_name, self.admission, "admission policy"
+        )
 
     # News.
 
@@ -270,7 +277,10 @@
                 break
         else:
             return self._refuse(segment, "no_agent", len(flow.tried))
-        address = self._choose(candidates, self.rng).agent_id
+        chosen = self._choose(candidates, self.rng)
+        if not self._admit(route, chosen):
+            return self._refuse(segment, "overloaded", len(flow.tried))
+        address = chosen.agent_id
         agent = self._agents_by_address[address]
         agent.placed_at.append(now)
         flow.address = address
@@ -324,6 +334,7 @@
             len(agent.placed_at),
             bool(load and load.is_warming),
             agent.entry.data_centre == self.data_centre,
+            load.run_ms / 1000 if load else 0.0,
         )
 
     def _refuse(self, segment, reason, declined=0):
