Defer new flows at the crest to the copies of their first segment

Cause: a refused caller comes back after 7 ms and has used up its three tries within 20 ms, while the queue needs some hundred milliseconds.

Change: a first segment that cannot be served in time is left to the caller's copies after 200 and 600 ms; new flows go before copies. When all three came to one balancer and none was placed, the last one is refused. The same holds when the agents that decline may recover at once.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -306,3 +306,9 @@
 WAY_S = 0.02
 # A queue shorter than this is not refused, whatever the aim.
 QUEUE_MIN_S = 0.03
+# A caller sends two copies of a first segment, after 200 and 600 ms, and
+# gives up after 1.4 s.
+LAST_COPY = 2
+OPENING_S = 1.5
+# Share of the queue that a copy may take: the rest is for new flows.
+COPY_SHARE = 0.5
--- a/src/limpetlift/state/admitting.py
+++ b/src/limpetlift/state/admitting.py
@@ -1,8 +1,8 @@
 """Admission policies: whether a new flow is worth its place in a queue.
 
 A policy is called by a balancer with the agent that would take the flow. Every
-policy is a function ``(route, candidate)`` that returns whether to place it.
-Flows that are open already are not asked for.
+policy is a function ``(route, candidate, copy)`` that returns whether to place
+it now; ``copy`` counts the copies of the first segment that came before.
 """
 
 from limpetlift import defaults
@@ -19,19 +19,23 @@
 
 
 @registry.register(policies_by_name, "always")
-def admit_always(_route, _candidate):
+def admit_always(_route, _candidate, _copy):
     """Place every flow; the baseline."""
     return True
 
 
 @registry.register(policies_by_name, "timely")
-def admit_timely(route, candidate):
+def admit_timely(route, candidate, copy):
     """Place a flow whose request can still be answered within its aim.
 
-    Beyond the capacity of all servers, a queue only makes every answer late.
-    A caller that is refused at once can come back when the queue is short.
+    Beyond the capacity of all servers a queue only makes every answer late.
+    A first segment that is not placed comes again as a copy. Its answer is
+    late by then, so it does not go before one that can be in time; the last
+    copy has the same chance as a new flow.
     """
     if not route.aim_s or not candidate.run_s:
         return True
     left_s = route.aim_s - defaults.WAY_S - candidate.run_s
+    if 0 < copy < defaults.LAST_COPY:
+        left_s *= defaults.COPY_SHARE
     return expected_wait_s(candidate) <= max(left_s, defaults.QUEUE_MIN_S)
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -22,6 +22,11 @@
 
 _handlers_by_type = {}
 
+# An agent that declines for one of these may take flows a moment later.
+_PASSING_REASONS = frozenset(
+    ("server_unknown", "server_refused", "server_silent", "stopping")
+)
+
 
 @attrs.define
 class _Agent:
@@ -69,12 +74,26 @@
     :param active_at: time of its last segment.
     :param is_open: whether its caller has sent more than the first segment.
     :param tried: addresses of agents that declined it.
+    :param may_recover: whether one of them may take flows again soon.
     """
 
     address: tuple
     active_at: float
     is_open: bool = False
     tried: set = attrs.field(factory=set)
+    may_recover: bool = False
+
+
+@attrs.define
+class _Deferral:
+    """A new flow that was not placed yet.
+
+    :param expires_at: when its caller has stopped to send copies.
+    :param copies: copies of the first segment that came here.
+    """
+
+    expires_at: float
+    copies: set = attrs.field(factory=set)
 
 
 @attrs.define
@@ -124,6 +143,7 @@
     flows_by_key: dict = attrs.field(factory=dict)
     _agents_by_address: dict = attrs.field(factory=dict)
     _searches_by_key: dict = attrs.field(factory=dict)
+    _deferrals_by_key: dict = attrs.field(factory=dict)
     _peers: list = attrs.field(factory=list)
     _records: list = attrs.field(factory=list)
     _hello_at: float = float("-inf")
@@ -276,10 +296,12 @@
             if candidates:
                 break
         else:
+            if flow.may_recover:
+                return self._defer(now, segment, "no_agent", flow)
             return self._refuse(segment, "no_agent", len(flow.tried))
         chosen = self._choose(candidates, self.rng)
-        if not self._admit(route, chosen):
-            return self._refuse(segment, "overloaded", len(flow.tried))
+        if not self._admit(route, chosen, segment.ack):
+            return self._defer(now, segment, "overloaded", flow)
         address = chosen.agent_id
         agent = self._agents_by_address[address]
         agent.placed_at.append(now)
@@ -337,6 +359,36 @@
             load.run_ms / 1000 if load else 0.0,
         )
 
+    def _defer(self, now, segment, reason, flow):
+        """Leave a new flow to the next copy of its first segment.
+
+        The caller sends copies by itself, so this tells it when to come back;
+        after a refusal it would come back at once and use up its tries. The
+        last copy is refused, when all of them came here and none was placed.
+        """
+        key = segment.key
+        self.flows_by_key.pop(key, None)
+        deferral = self._deferrals_by_key.get(key)
+        if deferral is None:
+            deferral = _Deferral(now + defaults.OPENING_S)
+            self._deferrals_by_key[key] = deferral
+        if not flow.tried:
+            deferral.copies.add(segment.ack)
+        note = steps.Note(
+            "flow_deferred",
+            key,
+            {
+                "reason": reason,
+                "copy": segment.ack,
+                "declined": len(flow.tried),
+                "routes": self.routes.version,
+            },
+        )
+        if len(deferral.copies) <= defaults.LAST_COPY:
+            return [note]
+        del self._deferrals_by_key[key]
+        return [steps.Reset(key, 0, reason), note]
+
     def _refuse(self, segment, reason, declined=0):
         """Refuse a new flow.
 
@@ -494,6 +546,8 @@
             {"agent": "%s:%d" % address, "reason": declined.reason},
         )
         flow.tried.add(address)
+        if declined.reason in _PASSING_REASONS:
+            flow.may_recover = True
         return [note] + self._place(now, segment, flow)
 
     @registry.register(_handlers_by_type, tunnel.Unknown)
@@ -563,6 +617,9 @@
         for key, flow in list(self.flows_by_key.items()):
             if flow.active_at < horizon:
                 del self.flows_by_key[key]
+        for key, deferral in list(self._deferrals_by_key.items()):
+            if deferral.expires_at < now:
+                del self._deferrals_by_key[key]
 
 
 def _batches(records):
