Keep resets of servers for flows that they do not hold

Cause: a search brought a segment to a server that had not started yet. It answered with a reset, and its agent handed the reset to the caller, whose flow another server held.

Ruled out: the agent's own resets (no line flow_reset for the flow).

Change: a reset for a flow that the server is not known to hold answers the search, and does not go to the caller. The test fails without the change.

--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -46,7 +46,7 @@
 _CODE_BY_REASON = {reason: code for code, reason in enumerate(REASONS)}
 
 _HEAD = struct.Struct("!BB")
-_LOAD = struct.Struct("!QIBBHHHHH8s")
+_LOAD = struct.Struct("!QIBBHHHH8s")
 _RECORD = struct.Struct("!12s4sHB")
 # Entries in one message of flows: it fits in one datagram of 1,400 bytes.
 FLOWS_PER_MESSAGE = 70
@@ -104,8 +104,6 @@
     :param slots: requests that the backend server runs at a time.
     :param busy: flows whose caller waits for an answer.
     :param flows: open flows.
-    :param unanswered: new flows that wait for the backend server's first
-        packet.
     :param run_ms: mean time in which the server answers a request that it
         can run at once; 0 when it is not known.
     :param service: :func:`service_id` of its service.
@@ -118,7 +116,6 @@
     slots: int
     busy: int
     flows: int
-    unanswered: int
     run_ms: int
     service: bytes
 
@@ -132,7 +129,6 @@
             min(self.slots, 0xFFFF),
             min(self.busy, 0xFFFF),
             min(self.flows, 0xFFFF),
-            min(self.unanswered, 0xFFFF),
             min(self.run_ms, 0xFFFF),
             self.service,
         )
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -63,7 +63,7 @@
     """A flow of the backend server.
 
     :param balancer: address of the balancer that sent its last segment.
-    :param first: its first segment while the server has not answered.
+    :param first: its first segment here while the server has not answered.
     :param answer_by: when the server must have answered it.
     :param is_tentative: whether the server may not hold it at all.
     :param asked_by: balancers that search for it.
@@ -276,7 +276,7 @@
                 return self._accept(now, balancer, forward.service, segment)
             if self.knows_all:
                 return [steps.ToPeer(balancer, tunnel.Unknown(segment.data))]
-            flow = _Flow(balancer, now, is_tentative=True)
+            flow = _Flow(balancer, now, first=segment.data, is_tentative=True)
             self.flows_by_key[segment.key] = flow
         return self._deliver(now, balancer, flow, segment)
 
@@ -417,6 +417,10 @@
                 # Known to the server from before this agent's start.
                 flow = _Flow((), now)
                 self.flows_by_key[segment.key] = flow
+        elif flow.is_tentative and segment.is_reset:
+            # A server that has not started yet resets flows of others.
+            del self.flows_by_key[segment.key]
+            return self._give_back(flow, segment.key, flow.first)
         elif flow.is_tentative:
             flow.is_tentative = False
             found += [
@@ -456,14 +460,22 @@
         del self.flows_by_key[segment.key]
         if self._holds(flow, segment):
             return [steps.Reset(segment.key, segment.ack, "server_lost_flow")]
+        return self._give_back(flow, segment.key, segment.data)
+
+    @staticmethod
+    def _give_back(flow, key, data):
+        """Tell balancers that the server does not hold a flow.
+
+        :param data: the segment that the balancer is to deliver elsewhere.
+        """
         if flow.asked_by:
             return [
-                steps.ToPeer(balancer, tunnel.NotHere(segment.key))
+                steps.ToPeer(balancer, tunnel.NotHere(key))
                 for balancer in flow.asked_by
             ]
         if not flow.balancer:
-            return [steps.Note("returned_dropped", segment.key)]
-        return [steps.ToPeer(flow.balancer, tunnel.Unknown(segment.data))]
+            return [steps.Note("returned_dropped", key)]
+        return [steps.ToPeer(flow.balancer, tunnel.Unknown(data))]
 
     # Timers and reports of load.
 
@@ -481,7 +493,7 @@
         """Hand flows on that the server has not answered."""
         found = []
         for key, flow in list(self.flows_by_key.items()):
-            if flow.first and flow.answer_by <= now:
+            if flow.first and not flow.is_tentative and flow.answer_by <= now:
                 self._silent_flows += 1
                 del self.flows_by_key[key]
                 found += self._decline(
@@ -510,9 +522,11 @@
             not self.refusal(self._service_id),
             self._warm_at > now,
             report.slots if report else 1,
-            sum(flow.is_busy or bool(flow.first) for flow in flows),
+            sum(
+                flow.is_open and (flow.is_busy or bool(flow.first))
+                for flow in flows
+            ),
             sum(flow.is_open for flow in flows),
-            sum(bool(flow.first) for flow in flows),
             round(self._run_s * 1000),
             self._service_id,
         )
--- /dev/null
+++ b/tests/segmentkit.py
@@ -0,0 +1,132 @@
+"""Segments, entries and routes for the tests of steering and hosting."""
+
+import struct
+
+from limpetlift.coordination import directory
+from limpetlift.platform import packet
+from limpetlift.protocol import segment as segments
+from limpetlift.protocol import tunnel
+from limpetlift.state import routing
+from limpetlift.state import steps
+
+_HEADER = struct.Struct("<H4s4sHHIIIIB")
+_SERVICE = (bytes((1, 0, 18, 198)), 443)
+
+SYN = 128
+RST = 64
+ACK = 32
+BOUNCED = 16
+FIN = 4
+
+
+def datagram(
+    port, flags=0, from_caller=True, sequence=0, ack=0, payload=b"", echo=0
+):
+    """Return a datagram of the flow of the caller at ``port``."""
+    caller = (bytes((7, 0, 64, 100)), port)
+    sender, receiver = caller, _SERVICE
+    if not from_caller:
+        sender, receiver = _SERVICE, caller
+    return (
+        _HEADER.pack(
+            len(payload),
+            receiver[0],
+            sender[0],
+            sender[1],
+            receiver[1],
+            sequence,
+            ack,
+            0xABCD,
+            echo,
+            flags,
+        )
+        + payload
+    )
+
+
+def decode(data):
+    """Return the segment of a caller in ``data``."""
+    return packet.decode(data, True)
+
+
+def of_caller(port, flags=0, **fields):
+    """Return a segment that the caller at ``port`` sent."""
+    return decode(datagram(port, flags, **fields))
+
+
+def of_server(port, flags=0, **fields):
+    """Return a segment that the server sent to the caller at ``port``."""
+    return packet.decode(
+        datagram(port, flags, from_caller=False, **fields), False
+    )
+
+
+def returned(port, flags=0, **fields):
+    """Return a segment that the server handed back."""
+    return packet.decode(datagram(port, flags | BOUNCED, **fields), False)
+
+
+def key_of(port):
+    """Return the key of the flow of the caller at ``port``."""
+    return segments.pack_key(
+        bytes((100, 64, 0, 7)), port, bytes((198, 18, 0, 1)), 443
+    )
+
+
+def agent(number, service="desk", data_centre="a"):
+    """Return the entry of an agent."""
+    return directory.Entry(
+        "agent-%d" % number, ("10.0.0.%d" % number, 70), data_centre, service
+    )
+
+
+def balancer(number, data_centre="a"):
+    """Return the entry of a balancer."""
+    return directory.Entry(
+        "balancer-%d" % number, ("10.9.0.%d" % number, 80), data_centre
+    )
+
+
+def load(number=1, service="desk", **fields):
+    """Return a report of an agent's load."""
+    values = {
+        "incarnation": 1,
+        "number": number,
+        "accepting": True,
+        "is_warming": False,
+        "slots": 2,
+        "busy": 0,
+        "flows": 0,
+        "run_ms": 0,
+        "service": tunnel.service_id(service),
+    }
+    values.update(fields)
+    return tunnel.Load(**values)
+
+
+def routes(version=1, service="desk", **fields):
+    """Return a table with one route."""
+    address = ("198.18.0.1", 443)
+    route = routing.Route(
+        "r", address, (routing.Share(service, 1.0),), **fields
+    )
+    return routing.RouteTable(version, {address: route})
+
+
+def kinds(found):
+    """Return the types of steps, without those for logs."""
+    return [type(step) for step in found if not isinstance(step, steps.Note)]
+
+
+def messages(found, kind):
+    """Return the ``(address, message)`` of one kind among steps."""
+    return [
+        (step.address, step.message)
+        for step in found
+        if isinstance(step, steps.ToPeer) and isinstance(step.message, kind)
+    ]
+
+
+def resets(found):
+    """Return the resets among steps."""
+    return [step for step in found if isinstance(step, steps.Reset)]
--- /dev/null
+++ b/tests/test_hosting.py
@@ -0,0 +1,282 @@
+"""Hosting: the flows of a backend server, as its agent sees them."""
+
+import segmentkit as kit
+
+from limpetlift import defaults
+from limpetlift.protocol import tunnel
+from limpetlift.state import hosting
+from limpetlift.state import steps
+
+_BALANCER = ("10.9.0.1", 80)
+_OTHER = ("10.9.0.2", 80)
+_DESK = tunnel.service_id("desk")
+
+
+def _report(number=1, state=hosting.READY, started_ms=1000, server_id="s-1"):
+    return hosting.Report(
+        server_id, "desk", started_ms, number, state, slots=2
+    )
+
+
+def _agent(knows_all=True, report=True):
+    table = hosting.FlowHosting("desk", 1, kit.decode, knows_all)
+    if report:
+        table.on_report(0.0, _report())
+    return table
+
+
+def _forward(table, now, port, flags=0, balancer=_BALANCER, **fields):
+    data = kit.datagram(port, flags, **fields)
+    return table.on_message(now, balancer, tunnel.Forward(_DESK, data))
+
+
+def _locate(table, now, port, balancer=_BALANCER, **fields):
+    data = kit.datagram(port, kit.ACK, **fields)
+    return table.on_message(now, balancer, tunnel.Locate(data))
+
+
+def _open(table, now, port, sequence=500):
+    _forward(table, now, port, kit.SYN)
+    return table.on_server_segment(
+        now, kit.of_server(port, kit.SYN | kit.ACK, sequence=sequence)
+    )
+
+
+def test_a_flow_reaches_its_server_and_the_answer_its_caller():
+    """The whole path must hand datagrams on as they are."""
+    table = _agent()
+    found = _forward(table, 0.0, 1, kit.SYN)
+    assert kit.kinds(found) == [steps.ToServer]
+    assert found[0].data == kit.datagram(1, kit.SYN)
+    found = _open(table, 0.0, 1)
+    assert kit.kinds(found) == [steps.ToCaller]
+
+
+def test_a_draining_server_gets_no_new_flow_and_keeps_the_open_ones():
+    """A balancer with old news must not bring work to a leaving server."""
+    table = _agent()
+    _open(table, 0.0, 1)
+    table.on_report(1.0, _report(2, hosting.DRAINING))
+    found = _forward(table, 1.0, 2, kit.SYN)
+    assert kit.messages(found, tunnel.Declined) == [
+        (_BALANCER, tunnel.Declined("draining", kit.datagram(2, kit.SYN)))
+    ]
+    assert kit.kinds(_forward(table, 1.0, 1, kit.ACK, ack=501)) == [
+        steps.ToServer
+    ]
+
+
+def test_a_late_report_does_not_undo_the_drain():
+    """A report that was held up must not open a leaving server again."""
+    table = _agent()
+    table.on_report(1.0, _report(3, hosting.DRAINING))
+    table.on_report(1.1, _report(2, hosting.READY))
+    assert table.refusal(_DESK) == "draining"
+
+
+def test_a_report_of_an_earlier_start_changes_nothing():
+    """A held up report of a crashed server must not replace its successor."""
+    table = _agent()
+    table.on_report(
+        1.0, _report(1, hosting.DRAINING, started_ms=2000, server_id="s-2")
+    )
+    table.on_report(1.1, _report(9, hosting.READY, started_ms=1000))
+    assert table.refusal(_DESK) == "draining"
+
+
+def test_a_start_that_looks_older_is_believed_when_it_goes_on():
+    """A clock that was set back must not hide a restarted server for good."""
+    table = _agent()
+    table.on_report(1.0, _report(2, started_ms=9000))
+    later = 1.0 + defaults.SERVER_SILENT_S + 0.1
+    for number in (1, 2):
+        table.on_report(
+            later,
+            _report(number, hosting.DRAINING, 5000, server_id="s-2"),
+        )
+    assert table.refusal(_DESK) == "draining"
+
+
+def test_an_agent_without_a_report_takes_no_flow():
+    """After a restart the server beside it may be draining."""
+    table = _agent(report=False)
+    found = _forward(table, 0.0, 1, kit.SYN)
+    assert kit.messages(found, tunnel.Declined)[0][1].reason == (
+        "server_unknown"
+    )
+
+
+def test_another_services_flow_is_declined():
+    """An address that was another service's must not take its flows."""
+    table = _agent()
+    data = kit.datagram(1, kit.SYN)
+    found = table.on_message(
+        0.0, _BALANCER, tunnel.Forward(tunnel.service_id("photos"), data)
+    )
+    assert kit.messages(found, tunnel.Declined)[0][1].reason == (
+        "other_service"
+    )
+
+
+def test_a_returned_first_segment_goes_on_at_once():
+    """The caller's copy after 200 ms would make its request late."""
+    table = _agent()
+    _forward(table, 0.0, 1, kit.SYN)
+    found = table.on_server_segment(0.001, kit.returned(1, kit.SYN, echo=3))
+    assert kit.messages(found, tunnel.Declined) == [
+        (
+            _BALANCER,
+            tunnel.Declined("server_refused", kit.datagram(1, kit.SYN)),
+        )
+    ]
+
+
+def test_an_unanswered_first_segment_goes_on():
+    """A server that crashed silently must not cost a copy's 200 ms."""
+    table = _agent()
+    _forward(table, 0.0, 1, kit.SYN)
+    found = table.tick(defaults.SERVER_ANSWER_S + 0.001)
+    declined = kit.messages(found, tunnel.Declined)
+    assert [message.reason for _, message in declined] == ["server_silent"]
+
+
+def test_a_silent_server_gets_no_more_flows_until_it_reports():
+    """Flows must not be tried one after the other at a dead server."""
+    table = _agent()
+    for port in range(defaults.SILENT_FLOWS):
+        _forward(table, 0.0, port, kit.SYN)
+    table.tick(defaults.SERVER_ANSWER_S + 0.001)
+    assert table.refusal(_DESK) == "server_silent"
+    table.on_report(1.0, _report(2))
+    assert table.refusal(_DESK) == ""
+
+
+def test_the_caller_of_a_flow_that_the_server_lost_is_told():
+    """After a crash the caller would wait for its time-out."""
+    table = _agent()
+    _open(table, 0.0, 1, sequence=500)
+    segment = kit.returned(1, kit.ACK, ack=501, payload=b"x")
+    found = table.on_server_segment(1.0, segment)
+    assert [(step.reason, step.ack) for step in kit.resets(found)] == [
+        ("server_lost_flow", 501)
+    ]
+
+
+def test_a_flow_of_another_server_is_not_reset():
+    """Two servers answered copies; the caller went on with the other one."""
+    table = _agent()
+    _open(table, 0.0, 1, sequence=500)
+    other = 500 + (1 << 28)
+    found = table.on_server_segment(
+        0.01, kit.returned(1, kit.ACK, ack=other + 1)
+    )
+    assert not kit.resets(found)
+    assert kit.messages(found, tunnel.Unknown)
+
+
+def test_callers_are_told_when_the_server_started_again():
+    """A restarted server holds none of the flows from before."""
+    table = _agent()
+    _open(table, 0.0, 1)
+    found = table.on_report(5.0, _report(1, started_ms=6000, server_id="s-2"))
+    assert [step.reason for step in kit.resets(found)] == ["server_restarted"]
+
+
+def test_callers_are_told_when_the_agent_stops_after_its_server():
+    """The platform stops an agent after its server has ended."""
+    table = _agent()
+    _open(table, 0.0, 1)
+    table.on_leave(1.0, "s-1")
+    found = table.stop(2.0)
+    assert [step.reason for step in kit.resets(found)] == ["server_gone"]
+
+
+def test_a_planned_stop_resets_nothing_while_the_server_lives():
+    """A restart of an agent must not cut the flows of its server."""
+    table = _agent()
+    _open(table, 0.0, 1)
+    assert not kit.resets(table.stop(1.0))
+
+
+def test_a_restarted_agent_lets_the_server_decide():
+    """A flow from before the agent's restart must go on."""
+    table = _agent(knows_all=False, report=False)
+    table.on_report(0.0, _report(7))
+    found = _forward(table, 0.1, 1, kit.ACK, ack=900)
+    assert kit.kinds(found) == [steps.ToServer]
+    found = table.on_server_segment(0.1, kit.of_server(1, kit.ACK))
+    assert kit.kinds(found) == [steps.ToPeer, steps.ToCaller]
+    found = _forward(table, 0.2, 2, kit.ACK, ack=900)
+    found = table.on_server_segment(0.2, kit.returned(2, kit.ACK, ack=900))
+    assert kit.messages(found, tunnel.Unknown)
+
+
+def test_a_reset_for_an_unknown_flow_stays_here():
+    """A server that was starting reset a flow that another one held.
+
+    Found by a hunt on petra-amman (quiet-1, seed 1041582195268): a search
+    brought a segment to a server that had not started.
+    """
+    table = _agent(knows_all=False, report=False)
+    _locate(table, 0.0, 1, ack=900)
+    found = table.on_server_segment(0.001, kit.of_server(1, kit.RST))
+    assert kit.kinds(found) == [steps.ToPeer]
+    assert kit.messages(found, tunnel.NotHere) == [
+        (_BALANCER, tunnel.NotHere(kit.key_of(1)))
+    ]
+    _forward(table, 0.1, 2, kit.ACK, ack=900)
+    found = table.on_server_segment(0.1, kit.of_server(2, kit.RST))
+    assert kit.messages(found, tunnel.Unknown)[0][1].data == kit.datagram(
+        2, kit.ACK, ack=900
+    )
+
+
+def test_a_search_is_answered_with_certainty():
+    """A wrong answer would end a flow that its server holds."""
+    table = _agent()
+    _open(table, 0.0, 1, sequence=500)
+    found = _locate(table, 1.0, 1, ack=501)
+    assert kit.messages(found, tunnel.Owned)
+    assert steps.ToServer in kit.kinds(found)
+    found = _locate(table, 1.0, 2, ack=501)
+    assert kit.messages(found, tunnel.NotHere)
+    found = _locate(table, 1.0, 1, ack=500 + (1 << 28))
+    assert kit.messages(found, tunnel.NotHere)
+
+
+def test_all_searchers_hear_what_the_server_decided():
+    """Two balancers may search for one flow at the same time."""
+    table = _agent(knows_all=False)
+    table.knows_all = False
+    _locate(table, 0.0, 1, balancer=_BALANCER, ack=900)
+    _locate(table, 0.0, 1, balancer=_OTHER, ack=900)
+    found = table.on_server_segment(0.001, kit.returned(1, kit.ACK, ack=900))
+    assert {address for address, _ in kit.messages(found, tunnel.NotHere)} == {
+        _BALANCER,
+        _OTHER,
+    }
+
+
+def test_load_counts_callers_that_wait():
+    """Placement goes by requests under way, not by open flows."""
+    table = _agent()
+    table.on_message(0.0, _BALANCER, tunnel.Hello())
+    _open(table, 0.0, 1)
+    _open(table, 0.0, 2)
+    _forward(table, 0.1, 1, kit.ACK, sequence=1, ack=501, payload=b"ask")
+    loads = kit.messages(table.tick(0.2), tunnel.Load)
+    assert [(load.busy, load.flows) for _, load in loads] == [(1, 2)]
+    # A copy of the request after its answer is not another request.
+    table.on_server_segment(
+        0.3, kit.of_server(1, kit.ACK, sequence=501, payload=b"answer")
+    )
+    _forward(table, 0.31, 1, kit.ACK, sequence=1, ack=501, payload=b"ask")
+    loads = kit.messages(table.tick(0.4), tunnel.Load)
+    assert [load.busy for _, load in loads] == [0]
+
+
+def test_an_unlisted_agent_announces_itself():
+    """The store may take an entry away without telling its writer."""
+    table = _agent()
+    found = table.on_message(0.0, _BALANCER, tunnel.Hello(False))
+    assert steps.Announce in kit.kinds(found)
