Let copies at the crest take only what new flows leave

Cause: the answer to a copied first segment is late already, and in a model of the crest copies took half of the queue.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -310,5 +310,7 @@
 # gives up after 1.4 s.
 LAST_COPY = 2
 OPENING_S = 1.5
-# Share of the queue that a copy may take: the rest is for new flows.
-COPY_SHARE = 0.5
+# Share of a route's time that a new flow may wait; run times vary.
+AIM_SHARE = 0.7
+# Share of that queue that a copy may join: the rest is for new flows.
+COPY_SHARE = 0.2
--- a/src/limpetlift/state/admitting.py
+++ b/src/limpetlift/state/admitting.py
@@ -30,12 +30,13 @@
 
     Beyond the capacity of all servers a queue only makes every answer late.
     A first segment that is not placed comes again as a copy. Its answer is
-    late by then, so it does not go before one that can be in time; the last
-    copy has the same chance as a new flow.
+    late by then, so it takes what new flows leave.
     """
     if not route.aim_s or not candidate.run_s:
         return True
-    left_s = route.aim_s - defaults.WAY_S - candidate.run_s
-    if 0 < copy < defaults.LAST_COPY:
+    left_s = defaults.AIM_SHARE * (
+        route.aim_s - defaults.WAY_S - candidate.run_s
+    )
+    if copy:
         left_s *= defaults.COPY_SHARE
     return expected_wait_s(candidate) <= max(left_s, defaults.QUEUE_MIN_S)
