Start without asyncio and tornado's HTTP modules

Ruled out: python -S (0.01 s); certifi and colorama come from this machine's site folder only.

Change: a reactor on selectors, HTTP/1.1 for short calls on it, a UDP socket on it. The operators' tools and the product's other processes keep tornado.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -314,3 +314,12 @@
 AIM_SHARE = 0.7
 # Share of that queue that a copy may join: the rest is for new flows.
 COPY_SHARE = 0.2
+
+# HTTP calls of and to processes that forward segments.
+HTTP_HEAD_BYTES = 16 * 1024
+# The store holds values of up to a megabyte, in base64 and a page of them.
+HTTP_BODY_BYTES = 16 * 1024 * 1024
+HTTP_BACKLOG = 64
+HTTP_CONNECTIONS = 128
+HTTP_IDLE_S = 30.0
+STORE_CONNECT_S = 0.5
--- a/src/limpetlift/platform/deployment.py
+++ b/src/limpetlift/platform/deployment.py
@@ -1,6 +1,5 @@
 """The platform as balancers and agents use it."""
 
-import asyncio
 import os
 import sys
 
@@ -17,7 +16,7 @@
     packet.decode,
     packet.encode_reset,
     store.PlatformStore,
-    web.Server,
+    web.serve,
     documents.CONFIG_KEY,
     documents.decode_routes,
 )
@@ -31,4 +30,4 @@
         sys.exit(str(error))
     except KeyError:
         sys.exit("%s is not set" % _SETTINGS_VARIABLE)
-    asyncio.run(process.run())
+    process.run()
--- a/src/limpetlift/platform/store.py
+++ b/src/limpetlift/platform/store.py
@@ -8,18 +8,15 @@
 import json
 import urllib.parse
 
-from tornado import httpclient
-from tornado import simple_httpclient
-
 from limpetlift.coordination import entries
 from limpetlift import exceptions
+from limpetlift.transport import http1
 
 # A call takes 4 ms, and up to some hundred when the store is slow.
 _CALL_TIMEOUT_S = 1.5
 # Shorter, so that a silent watch is replaced before the routes are overdue.
 _WATCH_MARGIN_S = 0.7
-_CONNECT_TIMEOUT_S = 0.5
-_MAX_ANSWER_BYTES = 8 * 1024 * 1024
+_BASE = "/-/"
 _HISTORY_GONE = 410
 _LEASE_ENDED = 404
 _CONFLICT = 412
@@ -28,29 +25,20 @@
 class PlatformStore:
     """The store as processes of this project use it.
 
-    Every call has a connection of its own: one that goes silent without a
-    reset costs that call only.
-
+    :param reactor: the event loop.
     :param address: ``ip:port`` of the store.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, address):
+    def __init__(self, reactor, address):
+        self._reactor = reactor
         self.set_address(address)
-        self._client = simple_httpclient.SimpleAsyncHTTPClient(
-            force_instance=True,
-            max_clients=16,
-            max_body_size=_MAX_ANSWER_BYTES,
-        )
 
     def set_address(self, address):
         """Use the store at ``address`` from the next call on."""
-        self._base = "http://%s/-/" % address
-
-    def close(self):
-        """Close the connections."""
-        self._client.close()
+        ip, _, port = address.rpartition(":")
+        self._address = (ip, int(port))
 
     async def get(self, key):
         """Return the :class:`entries.Entry` of ``key``, or None.
@@ -180,49 +168,40 @@
         await self._write("DELETE", path, None, (_LEASE_ENDED,))
 
     async def _read(self, path, query, statuses=(), wait_s=0.0):
-        url = self._base + path + "?" + urllib.parse.urlencode(query)
+        path += "?" + urllib.parse.urlencode(query)
+        timeout_s = wait_s + _WATCH_MARGIN_S if wait_s else _CALL_TIMEOUT_S
         try:
-            return await self._call(url, statuses, wait_s=wait_s)
-        except _CALL_ERRORS as error:
+            return await self._call("GET", path, None, statuses, timeout_s)
+        except (exceptions.TransportError, ValueError) as error:
             raise exceptions.StoreUnavailable(str(error)) from error
 
     async def _write(self, method, path, body, statuses=()):
+        data = None if body is None else json.dumps(body).encode("ascii")
         try:
-            return await self._call(self._base + path, statuses, method, body)
-        except _CALL_ERRORS as error:
-            if isinstance(error, httpclient.HTTPError) and error.code in (
-                429,
-                503,
-            ):
-                raise exceptions.StoreUnavailable(str(error)) from error
+            return await self._call(
+                method, path, data, statuses, _CALL_TIMEOUT_S
+            )
+        except http1.NotConnected as error:
+            raise exceptions.StoreUnavailable(str(error)) from error
+        except (exceptions.TransportError, ValueError) as error:
             raise exceptions.StoreOutcomeUnknown(str(error)) from error
 
-    async def _call(self, url, statuses, method="GET", body=None, wait_s=0.0):
+    async def _call(self, method, path, data, statuses, timeout_s):
         """Return ``(status, decoded body)`` of one call.
 
         :param statuses: those besides success that the caller understands.
+        :raises StoreUnavailable: when the store refused the call.
         """
-        request = httpclient.HTTPRequest(
-            url,
-            method=method,
-            body=None if body is None else json.dumps(body),
-            headers={"Content-Type": "application/json"},
-            connect_timeout=_CONNECT_TIMEOUT_S,
-            request_timeout=(
-                wait_s + _WATCH_MARGIN_S if wait_s else _CALL_TIMEOUT_S
-            ),
-            allow_nonstandard_methods=True,
+        answer = await http1.call(
+            self._reactor, self._address, method, _BASE + path, data, timeout_s
         )
-        response = await self._client.fetch(request, raise_error=False)
-        if response.error is not None and response.code not in statuses:
-            raise response.error
-        answer = json.loads(response.body) if response.body else {}
-        if not isinstance(answer, dict):
+        status = answer.status
+        if status != 200 and status not in statuses:
+            raise exceptions.StoreUnavailable("the store answered %d" % status)
+        fields = json.loads(answer.body) if answer.body else {}
+        if not isinstance(fields, dict):
             raise ValueError("the answer is not a JSON object")
-        return response.code, answer
-
-
-_CALL_ERRORS = (httpclient.HTTPError, OSError, ValueError)
+        return status, fields
 
 
 def _field(answer, name, kind):
--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -1,11 +1,11 @@
 """Task that keeps the entry of this process in the store."""
 
-import asyncio
 import time
 
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
+from limpetlift.transport import reactor as reactors
 
 LOG = logs.EventLogger("announcing")
 
@@ -16,6 +16,7 @@
     Every write depends on the entry's last known revision, so that a write
     whose answer was lost cannot undo a later one when it takes effect late.
 
+    :param reactor: the event loop.
     :param store: has ``get``, ``compare_and_swap``, ``grant``,
         ``keep_alive`` and ``revoke`` like
         :class:`limpetlift.platform.store.PlatformStore`.
@@ -28,7 +29,8 @@
     .. versionadded:: 0.2
     """
 
-    def __init__(self, store, key, value, rng, lease_s=0.0):
+    def __init__(self, reactor, store, key, value, rng, lease_s=0.0):
+        self._reactor = reactor
         self._store = store
         self._key = key
         self._value = value
@@ -38,13 +40,15 @@
         self._revision = 0
         self._written = None
         self._renew_at = 0.0
-        self._changed = asyncio.Event()
+        self._is_changed = False
+        self._waiting = reactors.Future()
         self._missing_at = float("-inf")
         self._is_announced = False
 
     def on_changed(self):
         """Announce a changed value now."""
-        self._changed.set()
+        self._is_changed = True
+        self._waiting.set_value()
 
     def on_missing(self):
         """Note that another process does not find the entry in the store."""
@@ -54,29 +58,39 @@
         self._missing_at = now + defaults.LAPSED_ENTRY_S
         LOG.warning("entry_missing", key=self._key, lease=self._lease)
         self._written = None
-        self._changed.set()
+        self.on_changed()
 
     async def run(self):
-        """Announce until cancelled."""
+        """Announce until the process ends."""
         pause_s = defaults.ANNOUNCE_RETRY_S
         while True:
-            self._changed.clear()
+            self._is_changed = False
             try:
                 await self._step()
             except exceptions.CoordinationError as error:
                 self._note(False, error)
-                await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+                await self._reactor.sleep(
+                    pause_s * self._rng.uniform(0.5, 1.0)
+                )
                 pause_s = min(2 * pause_s, defaults.ANNOUNCE_RETRY_MAX_S)
                 continue
             self._note(True, "")
             pause_s = defaults.ANNOUNCE_RETRY_S
-            wait_s = None
-            if self._lease_s:
-                wait_s = max(self._renew_at - time.monotonic(), 0.0)
-            try:
-                await asyncio.wait_for(self._changed.wait(), wait_s)
-            except asyncio.TimeoutError:
-                continue
+            await self._wait()
+
+    async def _wait(self):
+        """Wait until the value changes or the lease is to be renewed."""
+        if self._is_changed:
+            return
+        self._waiting = reactors.Future()
+        timer = None
+        if self._lease_s:
+            timer = self._reactor.call_at(
+                self._renew_at, self._waiting.set_value
+            )
+        await self._waiting
+        if timer is not None:
+            timer.cancel()
 
     async def _step(self):
         if self._lease_s:
--- a/src/limpetlift/tasks/following.py
+++ b/src/limpetlift/tasks/following.py
@@ -1,7 +1,5 @@
 """Task that follows the keys under a prefix in the store."""
 
-import asyncio
-
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
@@ -12,6 +10,7 @@
 class Follower:
     """Reads the entries under a prefix and then every change of them.
 
+    :param reactor: the event loop.
     :param store: has ``get_prefix`` and ``changes`` like
         :class:`limpetlift.platform.store.PlatformStore`.
     :param prefix: of the keys.
@@ -26,8 +25,16 @@
     """
 
     def __init__(
-        self, store, prefix, rng, on_snapshot, on_changes, on_unreachable
+        self,
+        reactor,
+        store,
+        prefix,
+        rng,
+        on_snapshot,
+        on_changes,
+        on_unreachable,
     ):
+        self._reactor = reactor
         self._store = store
         self._prefix = prefix
         self._rng = rng
@@ -38,7 +45,7 @@
         self._is_reached = True
 
     async def run(self):
-        """Follow until cancelled."""
+        """Follow until the process ends."""
         pause_s = defaults.ANNOUNCE_RETRY_S
         while True:
             try:
@@ -47,12 +54,14 @@
                 self._note(False, error)
                 if error.code == "compacted":
                     self._revision = None
-                await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+                await self._reactor.sleep(
+                    pause_s * self._rng.uniform(0.5, 1.0)
+                )
                 pause_s = min(2 * pause_s, defaults.ANNOUNCE_RETRY_MAX_S)
             else:
                 self._note(True, "")
                 pause_s = defaults.ANNOUNCE_RETRY_S
-                await asyncio.sleep(defaults.FOLLOW_PAUSE_S)
+                await self._reactor.sleep(defaults.FOLLOW_PAUSE_S)
 
     async def _step(self):
         if self._revision is None:
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -1,6 +1,5 @@
 """The agent: segments to and from the backend server beside it."""
 
-import asyncio
 import time
 
 from limpetlift.coordination import directory as directories
@@ -41,12 +40,13 @@
         self.serve(settings.reports)
         self.serve(settings.probes)
         self._announcer = announcing.Announcer(
+            self.reactor,
             self.store,
             segmentprocess.PREFIX + directories.AGENTS + settings.id,
             self._entry,
             self.rng,
         )
-        self.run_task(self._announcer.run())
+        self.reactor.spawn(self._announcer.run())
         self.every(defaults.HOSTING_TICK_S, self._tick)
 
     def _entry(self):
@@ -150,10 +150,10 @@
         latest = now + defaults.STOP_MAX_S
         self.perform(self._hosting.stop(now))
         # Balancers hear of it before the last look.
-        await asyncio.sleep(defaults.LOAD_FRESH_S)
+        await self.reactor.sleep(defaults.LOAD_FRESH_S)
         while time.monotonic() < latest and not self._hosting.is_idle:
-            await asyncio.sleep(defaults.HOSTING_TICK_S)
+            await self.reactor.sleep(defaults.HOSTING_TICK_S)
         report = self._hosting.report
         if report is not None and report.state == hosting.GONE:
             # Otherwise the agent comes back beside the same server.
-            await asyncio.wait_for(self._announcer.withdraw(), 1.0)
+            await self._announcer.withdraw()
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -1,6 +1,5 @@
 """The balancer: segments of callers go to agents."""
 
-import asyncio
 import time
 
 from limpetlift.coordination import directory as directories
@@ -45,13 +44,14 @@
         self._key = directories.BALANCERS + settings.id
         entry = directories.Entry(settings.id, address, settings.data_centre)
         self._announcer = announcing.Announcer(
+            self.reactor,
             self.store,
             segmentprocess.PREFIX + self._key,
             entry.encode,
             self.rng,
             defaults.ENTRY_LEASE_S,
         )
-        self.run_task(self._announcer.run())
+        self.reactor.spawn(self._announcer.run())
         self._follow(
             self.deployment.routes_key,
             self._on_route_entries,
@@ -70,6 +70,7 @@
 
     def _follow(self, prefix, on_snapshot, on_changes, on_unreachable):
         follower = following.Follower(
+            self.reactor,
             self.store,
             prefix,
             self.rng,
@@ -77,7 +78,7 @@
             on_changes,
             on_unreachable,
         )
-        self.run_task(follower.run())
+        self.reactor.spawn(follower.run())
 
     # Segments and messages.
 
@@ -188,7 +189,7 @@
         self._is_read_wanted = True
         if not self._is_reading:
             self._is_reading = True
-            self.run_task(self._read_directory())
+            self.reactor.spawn(self._read_directory())
 
     async def _read_directory(self):
         try:
@@ -231,7 +232,7 @@
             self._announcer.on_missing()
 
     def _check_silent(self):
-        self.run_task(self._remove_silent())
+        self.reactor.spawn(self._remove_silent())
 
     def _tick(self):
         self.perform(self._steering.tick(time.monotonic()))
@@ -260,11 +261,11 @@
         earliest = now + defaults.STOP_MIN_S
         latest = now + defaults.STOP_MAX_S
         while now < latest:
-            await asyncio.sleep(defaults.STEERING_TICK_S)
+            await self.reactor.sleep(defaults.STEERING_TICK_S)
             now = time.monotonic()
             if now > max(earliest, self._segment_at + defaults.STOP_QUIET_S):
                 break
-        await asyncio.wait_for(self._announcer.withdraw(), 1.0)
+        await self._announcer.withdraw()
 
 
 def _without_prefix(entry):
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -1,6 +1,5 @@
 """What balancers and agents that forward segments have in common."""
 
-import asyncio
 import collections
 import contextlib
 import random
@@ -8,7 +7,6 @@
 import time
 
 import attrs
-from tornado import ioloop
 
 from limpetlift import boundedlog
 from limpetlift import defaults
@@ -17,7 +15,8 @@
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift.state import segmentsettings
-from limpetlift.transport import udp
+from limpetlift.transport import datagram
+from limpetlift.transport import reactor as reactors
 
 LOG = logs.EventLogger("process")
 FLOW_LOG = logs.EventLogger("flow")
@@ -32,8 +31,9 @@
 
     :param decode: ``(datagram, from_caller)`` to a segment.
     :param encode_reset: ``(key, ack)`` to the datagram that ends a flow.
-    :param connect_store: address to a client of the store.
-    :param serve: ``(address, process)`` to a server of the HTTP calls.
+    :param connect_store: ``(reactor, address)`` to a client of the store.
+    :param serve: ``(reactor, address, process)`` to a server of the HTTP
+        calls.
     :param routes_key: the routes' key in the store.
     :param decode_routes: its value to a route table.
     """
@@ -63,23 +63,22 @@
         self.deployment = deployment
         self.incarnation = int(time.time() * 1000)
         self.rng = random.Random()
-        self.stack = contextlib.AsyncExitStack()
+        self.stack = contextlib.ExitStack()
+        self.reactor = reactors.Reactor()
         self.counts_by_event = collections.Counter()
         self.is_stopping = False
-        self._stop_requested = None
-        self._tasks = set()
         self._log_handler = boundedlog.configure()
 
-    async def run(self):
+    def run(self):
         """Run until SIGTERM or SIGINT, then stop gracefully."""
-        self._stop_requested = asyncio.Event()
-        loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
-        async with self.stack:
-            self.store = self.deployment.connect_store(self.settings.store)
-            self.stack.callback(lambda: self.store.close())
+            self.reactor.on_signal(number, self._request_stop)
+        self.reactor.on_signal(signal.SIGHUP, self._reload)
+        with self.stack:
+            self.stack.callback(self.reactor.close)
+            self.store = self.deployment.connect_store(
+                self.reactor, self.settings.store
+            )
             self.start()
             self.every(defaults.SETTINGS_POLL_S, self._reload)
             LOG.info(
@@ -89,16 +88,22 @@
                 incarnation=self.incarnation,
                 data_centre=self.settings.data_centre,
             )
-            await self._stop_requested.wait()
-            LOG.info("stopping", kind=self.kind, id=self.settings.id)
-            self.is_stopping = True
-            await self.stop()
-            tasks = list(self._tasks)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            self.reactor.run()
         LOG.info("stopped", kind=self.kind, id=self.settings.id)
 
+    def _request_stop(self):
+        if self.is_stopping:
+            return
+        LOG.info("stopping", kind=self.kind, id=self.settings.id)
+        self.is_stopping = True
+        self.reactor.spawn(self._stop())
+
+    async def _stop(self):
+        try:
+            await self.stop()
+        finally:
+            self.reactor.stop()
+
     def start(self):
         """Open sockets and start timers and tasks."""
         raise NotImplementedError
@@ -115,32 +120,19 @@
         """Carry out the steps of a decision."""
         raise NotImplementedError
 
-    def run_task(self, work):
-        """Run a coroutine until the process stops."""
-        task = asyncio.ensure_future(work)
-        task.add_done_callback(self._on_task_done)
-        self._tasks.add(task)
-
-    def _on_task_done(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            LOG.error("task_failed", exc_info=_exc_info(task.exception()))
-
     def every(self, seconds, callback):
         """Call ``callback`` every ``seconds`` until the process stops."""
-        timer = ioloop.PeriodicCallback(callback, seconds * 1000)
-        timer.start()
-        self.stack.callback(timer.stop)
+        self.stack.callback(self.reactor.every(seconds, callback))
 
     def open_socket(self, address, receive):
         """Return a UDP socket that is closed with the process."""
-        socket = udp.UdpSocket(address, receive)
+        socket = datagram.DatagramSocket(self.reactor, address, receive)
         self.stack.callback(socket.close)
         return socket
 
     def serve(self, address):
         """Serve the HTTP calls on ``address`` until the process ends."""
-        server = self.deployment.serve(address, self)
+        server = self.deployment.serve(self.reactor, address, self)
         self.stack.callback(server.close)
 
     def decode_caller(self, data):
@@ -206,7 +198,3 @@
             self.store.set_address(settings.store)
         # Addresses are bound at the start; a change of them needs a restart.
         self.settings = settings
-
-
-def _exc_info(error):
-    return type(error), error, error.__traceback__
--- /dev/null
+++ b/src/limpetlift/transport/datagram.py
@@ -0,0 +1,66 @@
+"""A non-blocking UDP socket on the reactor."""
+
+import socket
+
+from limpetlift import defaults
+from limpetlift import exceptions
+
+
+class DatagramSocket:
+    """A bound UDP socket that reads in batches.
+
+    :param reactor: the event loop.
+    :param address: ``(ip, port)``; port 0 picks a free one.
+    :param receive: called with ``(data, (ip, port))`` for each datagram.
+    :raises TransportError: when the address cannot be bound.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, reactor, address, receive):
+        self._reactor = reactor
+        self._receive = receive
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, option, defaults.UDP_BUFFER_BYTES
+            )
+        try:
+            self._socket.bind(address)
+        except OSError as error:
+            self._socket.close()
+            raise exceptions.TransportError(
+                "cannot bind UDP %s:%d: %s" % (*address, error)
+            ) from error
+        self.address = self._socket.getsockname()
+        reactor.watch(self._socket, self._on_readable)
+
+    def _on_readable(self):
+        recvfrom = self._socket.recvfrom
+        receive = self._receive
+        for _ in range(defaults.UDP_BATCH):
+            try:
+                data, address = recvfrom(65535)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An ICMP error of an earlier datagram; the next read works.
+                continue
+            receive(data, address)
+            if self._socket.fileno() < 0:
+                return
+
+    def send(self, data, address):
+        """Send one datagram; return whether the kernel took it."""
+        try:
+            self._socket.sendto(data, address)
+        except OSError:
+            return False
+        return True
+
+    def close(self):
+        """Stop receiving and close the socket."""
+        if self._socket.fileno() >= 0:
+            self._reactor.watch(self._socket)
+            self._socket.close()
