Announce an agent again that no balancer knows; test the crest

Cause: found by reading.

Change: an agent without a hello for 5 s writes its entry again. The admission policy takes the queue alone. The model's tests compare policies with their baselines for a restart of all, a burst and an ordinary crest.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -237,6 +237,8 @@
 HELLO_S = 0.5
 # An agent forgets a balancer that has not said hello for this long.
 HELLO_FRESH_S = 2.0
+# An agent without any balancer for this long announces itself again.
+HELLO_LOST_S = 5.0
 # A balancer that hears no agent for this long is of no use to callers.
 AGENTS_SILENT_S = 1.2
 # Twice the longest way between data centres, and a report's own delay.
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -487,8 +487,21 @@
         if now - self._swept_at >= defaults.SWEEP_S:
             self._swept_at = now
             self._forget(now)
+            found += self._find_balancers(now)
         return found + self._report_load(now)
 
+    def _find_balancers(self, now):
+        """Announce this agent again when no balancer knows it any more.
+
+        Balancers remove the entry of an agent that was cut off for long.
+        """
+        heard_at = max(
+            self._balancers_by_address.values(), default=self._started_at
+        )
+        if now - heard_at < defaults.HELLO_LOST_S:
+            return []
+        return [steps.Announce()]
+
     def _pass_on_unanswered(self, now):
         """Hand flows on that the server has not answered."""
         found = []
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -287,6 +287,8 @@
     def _place(self, now, segment, flow):
         """Choose an agent for a first segment, or refuse it."""
         key = segment.key
+        if not self.routes.version:
+            return [steps.Note("routes_unknown", key, {"copy": segment.ack})]
         route = self.routes.routes_by_address.get(segments.service_of(key))
         if route is None:
             return self._refuse(segment, "no_route")
@@ -300,7 +302,10 @@
                 return self._defer(now, segment, "no_agent", flow)
             return self._refuse(segment, "no_agent", len(flow.tried))
         chosen = self._choose(candidates, self.rng)
-        if not self._admit(route, chosen, segment.ack):
+        queue = admitting.Queue(
+            chosen.slots, chosen.busy + chosen.placed, chosen.run_s
+        )
+        if not self._admit(queue, route.aim_s, segment.ack):
             return self._defer(now, segment, "overloaded", flow)
         address = chosen.agent_id
         agent = self._agents_by_address[address]
@@ -407,7 +412,7 @@
                 "routes": self.routes.version,
             },
         )
-        if segment.ack or not self.routes.version:
+        if segment.ack:
             return [note]
         return [steps.Reset(key, 0, reason), note]
 
--- a/tests/crestmodel.py
+++ b/tests/crestmodel.py
@@ -16,7 +16,6 @@
 from limpetlift import defaults
 from limpetlift.state import admitting
 from limpetlift.state import placing
-from limpetlift.state import routing
 
 _REPORT_S = 0.02
 _WAY_S = 0.004
@@ -77,7 +76,6 @@
         self._rng = random.Random(self.seed)
         self._choose = placing.policies_by_name[self.placing_policy]
         self._admit = admitting.policies_by_name[self.admission]
-        self._route = routing.Route("r", ("s", 1), (), self.aim_s)
         self._servers = [
             _Server(self.slots, self.queue_limit) for _ in range(self.servers)
         ]
@@ -149,7 +147,10 @@
                 )
             )
         chosen = self._choose(candidates, self._rng)
-        if not self._admit(self._route, chosen, copy):
+        queue = admitting.Queue(
+            chosen.slots, chosen.busy + chosen.placed, chosen.run_s
+        )
+        if not self._admit(queue, self.aim_s, copy):
             if copy == defaults.LAST_COPY:
                 self._again(now, request)
             return
@@ -168,13 +169,14 @@
     def _start(self, now, server, request, is_direct):
         server.running += 1
         took_s = request.work_s * self.slow(now)
-        if is_direct:
-            known_s = server.run_s or took_s
-            server.run_s = known_s + defaults.RUN_WEIGHT * (took_s - known_s)
-        self._after(now + took_s, self._finish, server, request)
+        known_s = took_s if is_direct else 0.0
+        self._after(now + took_s, self._finish, server, request, known_s)
 
-    def _finish(self, now, server, request):
+    def _finish(self, now, server, request, run_s):
         server.running -= 1
+        if run_s:
+            known_s = server.run_s or run_s
+            server.run_s = known_s + defaults.RUN_WEIGHT * (run_s - known_s)
         took_s = now + _WAY_S - request.at
         if took_s <= self.aim_s:
             request.outcome = "in_time"
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -280,3 +280,13 @@
     table = _agent()
     found = table.on_message(0.0, _BALANCER, tunnel.Hello(False))
     assert steps.Announce in kit.kinds(found)
+
+
+def test_an_agent_that_no_balancer_knows_announces_itself():
+    """Balancers removed the entry of an agent that was cut off for long."""
+    table = _agent()
+    table.tick(0.0)
+    table.on_message(0.1, _BALANCER, tunnel.Hello())
+    assert steps.Announce not in kit.kinds(table.tick(2.0))
+    late = 0.2 + defaults.HELLO_LOST_S
+    assert steps.Announce in kit.kinds(table.tick(late))
