--- a/src/limpetlift/platform/web.py
+++ b/src/limpetlift/platform/web.py
@@ -20,7 +20,8 @@
         ``on_report(report)`` and ``on_leave(server_id)``.
     """
 
-    def handle(method, path, body):
+    def handle(method, target, body):
+        path = target.partition("?")[0]
         if method == "GET" and path == _READY_PATH:
             return http1.Answer(200 if process.is_ready() else 503)
         if method == "GET" and path == _METRICS_PATH:
--- a/src/limpetlift/transport/http1.py
+++ b/src/limpetlift/transport/http1.py
@@ -81,6 +81,9 @@
     start = lines[0].split(" ", 2)
     if len(start) < 2 or "HTTP/1." not in lines[0]:
         raise BadMessage("no HTTP/1.1: %.40r" % lines[0])
+    is_answer = lines[0].startswith("HTTP/")
+    if is_answer and not start[1].isdigit():
+        raise BadMessage("no status: %.40r" % lines[0])
     headers_by_name = {}
     for line in lines[1:]:
         name, colon, value = line.partition(":")
@@ -93,7 +96,7 @@
     length = headers_by_name.get("content-length")
     if length is None:
         # An answer without a length ends with its connection.
-        if lines[0].startswith("HTTP/") and not _is_empty(message):
+        if is_answer and not _is_empty(message):
             message.body = rest
             return (message, b"") if is_closed else (None, data)
         return message, rest
@@ -260,7 +263,7 @@
 
     :param reactor: the event loop.
     :param address: ``(ip, port)``.
-    :param handle: ``(method, path, body)`` to an :class:`Answer`.
+    :param handle: ``(method, target, body)`` to an :class:`Answer`.
     :raises TransportError: when the address cannot be bound.
 
     .. versionadded:: 0.2
@@ -307,8 +310,9 @@
         """Close the server and its connections."""
         for connection in list(self._connections):
             connection.close()
-        self._reactor.watch(self._socket)
-        self._socket.close()
+        if self._socket.fileno() >= 0:
+            self._reactor.watch(self._socket)
+            self._socket.close()
 
 
 class _Connection:
@@ -363,8 +367,7 @@
                 break
             self._received = bytearray(rest)
             method, target = message.start[0], message.start[1]
-            path = target.partition("?")[0]
-            answers.append(self._handle(method, path, message.body).encode())
+            answers.append(self._handle(method, target, message.body).encode())
             if message.headers_by_name.get("connection", "") == "close":
                 self._is_ending = True
         if answers:
--- a/src/limpetlift/transport/reactor.py
+++ b/src/limpetlift/transport/reactor.py
@@ -95,10 +95,7 @@
             self.is_done = True
         except Exception as error:
             self.is_done = True
-            LOG.error(
-                "task_failed",
-                exc_info=(type(error), error, error.__traceback__),
-            )
+            LOG.error("task_failed", exc_info=_exc_info(error))
         else:
             future.on_done(self.step)
 
@@ -183,15 +180,24 @@
 
     def run(self):
         """Run until :meth:`stop`."""
+        self._is_stopped = False
         while not self._is_stopped:
             for key, mask in self._selector.select(self._wait_s()):
                 on_readable, on_writable = key.data
                 if mask & selectors.EVENT_READ and on_readable is not None:
-                    on_readable()
+                    self._call(on_readable)
                 elif mask & selectors.EVENT_WRITE and on_writable is not None:
-                    on_writable()
+                    self._call(on_writable)
             self._run_timers()
 
+    @staticmethod
+    def _call(callback):
+        """Call back; a fault in one callback must not end the others."""
+        try:
+            callback()
+        except Exception as error:
+            LOG.error("callback_failed", exc_info=_exc_info(error))
+
     def stop(self):
         """Let :meth:`run` return."""
         self._is_stopped = True
@@ -208,13 +214,13 @@
         while self._timers and self._timers[0][0] <= now:
             _, _, timer = heapq.heappop(self._timers)
             if timer.callback is not None:
-                timer.callback()
+                self._call(timer.callback)
 
     def _on_wake(self):
         for number in os.read(self._wake_reader, _SIGNAL_BYTES):
             callback = self._callbacks_by_signal.get(number)
             if callback is not None:
-                callback()
+                self._call(callback)
 
     def close(self):
         """Release what the loop itself holds."""
@@ -224,5 +230,9 @@
         os.close(self._wake_writer)
 
 
+def _exc_info(error):
+    return type(error), error, error.__traceback__
+
+
 def _ignore(_number, _frame):
     """Receive a signal that the reactor reads from its pipe."""
--- /dev/null
+++ b/tests/platformstandin.py
@@ -0,0 +1,155 @@
+"""A stand-in of the platform's metadata store, with its published format.
+
+It runs on the reactor of the test, so calls and answers share one thread.
+"""
+
+import base64
+import json
+import urllib.parse
+
+from limpetlift.transport import http1
+
+
+class StoreStandIn:
+    """Answers the calls of the store from memory.
+
+    :param reactor: the event loop.
+
+    Faults: ``status`` is answered to every call, ``lost`` counts writes that
+    take effect without an answer, ``page`` limits the items of one answer,
+    ``oldest`` is the revision from which on the history is known.
+    """
+
+    def __init__(self, reactor):
+        self.items_by_key = {}
+        self.events = []
+        self.revision = 10
+        self.leases = {}
+        self.status = None
+        self.lost = 0
+        self.page = 500
+        self.oldest = 0
+        self.calls = []
+        self._reactor = reactor
+        self._server = http1.Server(reactor, ("127.0.0.1", 0), self._handle)
+        self.address = "%s:%d" % self._server.address
+
+    def close(self):
+        """Stop answering."""
+        self._server.close()
+
+    def put(self, key, value, lease=0):
+        """Write an item, as the operator or another process does."""
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode("ascii"),
+            "revision": self.revision,
+            "created": self.revision,
+            "lease": lease,
+        }
+        self.items_by_key[key] = item
+        self.events.append(item)
+
+    def remove(self, key):
+        """Remove an item."""
+        if key in self.items_by_key:
+            del self.items_by_key[key]
+            self.revision += 1
+            self.events.append(
+                {"key": key, "revision": self.revision, "removed": True}
+            )
+
+    def _handle(self, method, target, body):
+        path = target.partition("?")[0]
+        self.calls.append((method, path))
+        if self.status is not None:
+            return http1.Answer(self.status)
+        if method == "GET":
+            return self._read(target)
+        fields = json.loads(body) if body else {}
+        name = path.rsplit("/", 1)
+        if path == "/-/kv-txn":
+            return self._commit(fields)
+        if path == "/-/kv-lease":
+            lease = 100 + len(self.leases)
+            self.leases[lease] = fields["ttl_ms"]
+            return _answer(lease=lease, ttl_ms=fields["ttl_ms"])
+        if name[0] == "/-/kv-keep":
+            if int(name[1]) not in self.leases:
+                return http1.Answer(404)
+            return _answer(ttl_ms=self.leases[int(name[1])])
+        if name[0] == "/-/kv-lease-end":
+            self._end_lease(int(name[1]))
+            return http1.Answer(200)
+        return http1.Answer(404)
+
+    def _read(self, target):
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if url.path == "/-/kv-key":
+            item = self.items_by_key.get(query["key"])
+            if item is None:
+                return http1.Answer(404)
+            return _answer(store_revision=self.revision, **item)
+        if url.path == "/-/kv-range":
+            return self._range(query)
+        if int(query["after"]) < self.oldest:
+            return http1.Answer(410)
+        events = [
+            event
+            for event in self.events
+            if event["key"].startswith(query["prefix"])
+            and event["revision"] > int(query["after"])
+        ]
+        return _answer(events=events, store_revision=self.revision)
+
+    def _range(self, query):
+        items = [
+            item
+            for key, item in sorted(self.items_by_key.items())
+            if key.startswith(query["prefix"]) and key > query.get("after", "")
+        ]
+        return _answer(
+            items=items[: self.page],
+            more_pages=len(items) > self.page,
+            store_revision=self.revision,
+        )
+
+    def _commit(self, fields):
+        rows = fields["precondition"]
+        current = [self.items_by_key.get(row["key"]) for row in rows]
+        for row, item in zip(rows, current):
+            if row["revision"] != (item["revision"] if item else 0):
+                return http1.Answer(
+                    412,
+                    json.dumps({"items": [i for i in current if i]}).encode(),
+                )
+        for write in fields["writes"]:
+            lease = write.get("lease", 0)
+            if lease and lease not in self.leases:
+                return http1.Answer(404)
+        for write in fields["writes"]:
+            value = base64.b64decode(write["value"])
+            self.put(write["key"], value, write.get("lease", 0))
+        for key in fields["remove"]:
+            self.remove(key)
+        if self.lost:
+            self.lost -= 1
+            return http1.Answer(200, b"lost")
+        return _answer(revision=self.revision)
+
+    def _end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key, item in list(self.items_by_key.items()):
+            if item["lease"] == lease:
+                self.remove(key)
+
+    def lapse(self):
+        """Let all leases run out."""
+        for lease in list(self.leases):
+            self._end_lease(lease)
+
+
+def _answer(**fields):
+    return http1.Answer(200, json.dumps(fields).encode("utf-8"))
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,431 @@
+"""The platform's formats and calls, decoded and made by the adapter."""
+
+import json
+import pathlib
+import random
+import re
+import time
+
+import hypothesis
+from hypothesis import strategies
+import platformstandin
+import pytest
+import segmentkit as kit
+
+from limpetlift import exceptions
+from limpetlift.platform import deployment
+from limpetlift.platform import documents
+from limpetlift.platform import packet
+from limpetlift.platform import store
+from limpetlift.protocol import segment as segments
+from limpetlift.state import hosting
+from limpetlift.state import segmentsettings
+from limpetlift.tasks import announcing
+from limpetlift.tasks import following
+from limpetlift.transport import reactor as reactors
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_SOURCES = _ROOT / "src" / "limpetlift"
+
+# The example of a first packet on the platform's page.
+_SYN = bytes.fromhex(
+    "0000 0100 12c6 0700 4064 419c bb01 4433 2211 0000 0000"
+    "d5c3 b2a1 0000 0000 80"
+)
+_RESET = bytes.fromhex(
+    "0000 0700 4064 0100 12c6 bb01 419c 0000 0000 0000 0000"
+    "0000 0000 0000 0000 40"
+)
+
+_REPORT = {
+    "service": "desk",
+    "address": "10.1.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "max_concurrency": 3,
+    "state": "ready",
+    "warmup_left_ms": 500,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+
+
+# Packets.
+
+
+def test_the_published_packet_is_decoded():
+    """The layout of the header is the platform's."""
+    found = packet.decode(_SYN, True)
+    assert segments.format_key(found.key) == "100.64.0.7:40001>198.18.0.1:443"
+    assert found.opens
+    assert found.sequence == 0x11223344
+    assert found.data == _SYN
+
+
+def test_the_published_reset_is_encoded():
+    """A reset goes from the route's address to the caller's."""
+    key = packet.decode(_SYN, True).key
+    assert packet.encode_reset(key, 0) == _RESET
+
+
+def test_both_directions_have_one_key():
+    """An answer belongs to the flow of its request."""
+    answer = kit.of_server(9, kit.SYN | kit.ACK)
+    assert answer.key == kit.of_caller(9, kit.SYN).key
+    assert not answer.opens
+
+
+def test_a_returned_packet_is_as_its_sender_wrote_it():
+    """The next server must not see marks of the first one."""
+    found = kit.returned(9, kit.SYN, echo=77)
+    assert found.is_returned and found.opens
+    assert found.data == kit.datagram(9, kit.SYN)
+
+
+@hypothesis.given(strategies.binary(max_size=1400), strategies.booleans())
+def test_any_bytes_are_a_segment_or_malformed(data, from_caller):
+    """Truncated or foreign bytes on a port must harm nothing."""
+    try:
+        found = packet.decode(data, from_caller)
+    except exceptions.MalformedMessage:
+        return
+    assert len(found.key) == 12
+    assert found.length == len(data) - len(_SYN)
+
+
+# Reports and routes.
+
+
+def test_a_report_is_decoded():
+    """Fields are decoded once, into the project's own terms."""
+    found = documents.decode_report("i-1", json.dumps(_REPORT).encode())
+    assert found == hosting.Report(
+        "i-1", "desk", 1700000000000, 4, hosting.READY, 3, 0.5
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"sequence": "4"},
+        {"sequence": True},
+        {"born": 1.5},
+        {"service": None},
+        {"max_concurrency": []},
+    ],
+)
+def test_a_garbled_report_is_refused(change):
+    """A report of another writer must not change the server's state."""
+    with pytest.raises(exceptions.MalformedMessage):
+        documents.decode_report(
+            "i-1", json.dumps({**_REPORT, **change}).encode()
+        )
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_are_a_report_or_malformed(data):
+    """Bytes that cannot be read must not end the process."""
+    with pytest.raises(exceptions.MalformedMessage):
+        documents.decode_report("i-1", data)
+
+
+def test_routes_are_decoded():
+    """A route names its service, or several with weights."""
+    value = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r-1",
+                "host": "198.18.0.1",
+                "prefix": "/8443/",
+                "type": "safe",
+                "timeout_ms": 1200,
+                "aim_ms": 225,
+                "priority": 2,
+                "backends": [
+                    {"service": "one", "weight": 90},
+                    {"service": "two", "weight": 10},
+                ],
+            },
+            {
+                "name": "r-2",
+                "host": "198.18.0.2",
+                "prefix": "/80/",
+                "service": "two",
+            },
+        ],
+        "limits": {"idle_timeout_ms": 15000},
+    }
+    found = documents.decode_routes(json.dumps(value).encode())
+    assert found.version == 7
+    assert found.idle_s == 15.0
+    route = found.routes_by_address[("198.18.0.1", 8443)]
+    assert (route.aim_s, route.timeout_s, route.priority) == (0.225, 1.2, 2)
+    assert route.services_for(0.89) == ["one", "two"]
+    assert route.services_for(0.91) == ["two", "one"]
+    plain = found.routes_by_address[("198.18.0.2", 80)]
+    assert plain.services_for(0.5) == ["two"]
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"routes": 3}'])
+def test_an_unreadable_configuration_is_malformed(value):
+    """The routes in force must stay."""
+    with pytest.raises(exceptions.MalformedMessage):
+        documents.decode_routes(value)
+
+
+# The store.
+
+
+@pytest.fixture(name="reactor")
+def _reactor():
+    reactor = reactors.Reactor()
+    yield reactor
+    reactor.close()
+
+
+@pytest.fixture(name="standin")
+def _standin(reactor):
+    standin = platformstandin.StoreStandIn(reactor)
+    yield standin
+    standin.close()
+
+
+def _run(reactor, work, seconds=5.0):
+    """Run a coroutine to its end; return its result or raise its error."""
+    results = []
+
+    async def run():
+        try:
+            results.append((await work, None))
+        except exceptions.LimpetliftError as error:
+            results.append((None, error))
+        reactor.stop()
+
+    reactor.spawn(run())
+    _run_for(reactor, seconds, lambda: results)
+    assert results, "no result in time"
+    value, error = results[0]
+    if error is not None:
+        raise error
+    return value
+
+
+def _run_for(reactor, seconds, is_done):
+    """Run the reactor until something holds, or for ``seconds`` at most."""
+    cancel = reactor.every(0.01, lambda: is_done() and reactor.stop())
+    limit = reactor.call_at(time.monotonic() + seconds, reactor.stop)
+    if not is_done():
+        reactor.run()
+    limit.cancel()
+    cancel()
+
+
+def test_an_item_is_written_read_and_removed(reactor, standin):
+    """The store's calls carry the conditions of the project's own."""
+    client = store.PlatformStore(reactor, standin.address)
+    assert _run(reactor, client.get("x/1")) is None
+    revision = _run(reactor, client.compare_and_swap("x/1", 0, b"one"))
+    entry = _run(reactor, client.get("x/1"))
+    assert (entry.value, entry.mod_revision) == (b"one", revision)
+    with pytest.raises(exceptions.StoreConflict) as caught:
+        _run(reactor, client.compare_and_swap("x/1", 0, b"two"))
+    assert caught.value.entries_by_key["x/1"].value == b"one"
+    _run(reactor, client.remove("x/1", revision))
+    assert _run(reactor, client.get("x/1")) is None
+
+
+def test_pages_are_joined(reactor, standin):
+    """A list of all agents must be whole."""
+    standin.page = 2
+    for number in range(5):
+        standin.put("x/%d" % number, b"v")
+    client = store.PlatformStore(reactor, standin.address)
+    entries, revision = _run(reactor, client.get_prefix("x/"))
+    assert [entry.key for entry in entries] == [
+        "x/%d" % number for number in range(5)
+    ]
+    assert revision == standin.revision
+
+
+def test_changes_and_lost_history(reactor, standin):
+    """A reader whose revision is forgotten must read everything again."""
+    client = store.PlatformStore(reactor, standin.address)
+    start = standin.revision
+    standin.put("x/1", b"v")
+    standin.remove("x/1")
+    changes, revision = _run(reactor, client.changes("x/", start, 0.1))
+    assert [change.entry is None for change in changes] == [False, True]
+    assert revision == standin.revision
+    standin.oldest = standin.revision
+    with pytest.raises(exceptions.StoreUnavailable) as caught:
+        _run(reactor, client.changes("x/", start, 0.1))
+    assert caught.value.code == "compacted"
+
+
+@pytest.mark.parametrize("status", [429, 503, 500])
+def test_a_refused_call_had_no_effect(reactor, standin, status):
+    """A write that was refused may be repeated."""
+    client = store.PlatformStore(reactor, standin.address)
+    standin.status = status
+    with pytest.raises(exceptions.StoreUnavailable):
+        _run(reactor, client.compare_and_swap("x/1", 0, b"one"))
+
+
+def test_a_lost_answer_leaves_the_outcome_unknown(reactor, standin):
+    """A write without an answer may have taken effect."""
+    client = store.PlatformStore(reactor, standin.address)
+    standin.lost = 1
+    with pytest.raises(exceptions.StoreOutcomeUnknown):
+        _run(reactor, client.compare_and_swap("x/1", 0, b"one"))
+    assert "x/1" in standin.items_by_key
+
+
+def test_an_unreachable_store_had_no_effect(reactor, standin):
+    """A connection that never came to be carried no write."""
+    client = store.PlatformStore(reactor, standin.address)
+    standin.close()
+    with pytest.raises(exceptions.StoreUnavailable):
+        _run(reactor, client.grant(3.0))
+
+
+def test_a_lease_is_kept_and_ends(reactor, standin):
+    """A process must learn that its lease has ended."""
+    client = store.PlatformStore(reactor, standin.address)
+    lease = _run(reactor, client.grant(3.0))
+    _run(reactor, client.compare_and_swap("x/1", 0, b"one", lease))
+    assert _run(reactor, client.keep_alive(lease)) == 3.0
+    standin.lapse()
+    assert _run(reactor, client.keep_alive(lease)) == 0
+    assert "x/1" not in standin.items_by_key
+    with pytest.raises(exceptions.LeaseEnded):
+        _run(reactor, client.compare_and_swap("x/1", 0, b"one", lease))
+
+
+def _announcer(reactor, standin, lease_s=0.0):
+    client = store.PlatformStore(reactor, standin.address)
+    announcer = announcing.Announcer(
+        reactor, client, "x/1", lambda: b"me", random.Random(1), lease_s
+    )
+    reactor.spawn(announcer.run())
+    return announcer
+
+
+def test_an_entry_survives_lost_answers(reactor, standin):
+    """An unanswered write must be repeated until it is known."""
+    standin.lost = 1
+    _announcer(reactor, standin)
+    _run_for(reactor, 5.0, lambda: len(standin.calls) >= 3)
+    assert standin.items_by_key["x/1"]["value"] == "bWU="
+
+
+def test_an_entry_that_lapsed_is_back(reactor, standin):
+    """Entries that lapsed in an outage are back 2 s after its end."""
+    announcer = _announcer(reactor, standin, lease_s=6.0)
+    _run_for(reactor, 5.0, lambda: "x/1" in standin.items_by_key)
+    standin.lapse()
+    announcer.on_missing()
+    _run_for(reactor, 2.0, lambda: "x/1" in standin.items_by_key)
+    assert "x/1" in standin.items_by_key
+
+
+def test_an_entry_that_was_taken_away_is_back(reactor, standin):
+    """The store may remove a key without telling its writer."""
+    announcer = _announcer(reactor, standin)
+    _run_for(reactor, 5.0, lambda: "x/1" in standin.items_by_key)
+    standin.remove("x/1")
+    announcer.on_missing()
+    _run_for(reactor, 2.0, lambda: "x/1" in standin.items_by_key)
+    assert "x/1" in standin.items_by_key
+
+
+def test_a_follower_reads_again_after_lost_history(reactor, standin):
+    """Changes that the store forgot must not be missed."""
+    found = {}
+    client = store.PlatformStore(reactor, standin.address)
+
+    def on_snapshot(entries):
+        found.clear()
+        found.update((entry.key, entry.value) for entry in entries)
+
+    follower = following.Follower(
+        reactor,
+        client,
+        "x/",
+        random.Random(1),
+        on_snapshot,
+        lambda changes: None,
+        lambda: None,
+    )
+    standin.put("x/1", b"one")
+    reactor.spawn(follower.run())
+    _run_for(reactor, 5.0, lambda: found)
+    standin.put("x/1", b"two")
+    standin.oldest = standin.revision + 1
+    _run_for(reactor, 5.0, lambda: found.get("x/1") == b"two")
+    assert found == {"x/1": b"two"}
+
+
+# Settings and the boundary.
+
+
+def test_the_settings_template_is_filled_and_loaded(tmp_path):
+    """The template and the loader must agree on the names."""
+    text = (_ROOT / "deploy" / "settings.toml.in").read_text("utf-8")
+    values_by_name = {
+        "node_name|json": '"edge-a-1"',
+        "zone|json": '"a"',
+        "ip|json": '"10.1.0.10"',
+        "listen_addrs.datagram_addr": "10.1.0.10:8172",
+        "listen_addrs.ready": "10.1.0.10:8167",
+        "platform.address": "10.200.1.7:8169",
+        "internal_port_range.0": "7720",
+        "bootstrap|json": "true",
+    }
+    filled = re.sub(
+        r"\{\{([^}]+)\}\}",
+        lambda match: values_by_name.get(match[1], ""),
+        text,
+    )
+    path = tmp_path / "settings.toml"
+    path.write_text(filled, encoding="utf-8")
+    found = segmentsettings.load(str(path))
+    assert found.segments == ("10.1.0.10", 8172)
+    assert found.server is None
+    assert found.is_first_start
+
+
+def test_invalid_settings_say_what_is_wrong(tmp_path):
+    """A broken file must be named with its fault."""
+    path = tmp_path / "settings.toml"
+    path.write_text('id = ""', encoding="utf-8")
+    with pytest.raises(exceptions.SettingsError) as caught:
+        segmentsettings.load(str(path))
+    assert "settings.toml" in str(caught.value)
+
+
+def test_only_the_adapter_knows_the_platforms_words():
+    """The product keeps its own names and interface."""
+    words = re.compile(
+        r"/-/|kv-|heartbeat_url|LIMPETLIFT_SETTINGS|max_concurrency"
+        r"|warmup_left|datagram_addr|control_plane|op/config|node_name"
+    )
+    found = [
+        "%s:%d" % (path.relative_to(_SOURCES), number)
+        for path in _SOURCES.rglob("*.py")
+        if path.parent.name != "platform"
+        for number, line in enumerate(path.read_text("utf-8").split("\n"), 1)
+        if words.search(line)
+    ]
+    assert not found
+
+
+def test_the_adapter_stays_small():
+    """The adapter decides nothing; what decides belongs to the product."""
+    lines = sum(
+        path.read_text("utf-8").count("\n")
+        for path in (_SOURCES / "platform").glob("*.py")
+    )
+    assert lines < 1000
+    assert deployment.DEPLOYMENT.routes_key
--- /dev/null
+++ b/tests/test_reactor.py
@@ -0,0 +1,200 @@
+"""The event loop and HTTP of processes that forward segments."""
+
+import signal
+import socket
+import time
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from limpetlift.transport import datagram
+from limpetlift.transport import http1
+from limpetlift.transport import reactor as reactors
+
+
+@pytest.fixture(name="reactor")
+def _reactor():
+    reactor = reactors.Reactor()
+    yield reactor
+    reactor.close()
+
+
+def _run_until(reactor, is_done, seconds=5.0):
+    cancel = reactor.every(0.005, lambda: is_done() and reactor.stop())
+    limit = reactor.call_at(time.monotonic() + seconds, reactor.stop)
+    reactor.run()
+    cancel()
+    limit.cancel()
+    assert is_done()
+
+
+def _call(reactor, address, method="GET", path="/x", body=None, timeout_s=2):
+    results = []
+
+    async def run():
+        try:
+            results.append(
+                await http1.call(
+                    reactor, address, method, path, body, timeout_s
+                )
+            )
+        except http1.exceptions.TransportError as error:
+            results.append(error)
+
+    reactor.spawn(run())
+    _run_until(reactor, lambda: results)
+    return results[0]
+
+
+def test_timers_run_in_order_unless_cancelled(reactor):
+    """A cancelled time-out must not strike."""
+    seen = []
+    now = time.monotonic()
+    reactor.call_at(now + 0.02, lambda: seen.append("late"))
+    reactor.call_at(now + 0.01, lambda: seen.append("early"))
+    reactor.call_at(now + 0.01, lambda: seen.append("no")).cancel()
+    _run_until(reactor, lambda: len(seen) == 2)
+    assert seen == ["early", "late"]
+
+
+def test_a_fault_in_one_callback_leaves_the_others(reactor, caplog):
+    """A fault on one packet must not cut the flows of all callers."""
+    seen = []
+    now = time.monotonic()
+    reactor.call_at(now, lambda: 1 / 0)
+    reactor.call_at(now + 0.01, lambda: seen.append(1))
+    _run_until(reactor, lambda: seen)
+    assert "callback_failed" in caplog.text
+
+
+def test_a_fault_in_a_task_is_logged(reactor, caplog):
+    """A task that ends by a fault must leave a trace."""
+
+    async def fail():
+        await reactor.sleep(0.001)
+        raise RuntimeError("no")
+
+    task = reactor.spawn(fail())
+    _run_until(reactor, lambda: task.is_done)
+    assert "task_failed" in caplog.text
+
+
+def test_signals_are_called_back(reactor):
+    """SIGHUP must not end the process."""
+    seen = []
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        reactor.on_signal(signal.SIGHUP, lambda: seen.append(1))
+        reactor.call_at(
+            time.monotonic(), lambda: signal.raise_signal(signal.SIGHUP)
+        )
+        _run_until(reactor, lambda: seen)
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
+def test_datagrams_are_received(reactor):
+    """Both ends of the UDP socket work on the reactor."""
+    seen = []
+    first = datagram.DatagramSocket(
+        reactor, ("127.0.0.1", 0), lambda data, _: seen.append(data)
+    )
+    second = datagram.DatagramSocket(
+        reactor, ("127.0.0.1", 0), lambda data, _: None
+    )
+    assert second.send(b"one", first.address)
+    _run_until(reactor, lambda: seen)
+    assert seen == [b"one"]
+    first.close()
+    second.close()
+
+
+def test_a_call_is_answered(reactor):
+    """Method, target and body arrive, status and body come back."""
+    seen = []
+
+    def handle(method, target, body):
+        seen.append((method, target, body))
+        return http1.Answer(404, b"gone", "text/plain")
+
+    server = http1.Server(reactor, ("127.0.0.1", 0), handle)
+    answer = _call(reactor, server.address, "POST", "/x?y=1", b"body")
+    server.close()
+    assert seen == [("POST", "/x?y=1", b"body")]
+    assert (answer.status, answer.body) == (404, b"gone")
+
+
+def test_a_large_answer_arrives_whole(reactor):
+    """A page of the store is larger than one read."""
+    body = bytes(3 * 1024 * 1024)
+    server = http1.Server(
+        reactor, ("127.0.0.1", 0), lambda *_: http1.Answer(200, body)
+    )
+    answer = _call(reactor, server.address)
+    server.close()
+    assert answer.body == body
+
+
+def test_a_silent_server_costs_the_time_out_only(reactor):
+    """A connection may go silent without a reset."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        answer = _call(reactor, listener.getsockname(), timeout_s=0.1)
+    assert isinstance(answer, http1.AnswerLost)
+
+
+def test_a_closed_port_means_that_nothing_was_sent(reactor):
+    """Only then may a write be repeated without asking."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = listener.getsockname()
+    assert isinstance(_call(reactor, address), http1.NotConnected)
+
+
+def test_a_malformed_request_is_refused(reactor):
+    """Foreign bytes on the port get an answer and a closed connection."""
+    server = http1.Server(
+        reactor, ("127.0.0.1", 0), lambda *_: http1.Answer(200)
+    )
+    client = socket.create_connection(server.address)
+    client.sendall(b"\x16\x03\x01 nonsense\r\n\r\n")
+    client.setblocking(False)
+    seen = []
+
+    def read():
+        try:
+            seen.append(client.recv(1000))
+        except BlockingIOError:
+            pass
+        return seen
+
+    _run_until(reactor, read)
+    client.close()
+    server.close()
+    assert seen[0].startswith(b"HTTP/1.1 400 ")
+
+
+@hypothesis.given(strategies.binary(max_size=300))
+def test_any_bytes_are_a_message_or_bad(data):
+    """No input may raise anything else."""
+    try:
+        http1.parse(data, True)
+    except http1.BadMessage:
+        pass
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nbody",
+    ],
+)
+def test_bodies_are_read_in_every_form(data):
+    """The store may choose how to frame an answer."""
+    message, _ = http1.parse(data, True)
+    assert message.body == b"body"
+    for size in range(len(data)):
+        if b"Length" in data or b"chunked" in data:
+            assert http1.parse(data[:size])[0] is None
