--- a/src/limpetlift/boundedlog.py
+++ b/src/limpetlift/boundedlog.py
@@ -17,12 +17,13 @@
     in a line ``log_lines_dropped`` as soon as one can be written.
 
     :param descriptor: made non-blocking.
+    :param process: id of the process, for every line.
     :param clock: returns seconds.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, descriptor, clock=time.monotonic):
+    def __init__(self, descriptor, process="", clock=time.monotonic):
         super().__init__()
         self._descriptor = descriptor
         self._clock = clock
@@ -32,7 +33,7 @@
         self._rest = b""
         self.dropped = 0
         os.set_blocking(descriptor, False)
-        self.setFormatter(logs.KeyValueFormatter())
+        self.setFormatter(logs.KeyValueFormatter(process))
 
     def emit(self, record):
         """Write a record, or count that it was left out."""
@@ -94,12 +95,13 @@
         return not self._rest
 
 
-def configure(descriptor=1):
+def configure(process, descriptor=1):
     """Send the logs of the process to ``descriptor``.
 
+    :param process: id of the process, for every line.
     :returns: the :class:`BoundedHandler`.
     """
-    handler = BoundedHandler(descriptor)
+    handler = BoundedHandler(descriptor, process)
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
--- a/src/limpetlift/cli.py
+++ b/src/limpetlift/cli.py
@@ -87,6 +87,16 @@
     sys.exit(asyncio.run(run()))
 
 
+def _log_lines(paths):
+    """Yield the lines of log files; undecodable bytes are replaced."""
+    for path in paths:
+        if path == "-":
+            yield from sys.stdin
+            continue
+        with open(path, encoding="utf-8", errors="replace") as file:
+            yield from file
+
+
 class Commands:
     """Layer-4 load balancer for long flows and at-most-once requests."""
 
@@ -123,6 +133,21 @@
         """
         print(asyncio.run(_call(admin, "/drain", "POST", token)), end="")
 
+    def explain(self, logs, flow):
+        """Print the story of one flow over all processes.
+
+        :param logs: file of log lines, several separated by commas, or ``-``
+            for standard input.
+        :param flow: ``caller_ip:port``, or the whole id of the flow.
+        """
+        from limpetlift import explaining
+
+        try:
+            found = explaining.explain(_log_lines(_words(logs)), str(flow))
+        except (exceptions.StateError, OSError) as error:
+            sys.exit(str(error))
+        print("\n".join(found))
+
     def replay(self, *traces, seed=None, policy="", json=False):
         """Replay traces and compare the outcomes with their targets.
 
--- a/src/limpetlift/logs.py
+++ b/src/limpetlift/logs.py
@@ -15,15 +15,25 @@
 
 
 class KeyValueFormatter(logging.Formatter):
-    """Formats a record as ``time= level= logger= event=`` and its fields."""
+    """Formats a record as ``time= level= logger= event=`` and its fields.
+
+    :param process: id of the process, put before the event when not empty.
+    """
+
+    def __init__(self, process=""):
+        super().__init__()
+        self._process = process
 
     def format(self, record):
+        time = self.formatTime(record, "%Y-%m-%dT%H:%M:%S")
         fields = {
-            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S"),
+            "time": "%s.%03d" % (time, record.msecs),
             "level": record.levelname.lower(),
             "logger": record.name,
-            "event": record.getMessage(),
         }
+        if self._process:
+            fields["process"] = self._process
+        fields["event"] = record.getMessage()
         fields.update(getattr(record, "fields", {}))
         if record.exc_info:
             fields["exception"] = repr(record.exc_info[1])
--- a/src/limpetlift/platform/store.py
+++ b/src/limpetlift/platform/store.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+import time
 import urllib.parse
 
 from limpetlift.coordination import entries
@@ -27,12 +28,15 @@
 
     :param reactor: the event loop.
     :param address: ``ip:port`` of the store.
+    :param measure: called with ``store_call`` and the seconds that a call
+        took; waits for changes are left out.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, reactor, address):
+    def __init__(self, reactor, address, measure=lambda name, seconds: None):
         self._reactor = reactor
+        self._measure = measure
         self.set_address(address)
 
     def set_address(self, address):
@@ -192,9 +196,12 @@
         :param statuses: those besides success that the caller understands.
         :raises StoreUnavailable: when the store refused the call.
         """
+        began_at = time.monotonic()
         answer = await http1.call(
             self._reactor, self._address, method, _BASE + path, data, timeout_s
         )
+        if timeout_s == _CALL_TIMEOUT_S:
+            self._measure("store_call", time.monotonic() - began_at)
         status = answer.status
         if status != 200 and status not in statuses:
             raise exceptions.StoreUnavailable("the store answered %d" % status)
--- a/src/limpetlift/segmentmetrics.py
+++ b/src/limpetlift/segmentmetrics.py
@@ -2,6 +2,7 @@
 
 import prometheus_client
 from prometheus_client import core
+from prometheus_client import utils
 
 
 class _Snapshot:
@@ -9,12 +10,20 @@
 
     :param counts_by_event: how often each decision was made.
     :param gauges_by_name: current values.
+    :param durations_by_name: :class:`limpetlift.tallies.Durations`.
     :param lines_dropped: log lines that were not written.
     """
 
-    def __init__(self, counts_by_event, gauges_by_name, lines_dropped):
+    def __init__(
+        self,
+        counts_by_event,
+        gauges_by_name,
+        durations_by_name,
+        lines_dropped,
+    ):
         self._counts_by_event = counts_by_event
         self._gauges_by_name = gauges_by_name
+        self._durations_by_name = durations_by_name
         self._lines_dropped = lines_dropped
 
     def collect(self):
@@ -36,12 +45,26 @@
             yield core.GaugeMetricFamily(
                 "limpetlift_" + name, "Current value.", value=value
             )
+        for name, durations in sorted(self._durations_by_name.items()):
+            yield core.HistogramMetricFamily(
+                "limpetlift_%s_seconds" % name,
+                "Durations in seconds.",
+                buckets=[
+                    (utils.floatToGoString(bound), count)
+                    for bound, count in durations.buckets()
+                ],
+                sum_value=durations.total_s,
+            )
 
 
-def exposition(counts_by_event, gauges_by_name, lines_dropped):
+def exposition(
+    counts_by_event, gauges_by_name, durations_by_name, lines_dropped
+):
     """Return the metrics in the Prometheus text format, as bytes."""
     registry = prometheus_client.CollectorRegistry()
     registry.register(
-        _Snapshot(counts_by_event, gauges_by_name, lines_dropped)
+        _Snapshot(
+            counts_by_event, gauges_by_name, durations_by_name, lines_dropped
+        )
     )
     return prometheus_client.generate_latest(registry)
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -63,6 +63,8 @@
     """A flow of the backend server.
 
     :param balancer: address of the balancer that sent its last segment.
+    :param began_at: when it came here.
+    :param active_at: time of its last segment.
     :param first: its first segment here while the server has not answered.
     :param answer_by: when the server must have answered it.
     :param is_tentative: whether the server may not hold it at all.
@@ -71,13 +73,15 @@
     :param caller_next: the caller's highest sequence number so far, or None.
     :param ack: what the caller acknowledged last.
     :param is_busy: whether the caller waits for an answer.
+    :param asked_at: when the last part of its request came.
     :param started_at: when the server was free to run its request, or None
         when others were ahead of it.
     :param closed_at: when both ends had finished, or None.
     """
 
     balancer: tuple
-    active_at: float
+    began_at: float
+    active_at: float = attrs.field(init=False)
     first: bytes = b""
     answer_by: float = 0.0
     is_tentative: bool = False
@@ -86,11 +90,15 @@
     caller_next: object = None
     ack: int = 0
     is_busy: bool = False
+    asked_at: float = 0.0
     started_at: object = None
     caller_done: bool = False
     server_done: bool = False
     closed_at: object = None
 
+    def __attrs_post_init__(self):
+        self.active_at = self.began_at
+
     @property
     def is_open(self):
         return self.closed_at is None and not self.is_tentative
@@ -337,6 +345,7 @@
 
     def _begin_request(self, now, flow):
         slots = self.report.slots if self.report else 1
+        flow.asked_at = now
         if not flow.is_busy:
             flow.is_busy = True
             busy = sum(other.is_busy for other in self.flows_by_key.values())
@@ -346,7 +355,7 @@
             flow.started_at = now
 
     def _end_request(self, now, flow):
-        if flow.is_busy and flow.started_at is not None:
+        if flow.started_at is not None:
             took_s = now - flow.started_at
             known_s = self._run_s or took_s
             self._run_s = known_s + defaults.RUN_WEIGHT * (took_s - known_s)
@@ -428,15 +437,18 @@
                 for balancer in flow.asked_by | {flow.balancer}
             ]
         if flow is not None:
-            self._note_answer(now, flow, segment)
+            found += self._note_answer(now, flow, segment)
         return found + [steps.ToCaller(segment.key, segment.data)]
 
     def _note_answer(self, now, flow, segment):
+        found = []
         flow.active_at = now
         flow.first = b""
         if flow.server_sequence is None:
             flow.server_sequence = segment.sequence
-        if segment.length:
+            found.append(steps.Duration("flow_open", now - flow.began_at))
+        if segment.length and flow.is_busy:
+            found.append(steps.Duration("answer", now - flow.asked_at))
             self._end_request(now, flow)
         if segment.is_reset:
             self.flows_by_key.pop(segment.key, None)
@@ -444,6 +456,7 @@
             flow.server_done = True
             flow.is_busy = False
             self._close(now, flow)
+        return found
 
     def _on_returned(self, now, segment):
         """Decide on a segment that the server did not accept."""
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -519,7 +519,10 @@
         # The owner delivered the first one when it was asked.
         return [
             self._forward(address, data) for data in search.waiting[1:]
-        ] + [steps.Note("flow_found", key, {"agent": "%s:%d" % address})]
+        ] + [
+            steps.Duration("search", now - search.began_at),
+            steps.Note("flow_found", key, {"agent": "%s:%d" % address}),
+        ]
 
     @registry.register(_handlers_by_type, tunnel.NotHere)
     def _on_not_here(self, now, address, not_here):
--- a/src/limpetlift/state/steps.py
+++ b/src/limpetlift/state/steps.py
@@ -73,3 +73,15 @@
 @attrs.frozen
 class ReadDirectory:
     """Read all entries from the store now."""
+
+
+@attrs.frozen
+class Duration:
+    """How long something took, for the metrics.
+
+    :param name: of the histogram, without unit.
+    :param seconds: the duration.
+    """
+
+    name: str
+    seconds: float
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -116,6 +116,8 @@
                 self._reset(step)
             elif isinstance(step, steps.Announce):
                 self._announcer.on_missing()
+            elif isinstance(step, steps.Duration):
+                self.measure(step.name, step.seconds)
             else:
                 self.note(step)
 
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -116,6 +116,8 @@
                 self._reset(step)
             elif isinstance(step, steps.ReadDirectory):
                 self._request_directory()
+            elif isinstance(step, steps.Duration):
+                self.measure(step.name, step.seconds)
             else:
                 self.note(step)
 
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -15,6 +15,7 @@
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift.state import segmentsettings
+from limpetlift import tallies
 from limpetlift.transport import datagram
 from limpetlift.transport import reactor as reactors
 
@@ -31,7 +32,8 @@
 
     :param decode: ``(datagram, from_caller)`` to a segment.
     :param encode_reset: ``(key, ack)`` to the datagram that ends a flow.
-    :param connect_store: ``(reactor, address)`` to a client of the store.
+    :param connect_store: ``(reactor, address, measure)`` to a client of the
+        store; ``measure`` is called with a name and seconds.
     :param serve: ``(reactor, address, process)`` to a server of the HTTP
         calls.
     :param routes_key: the routes' key in the store.
@@ -66,8 +68,9 @@
         self.stack = contextlib.ExitStack()
         self.reactor = reactors.Reactor()
         self.counts_by_event = collections.Counter()
+        self._durations_by_name = collections.defaultdict(tallies.Durations)
         self.is_stopping = False
-        self._log_handler = boundedlog.configure()
+        self._log_handler = boundedlog.configure(self.settings.id)
 
     def run(self):
         """Run until SIGTERM or SIGINT, then stop gracefully."""
@@ -77,7 +80,7 @@
         with self.stack:
             self.stack.callback(self.reactor.close)
             self.store = self.deployment.connect_store(
-                self.reactor, self.settings.store
+                self.reactor, self.settings.store, self.measure
             )
             self.start()
             self.every(defaults.SETTINGS_POLL_S, self._reload)
@@ -154,6 +157,10 @@
         """Count an event for the metrics."""
         self.counts_by_event[event] += 1
 
+    def measure(self, name, seconds):
+        """Count a duration for the metrics."""
+        self._durations_by_name[name].add(seconds)
+
     def note(self, note):
         """Log and count a :class:`~limpetlift.state.steps.Note`."""
         self.counts_by_event[note.event] += 1
@@ -170,7 +177,10 @@
         from limpetlift import segmentmetrics
 
         return segmentmetrics.exposition(
-            self.counts_by_event, self.gauges(), self._log_handler.dropped
+            self.counts_by_event,
+            self.gauges(),
+            self._durations_by_name,
+            self._log_handler.dropped,
         )
 
     def gauges(self):
--- a/tests/segmentkit.py
+++ b/tests/segmentkit.py
@@ -114,8 +114,9 @@
 
 
 def kinds(found):
-    """Return the types of steps, without those for logs."""
-    return [type(step) for step in found if not isinstance(step, steps.Note)]
+    """Return the types of steps, without those for logs and metrics."""
+    hidden = (steps.Note, steps.Duration)
+    return [type(step) for step in found if not isinstance(step, hidden)]
 
 
 def messages(found, kind):
--- a/tests/test_boundedlog.py
+++ b/tests/test_boundedlog.py
@@ -33,7 +33,7 @@
     """A blocked pipe must not stop the packets of callers."""
     reader, writer = os.pipe()
     clock = _Clock()
-    handler = boundedlog.BoundedHandler(writer, clock)
+    handler = boundedlog.BoundedHandler(writer, clock=clock)
     lines = 3000
     for number in range(lines):
         clock.now = number / defaults.LOG_EVENT_LINES * 2
@@ -58,7 +58,7 @@
     """A storm of one event must leave room for the others."""
     reader, writer = os.pipe()
     clock = _Clock()
-    handler = boundedlog.BoundedHandler(writer, clock)
+    handler = boundedlog.BoundedHandler(writer, clock=clock)
     for _ in range(3 * defaults.LOG_EVENT_LINES):
         _emit(handler, "flow_searched")
     _emit(handler, "store_lost")
@@ -78,7 +78,7 @@
 def test_a_closed_reader_harms_nothing():
     """Serving callers goes on when nobody reads the logs."""
     reader, writer = os.pipe()
-    handler = boundedlog.BoundedHandler(writer, _Clock())
+    handler = boundedlog.BoundedHandler(writer, clock=_Clock())
     os.close(reader)
     _emit(handler, "started")
     os.close(writer)
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,63 @@
+"""The story of one flow from the logs of all processes."""
+
+import pytest
+
+from limpetlift import exceptions
+from limpetlift import explaining
+
+_FLOW = "100.64.0.7:1033>198.18.0.1:443"
+_OTHER = "100.64.0.7:1034>198.18.0.1:443"
+
+
+def _line(second, process, event, **fields):
+    rest = "".join(" %s=%s" % item for item in fields.items())
+    return (
+        "time=2026-03-03T13:13:%06.3f level=info logger=limpetlift.flow "
+        "process=%s event=%s%s" % (second, process, event, rest)
+    )
+
+
+def test_the_story_crosses_processes_and_clocks():
+    """A clock that is 30 s ahead must not turn cause and effect round."""
+    texts = [
+        _line(32.003, "side-1", "flow_accepted", flow=_FLOW, copy=0),
+        _line(2.000, "edge-1", "flow_placed", flow=_FLOW, agent="side-1"),
+        _line(2.500, "edge-1", "flow_placed", flow=_OTHER, agent="side-1"),
+        _line(32.503, "side-1", "flow_accepted", flow=_OTHER),
+        _line(33.000, "side-1", "flow_reset", flow=_FLOW, reason="x"),
+        _line(32.900, "side-1", "server_state", state="ready"),
+        _line(2.950, "edge-1", "flow_searched", flow=_FLOW, asked=3),
+    ]
+    found = explaining.explain(texts, "100.64.0.7:1033")
+    events = [text.split()[3] for text in found[1:-1]]
+    assert events == [
+        "flow_placed",
+        "flow_accepted",
+        "server_state",
+        "flow_searched",
+        "flow_reset",
+    ]
+    assert "side-1" in found[-1] and "corrected" in found[-1]
+
+
+def test_bad_lines_are_counted():
+    """A torn line must not hide the others."""
+    texts = [
+        _line(2.0, "edge-1", "flow_placed", flow=_FLOW),
+        "time=yesterday event=flow_placed",
+        "\xff\xfe nonsense",
+    ]
+    assert explaining.explain(texts, _FLOW)[-1] == (
+        "2 lines could not be read"
+    )
+
+
+@pytest.mark.parametrize("flow", ["100.64.0.9:1", "100.64.0.7:103", ""])
+def test_a_flow_must_be_named_clearly(flow):
+    """No story is better than one of two flows."""
+    texts = [
+        _line(2.0, "edge-1", "flow_placed", flow=name)
+        for name in (_FLOW, _OTHER)
+    ]
+    with pytest.raises(exceptions.StateError):
+        explaining.explain(texts, flow)
