--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -380,10 +380,17 @@
             return "server_gone"
         if self._silent_flows >= defaults.SILENT_FLOWS:
             return "server_silent"
-        if len(self.flows_by_key) >= defaults.TARGET_CONNECTIONS:
+        if self._is_full():
             return "too_many_flows"
         return ""
 
+    def _is_full(self):
+        flows = self.flows_by_key
+        if len(flows) < defaults.TARGET_CONNECTIONS:
+            return False
+        is_open = sum(flow.is_open for flow in flows.values())
+        return is_open >= defaults.TARGET_CONNECTIONS
+
     def _accept(self, now, balancer, service_id, segment):
         reason = self.refusal(service_id)
         if reason:
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,22 @@
+"""A short soak of the real programs, and its teeth."""
+
+import pytest
+import soak
+
+# Seconds in which faults come; a whole run takes 14 s more.
+_SECONDS = 8.0
+
+
+def test_no_promise_breaks_under_faults(tmp_path):
+    """Kills, pauses, stops and faults of the store must show to no caller."""
+    world = soak.play(11, _SECONDS, tmp_path)
+    assert world.events
+    assert not world.breaches
+
+
+@pytest.mark.parametrize("protection", ["drain", "proof", "routes", "search"])
+def test_the_soak_sees_a_protection_that_is_off(protection, tmp_path):
+    """A soak that passes without a protection proves nothing about it."""
+    world = soak.World(3, _SECONDS, tmp_path, protection)
+    world.plan = ["server_drain", "kill_balancers", "kill_balancers"]
+    assert world.run()
