Let a restarted server return what it lost instead of resetting all flows

Cause: a server that is started again takes flows before its first report reaches its agent; the report then made the agent reset them too.

Change: after a report of a later start the agent repeats the last segment of each flow; the server returns those that it does not hold, and their callers are told. Nothing is sent for a closed flow.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -72,6 +72,7 @@
     :param server_sequence: the server's first sequence number, or None.
     :param caller_next: the caller's highest sequence number so far, or None.
     :param ack: what the caller acknowledged last.
+    :param last: the caller's last segment after the first one.
     :param is_busy: whether the caller waits for an answer.
     :param asked_at: when the last part of its request came.
     :param started_at: when the server was free to run its request, or None
@@ -89,6 +90,7 @@
     server_sequence: object = None
     caller_next: object = None
     ack: int = 0
+    last: bytes = b""
     is_busy: bool = False
     asked_at: float = 0.0
     started_at: object = None
@@ -169,7 +171,7 @@
             ]
         found = []
         if known is not None and not _is_same_start(report, known):
-            found += self._end_flows(now, "server_restarted")
+            found += self._repeat_last()
             self.knows_all = True
         if known is None and report.number <= _FIRST_REPORT:
             # The server takes flows from its first report on.
@@ -249,7 +251,7 @@
         self.is_stopping = True
         found = self._tell_load(now)
         if self.report is not None and self.report.state == GONE:
-            found += self._end_flows(now, "server_gone")
+            found += self._end_flows("server_gone")
         return found
 
     @property
@@ -257,7 +259,19 @@
         """Whether no caller waits for an answer."""
         return not any(flow.is_busy for flow in self.flows_by_key.values())
 
-    def _end_flows(self, now, reason):
+    def _repeat_last(self):
+        """Let a server that was started again return what it does not hold.
+
+        It may have taken flows since its start, so its report alone does not
+        tell which of the flows are lost.
+        """
+        return [
+            steps.ToServer(flow.last)
+            for flow in self.flows_by_key.values()
+            if flow.last
+        ]
+
+    def _end_flows(self, reason):
         """Tell the callers of all flows that the server does not hold them."""
         found = []
         for key, flow in self.flows_by_key.items():
@@ -331,6 +345,7 @@
         flow.active_at = now
         if not segment.is_open:
             flow.ack = segment.ack
+            flow.last = segment.data
         if segment.is_reset:
             self.flows_by_key.pop(segment.key, None)
         elif segment.length:
@@ -468,7 +483,7 @@
     def _on_returned(self, now, segment):
         """Decide on a segment that the server did not accept."""
         flow = self.flows_by_key.get(segment.key)
-        if flow is None:
+        if flow is None or flow.closed_at is not None:
             return [steps.Note("returned_dropped", segment.key)]
         if segment.opens:
             if flow.server_sequence is not None:
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -143,6 +143,7 @@
         self.state = "down"
         self.drained_at = None
         self.flows_by_key = {}
+        self._ended_keys = set()
         self.runs = []
         self._sequence = 0
         self._born = 0
@@ -157,6 +158,7 @@
         self._sequence = 0
         self._born = int(time.time() * 1000)
         self.flows_by_key = {}
+        self._ended_keys = set()
         if self._socket is None:
             self._socket = datagram.DatagramSocket(
                 self.world.reactor, (self.ip, _APP_PORT), self._on_packet
@@ -216,6 +218,13 @@
         found = packet.decode(data, True)
         key = found.key
         flow = self.flows_by_key.get(key)
+        if key in self._ended_keys:
+            caller = segments.caller_of(key)
+            if found.is_final:
+                self._send(build(_SERVICE, caller, _ACK, 2, 2))
+            elif found.length:
+                self._send(build(_SERVICE, caller, _RST, 2, 2))
+            return
         if found.opens and flow is None:
             self._check_drain(key)
             if segments.service_of(key) == REMOVED:
@@ -234,6 +243,7 @@
             self._send(build(_SERVICE, caller, _SYN | _ACK, flow, 1))
         elif found.is_reset or found.is_final:
             del self.flows_by_key[key]
+            self._ended_keys.add(key)
             if found.is_final:
                 self._send(build(_SERVICE, caller, _ACK | _FIN, flow + 1, 2))
         elif found.length:
