Let an agent without a server answer searches; run tests by workers

Ruled out: stale entries of agents that left (all 46 agents had started).

Change: an agent whose server has sent nothing for 2.6 s and owes an answer asks whether anybody listens at the server's port; a refused connection then proves that its flows are gone.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -325,3 +325,12 @@
 HTTP_CONNECTIONS = 128
 HTTP_IDLE_S = 30.0
 STORE_CONNECT_S = 0.5
+
+# Probes of the own backend server's port, when it does not answer.
+# A living server answers a segment within a millisecond.
+PROBE_AFTER_S = 0.03
+PROBE_AGAIN_S = 0.25
+PROBE_TIMEOUT_S = 0.2
+# Two reports of 1.2 s are missing. A health port may refuse connections while
+# its server lives, so a refusal proves nothing while the server is heard.
+REPORT_MISSING_S = 2.6
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -130,8 +130,13 @@
     is_stopping: bool = False
     _warm_at: float = 0.0
     _reported_alive_at: float = float("-inf")
+    # When the server was heard last, by a report or a segment.
+    _heard_at: float = float("-inf")
     _rival: object = None
     _silent_flows: int = 0
+    _probed_at: float = float("-inf")
+    # Until when nobody listens at the server's port for certain.
+    _absent_until: float = float("-inf")
     # Mean run time of requests, in seconds.
     _run_s: float = 0.0
     _balancers_by_address: dict = attrs.field(factory=dict)
@@ -177,7 +182,7 @@
             # The server takes flows from its first report on.
             self.knows_all = True
         self.report = report
-        self._reported_alive_at = now
+        self._reported_alive_at = self._heard_at = now
         self._rival = None
         self._warm_at = now + report.warming_s
         # A server that reports gets another flow to show that it answers.
@@ -280,6 +285,37 @@
         self.flows_by_key.clear()
         return found
 
+    def on_server_absent(self, now):
+        """Note that nobody listens at the server's port.
+
+        A server that starts now holds no flow, and the one that held them has
+        ended. It counts only while the server is silent in every other way.
+        """
+        if now - self._heard_at < defaults.REPORT_MISSING_S:
+            return []
+        self._absent_until = now + defaults.PROBE_AGAIN_S
+        self._silent_flows = defaults.SILENT_FLOWS
+        found = [
+            steps.Note(
+                "server_absent",
+                fields={
+                    "flows": len(self.flows_by_key),
+                    "silent_s": round(now - self._heard_at, 3),
+                },
+            )
+        ]
+        for key, flow in self.flows_by_key.items():
+            if flow.is_tentative:
+                found += self._give_back(flow, key, flow.first)
+            elif flow.server_sequence is None and flow.first:
+                found += self._decline(
+                    flow.balancer, key, "server_silent", flow.first
+                )
+        return found + self._end_flows("server_gone")
+
+    def _knows_all_at(self, now):
+        return self.knows_all or now < self._absent_until
+
     # Segments of callers, from balancers.
 
     def on_message(self, now, address, message):
@@ -296,7 +332,7 @@
         if flow is None:
             if segment.opens:
                 return self._accept(now, balancer, forward.service, segment)
-            if self.knows_all:
+            if self._knows_all_at(now):
                 return [steps.ToPeer(balancer, tunnel.Unknown(segment.data))]
             flow = _Flow(balancer, now, first=segment.data, is_tentative=True)
             self.flows_by_key[segment.key] = flow
@@ -306,8 +342,8 @@
     def _on_locate(self, now, balancer, locate):
         segment = self.decode(locate.data)
         flow = self.flows_by_key.get(segment.key)
-        if flow is None and not self.knows_all:
-            flow = _Flow(balancer, now, is_tentative=True)
+        if flow is None and not self._knows_all_at(now):
+            flow = _Flow(balancer, now, first=segment.data, is_tentative=True)
             self.flows_by_key[segment.key] = flow
         if flow is None or not (
             flow.is_tentative or self._holds(flow, segment)
@@ -439,6 +475,7 @@
     def on_server_segment(self, now, segment):
         """Decide on a segment that the backend server sent or returned."""
         self._silent_flows = 0
+        self._heard_at = now
         if segment.is_returned:
             return self._on_returned(now, segment)
         flow = self.flows_by_key.get(segment.key)
@@ -518,7 +555,8 @@
         """Run the timers."""
         if self._started_at is None:
             self._started_at = now
-        found = self._pass_on_unanswered(now)
+            self._heard_at = max(self._heard_at, now)
+        found = self._probe(now) + self._pass_on_unanswered(now)
         if now - self._swept_at >= defaults.SWEEP_S:
             self._swept_at = now
             self._forget(now)
@@ -537,6 +575,22 @@
             return []
         return [steps.Announce()]
 
+    def _probe(self, now):
+        """Ask for the server when it is silent and owes an answer."""
+        if (
+            now - self._probed_at < defaults.PROBE_AGAIN_S
+            or now - self._heard_at < defaults.REPORT_MISSING_S
+        ):
+            return []
+        waiting_since = now - defaults.PROBE_AFTER_S
+        if not any(
+            flow.is_busy or flow.first and flow.began_at <= waiting_since
+            for flow in self.flows_by_key.values()
+        ):
+            return []
+        self._probed_at = now
+        return [steps.ProbeServer()]
+
     def _pass_on_unanswered(self, now):
         """Hand flows on that the server has not answered."""
         found = []
--- a/src/limpetlift/state/steps.py
+++ b/src/limpetlift/state/steps.py
@@ -70,6 +70,11 @@
     """Write the own entry again: a balancer does not find it."""
 
 
+@attrs.frozen
+class ProbeServer:
+    """Ask whether anybody listens at the own backend server's port."""
+
+
 @attrs.frozen
 class ReadDirectory:
     """Read all entries from the store now."""
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -11,6 +11,7 @@
 from limpetlift.state import steps
 from limpetlift.tasks import announcing
 from limpetlift.tasks import segmentprocess
+from limpetlift.transport import probing
 
 LOG = logs.EventLogger("agent")
 
@@ -116,11 +117,18 @@
                 self._reset(step)
             elif isinstance(step, steps.Announce):
                 self._announcer.on_missing()
+            elif isinstance(step, steps.ProbeServer):
+                probing.PortProbe(
+                    self.reactor, self.settings.server, self._on_refused
+                )
             elif isinstance(step, steps.Duration):
                 self.measure(step.name, step.seconds)
             else:
                 self.note(step)
 
+    def _on_refused(self):
+        self.perform(self._hosting.on_server_absent(time.monotonic()))
+
     def _send_caller(self, key, data):
         ip, _ = segments.caller_of(key)
         if not self._peers.send(data, (ip, self._caller_port)):
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -148,6 +148,7 @@
         self._sequence = 0
         self._born = 0
         self._socket = None
+        self._health = None
         self._is_calling = False
 
     def start(self):
@@ -163,6 +164,11 @@
             self._socket = datagram.DatagramSocket(
                 self.world.reactor, (self.ip, _APP_PORT), self._on_packet
             )
+            self._health = http1.Server(
+                self.world.reactor,
+                (self.ip, _APP_PORT),
+                lambda *_: http1.Answer(200),
+            )
 
     def crash(self):
         """Stop at once and forget everything."""
@@ -171,6 +177,7 @@
         if self._socket is not None:
             self._socket.close()
             self._socket = None
+            self._health.close()
 
     def drain(self):
         """Say that this server leaves."""
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -327,3 +327,56 @@
     assert steps.Announce not in kit.kinds(table.tick(2.0))
     late = 0.2 + defaults.HELLO_LOST_S
     assert steps.Announce in kit.kinds(table.tick(late))
+
+
+def test_an_agent_without_a_server_answers_a_search():
+    """Its silence kept the callers of lost flows waiting for 15 s.
+
+    Found on petra-amman-grown (trouble-1): three instances came back without
+    their servers, and 15,674 searches ended without an answer.
+    """
+    table = _agent(knows_all=False, report=False)
+    table.tick(0.0)
+    now = defaults.REPORT_MISSING_S + 0.1
+    assert steps.ToServer in kit.kinds(_locate(table, now, 1, ack=900))
+    now += defaults.PROBE_AFTER_S + 0.001
+    assert steps.ProbeServer in kit.kinds(table.tick(now))
+    found = table.on_server_absent(now)
+    assert kit.messages(found, tunnel.NotHere) == [
+        (_BALANCER, tunnel.NotHere(kit.key_of(1)))
+    ]
+    found = _locate(table, now, 2, ack=900)
+    assert kit.kinds(found) == [steps.ToPeer]
+    assert kit.messages(found, tunnel.NotHere)
+    # The proof does not last: a server may start.
+    now += defaults.PROBE_AGAIN_S
+    found = _locate(table, now, 3, ack=900)
+    assert steps.ToServer in kit.kinds(found)
+
+
+def test_a_refused_connection_proves_nothing_while_the_server_is_heard():
+    """A health port may lie in either way while the server serves."""
+    table = _agent()
+    table.tick(0.0)
+    _open(table, 0.0, 1, sequence=500)
+    table.on_server_segment(5.0, kit.of_server(1, kit.ACK, sequence=501))
+    _forward(table, 5.1, 1, kit.ACK, sequence=1, ack=501, payload=b"ask")
+    assert steps.ProbeServer not in kit.kinds(table.tick(5.3))
+    assert not table.on_server_absent(5.3)
+
+
+def test_callers_are_told_when_nobody_listens():
+    """A crashed server's callers would wait for their time-outs."""
+    table = _agent()
+    table.tick(0.0)
+    _open(table, 0.0, 1, sequence=500)
+    _forward(table, 0.1, 1, kit.ACK, sequence=1, ack=501, payload=b"ask")
+    late = defaults.REPORT_MISSING_S + 0.1
+    assert steps.ProbeServer in kit.kinds(table.tick(late))
+    _forward(table, late, 2, kit.SYN)
+    found = table.on_server_absent(late + 0.01)
+    assert [step.reason for step in kit.resets(found)] == ["server_gone"]
+    assert [m.reason for _, m in kit.messages(found, tunnel.Declined)] == [
+        "server_silent"
+    ]
+    assert table.refusal(_DESK) == "server_silent"
--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -10,6 +10,7 @@
 
 from limpetlift.transport import datagram
 from limpetlift.transport import http1
+from limpetlift.transport import probing
 from limpetlift.transport import reactor as reactors
 
 
@@ -125,6 +126,17 @@
     assert (answer.status, answer.body) == (404, b"gone")
 
 
+def test_only_a_refused_connection_proves_an_absent_server(reactor):
+    """A server that does not answer may be alive."""
+    seen = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = listener.getsockname()
+        probing.PortProbe(reactor, address, lambda: seen.append("listening"))
+    probing.PortProbe(reactor, address, lambda: seen.append("refused"))
+    _run_until(reactor, lambda: seen)
+    assert seen == ["refused"]
+
+
 def test_a_large_answer_arrives_whole(reactor):
     """A page of the store is larger than one read."""
     body = bytes(3 * 1024 * 1024)
--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -10,6 +10,8 @@
 import tempfile
 from xml.etree import ElementTree
 
+# The tests of one file share its models, so a file stays with one worker.
+_WORKERS = ("-n", "6", "--dist", "loadfile")
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -51,7 +53,8 @@
     counts = {"passed": 0, "failed": 0, "skipped": 0}
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        codes = [_run(["pytest", "--junitxml", str(folder / "pytest.xml")])]
+        report = ["--junitxml", str(folder / "pytest.xml")]
+        codes = [_run(["pytest", *_WORKERS, *report])]
         if list((_ROOT / "features").glob("*.feature")):
             codes.append(
                 _run(
