--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -105,7 +105,8 @@
     _listings_by_key: dict = attrs.field(factory=dict)
     _store_back_at: float = float("-inf")
     _is_away: bool = False
-    unreadable: int = 0
+    # Why an entry could not be read; emptied by who reports it.
+    unreadable_by_key: dict = attrs.field(factory=dict)
 
     def on_snapshot(self, now, found):
         """Take over all entries.
@@ -149,9 +150,9 @@
         name = entry.key.rpartition("/")[2]
         try:
             found = decode_entry(name, entry.value)
-        except exceptions.MalformedMessage:
+        except exceptions.MalformedMessage as error:
             # It names no process; the others hold.
-            self.unreadable += 1
+            self.unreadable_by_key[entry.key] = str(error)
             self._listings_by_key.pop(entry.key, None)
             return
         self._listings_by_key[entry.key] = _Listing(found, entry.mod_revision)
--- a/src/limpetlift/platform/documents.py
+++ b/src/limpetlift/platform/documents.py
@@ -47,8 +47,6 @@
         address,
         shares,
         fields.get("aim_ms", 0) / 1000,
-        fields.get("timeout_ms", 0) / 1000,
-        fields.get("priority", 0),
     )
 
 
--- a/src/limpetlift/state/routing.py
+++ b/src/limpetlift/state/routing.py
@@ -23,16 +23,12 @@
     :param address: ``(ip, port)`` that callers send to.
     :param shares: the services, at least one :class:`Share`.
     :param aim_s: requests are to be answered within this time.
-    :param timeout_s: after this time nobody waits for the answer.
-    :param priority: 0 is the highest.
     """
 
     name: str
     address: tuple
     shares: tuple
     aim_s: float = 0.0
-    timeout_s: float = 0.0
-    priority: int = 0
 
     def services_for(self, draw):
         """Return the names of the services, the one to be tried first ahead.
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -107,12 +107,11 @@
         """Carry out the steps of a decision."""
         for step in found:
             if isinstance(step, steps.ToServer):
-                self._server.send(step.data, self.settings.server)
+                self.send(self._server, step.data, self.settings.server)
             elif isinstance(step, steps.ToCaller):
                 self._send_caller(step.key, step.data)
             elif isinstance(step, steps.ToPeer):
-                if not self._peers.send(step.message.encode(), step.address):
-                    self.count("send_failed")
+                self.send(self._peers, step.message.encode(), step.address)
             elif isinstance(step, steps.Reset):
                 self._reset(step)
             elif isinstance(step, steps.Announce):
@@ -131,8 +130,7 @@
 
     def _send_caller(self, key, data):
         ip, _ = segments.caller_of(key)
-        if not self._peers.send(data, (ip, self._caller_port)):
-            self.count("send_failed")
+        self.send(self._peers, data, (ip, self._caller_port))
 
     def _reset(self, step):
         self.note(steps.Note("flow_reset", step.key, {"reason": step.reason}))
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -110,8 +110,7 @@
         """Carry out the steps of a decision."""
         for step in found:
             if isinstance(step, steps.ToPeer):
-                if not self._peers.send(step.message.encode(), step.address):
-                    self.count("send_failed")
+                self.send(self._peers, step.message.encode(), step.address)
             elif isinstance(step, steps.Reset):
                 self._reset(step)
             elif isinstance(step, steps.ReadDirectory):
@@ -124,7 +123,8 @@
     def _reset(self, step):
         self.count("reset_" + step.reason)
         ip, _ = segments.caller_of(step.key)
-        self._segments.send(
+        self.send(
+            self._segments,
             self.deployment.encode_reset(step.key, step.ack),
             (ip, self._caller_port),
         )
@@ -177,6 +177,11 @@
 
     def _on_directory(self):
         self._knows_directory = True
+        unreadable_by_key = self._directory.unreadable_by_key
+        while unreadable_by_key:
+            key, error = unreadable_by_key.popitem()
+            self.count("entry_unreadable")
+            LOG.warning("entry_unreadable", key=key, error=error)
         self.perform(
             self._steering.on_entries(
                 time.monotonic(),
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -133,6 +133,13 @@
         self.stack.callback(socket.close)
         return socket
 
+    def send(self, socket, data, address):
+        """Send a datagram; its receiver's own copies make up for a loss."""
+        error = socket.send(data, address)
+        if error is not None:
+            self.count("send_failed")
+            LOG.warning("send_failed", to="%s:%d" % address, error=error)
+
     def serve(self, address):
         """Serve the HTTP calls on ``address`` until the process ends."""
         server = self.deployment.serve(self.reactor, address, self)
--- a/src/limpetlift/transport/datagram.py
+++ b/src/limpetlift/transport/datagram.py
@@ -52,12 +52,12 @@
                 return
 
     def send(self, data, address):
-        """Send one datagram; return whether the kernel took it."""
+        """Send one datagram; return the error if the kernel refused it."""
         try:
             self._socket.sendto(data, address)
-        except OSError:
-            return False
-        return True
+        except OSError as error:
+            return error
+        return None
 
     def close(self):
         """Stop receiving and close the socket."""
