Write an agent's entry once, and not again after a restart

Agents wrote their entry again at each change of their server's state, which nobody read, and after each restart; every write wakes every balancer.

Change: the entry holds address, data centre and service only; a process that finds its entry as it left it does not write. Changes are read together for 0.2 s instead of 0.1 s.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -26,15 +26,12 @@
     :param address: ``(ip, port)`` for messages of other processes.
     :param data_centre: its data centre.
     :param service: the service of an agent; empty for a balancer.
-    :param server_state: state of an agent's backend server when it was
-        written, for an agent that starts again; may be empty.
     """
 
     agent_id: str
     address: tuple
     data_centre: str
     service: str = ""
-    server_state: str = ""
     service_id: bytes = attrs.field(init=False, repr=False)
 
     def __attrs_post_init__(self):
@@ -47,7 +44,6 @@
                 "address": "%s:%d" % self.address,
                 "data_centre": self.data_centre,
                 "service": self.service,
-                "server_state": self.server_state,
             }
         ).encode("utf-8")
 
@@ -65,7 +61,6 @@
             (ip, int(port)),
             fields["data_centre"],
             fields["service"],
-            fields["server_state"],
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise exceptions.MalformedMessage(
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -280,7 +280,7 @@
 # change of the routes in force within 3 s of its acknowledgement.
 FOLLOW_WAIT_S = 2.5
 # Changes that come in quick succession are read together.
-FOLLOW_PAUSE_S = 0.1
+FOLLOW_PAUSE_S = 0.2
 
 # Stopping.
 # The fabric's probes come twice a second and two must fail.
--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -21,7 +21,7 @@
         ``keep_alive`` and ``revoke`` like
         :class:`limpetlift.platform.store.PlatformStore`.
     :param key: of the entry.
-    :param value: called without arguments; returns the bytes to announce.
+    :param value: the bytes to announce.
     :param rng: a :class:`random.Random`, for the pauses after failures.
     :param lease_s: seconds that the entry outlives the process, or 0 for an
         entry without a lease.
@@ -38,33 +38,26 @@
         self._lease_s = lease_s
         self._lease = 0
         self._revision = 0
-        self._written = None
+        self._is_written = False
         self._renew_at = 0.0
-        self._is_changed = False
         self._waiting = reactors.Future()
         self._missing_at = float("-inf")
         self._is_announced = False
 
-    def on_changed(self):
-        """Announce a changed value now."""
-        self._is_changed = True
-        self._waiting.set_value()
-
     def on_missing(self):
         """Note that another process does not find the entry in the store."""
         now = time.monotonic()
-        if self._written is None or now < self._missing_at:
+        if not self._is_written or now < self._missing_at:
             return
         self._missing_at = now + defaults.LAPSED_ENTRY_S
         LOG.warning("entry_missing", key=self._key, lease=self._lease)
-        self._written = None
-        self.on_changed()
+        self._is_written = False
+        self._waiting.set_value()
 
     async def run(self):
         """Announce until the process ends."""
         pause_s = defaults.ANNOUNCE_RETRY_S
         while True:
-            self._is_changed = False
             try:
                 await self._step()
             except exceptions.CoordinationError as error:
@@ -79,8 +72,8 @@
             await self._wait()
 
     async def _wait(self):
-        """Wait until the value changes or the lease is to be renewed."""
-        if self._is_changed:
+        """Wait until the entry is missing or the lease is to be renewed."""
+        if not self._is_written:
             return
         self._waiting = reactors.Future()
         timer = None
@@ -95,9 +88,8 @@
     async def _step(self):
         if self._lease_s:
             await self._keep_lease(time.monotonic())
-        value = self._value()
-        if value != self._written:
-            await self._write(value)
+        if not self._is_written:
+            await self._write()
 
     async def _keep_lease(self, now):
         if self._lease and now >= self._renew_at:
@@ -108,22 +100,24 @@
             self._renew_at = now + defaults.ENTRY_RENEW_S
         if not self._lease:
             self._lease = await self._store.grant(self._lease_s)
-            self._written = None
+            self._is_written = False
             self._renew_at = now + defaults.ENTRY_RENEW_S
 
-    async def _write(self, value):
+    async def _write(self):
         try:
             self._revision = await self._store.compare_and_swap(
-                self._key, self._revision, value, self._lease
+                self._key, self._revision, self._value, self._lease
             )
         except exceptions.StoreConflict as error:
             entry = error.entries_by_key.get(self._key)
             self._revision = entry.mod_revision if entry else 0
-            raise
+            if entry is None or self._lease_s or entry.value != self._value:
+                raise
+            # A process that starts again finds its entry as it left it.
         except exceptions.LeaseEnded:
             self._lease = 0
             raise
-        self._written = value
+        self._is_written = True
         LOG.info(
             "entry_written",
             key=self._key,
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -40,27 +40,22 @@
         self._caller_port = settings.segments[1]
         self.serve(settings.reports)
         self.serve(settings.probes)
+        entry = directories.Entry(
+            settings.id,
+            settings.segments,
+            settings.data_centre,
+            settings.service,
+        )
         self._announcer = announcing.Announcer(
             self.reactor,
             self.store,
             segmentprocess.PREFIX + directories.AGENTS + settings.id,
-            self._entry,
+            entry.encode(),
             self.rng,
         )
         self.reactor.spawn(self._announcer.run())
         self.every(defaults.HOSTING_TICK_S, self._tick)
 
-    def _entry(self):
-        settings = self.settings
-        report = self._hosting.report
-        return directories.Entry(
-            settings.id,
-            settings.segments,
-            settings.data_centre,
-            settings.service,
-            report.state if report else "",
-        ).encode()
-
     # Messages, segments and reports.
 
     def _on_datagram(self, data, address):
@@ -96,12 +91,10 @@
         if report.service != self.settings.service:
             raise exceptions.MalformedMessage("another service's server")
         self.perform(self._hosting.on_report(time.monotonic(), report))
-        self._announcer.on_changed()
 
     def on_leave(self, server_id):
         """Note that the backend server ends now."""
         self.perform(self._hosting.on_leave(time.monotonic(), server_id))
-        self._announcer.on_changed()
 
     def perform(self, found):
         """Carry out the steps of a decision."""
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -47,7 +47,7 @@
             self.reactor,
             self.store,
             segmentprocess.PREFIX + self._key,
-            entry.encode,
+            entry.encode(),
             self.rng,
             defaults.ENTRY_LEASE_S,
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -306,7 +306,7 @@
 def _announcer(reactor, standin, lease_s=0.0):
     client = store.PlatformStore(reactor, standin.address)
     announcer = announcing.Announcer(
-        reactor, client, "x/1", lambda: b"me", random.Random(1), lease_s
+        reactor, client, "x/1", b"me", random.Random(1), lease_s
     )
     reactor.spawn(announcer.run())
     return announcer
@@ -320,6 +320,28 @@
     assert standin.items_by_key["x/1"]["value"] == "bWU="
 
 
+def test_an_entry_from_before_a_restart_is_kept(reactor, standin):
+    """A restart of all must not write every entry again."""
+    standin.put("x/1", b"me")
+    revision = standin.revision
+    _announcer(reactor, standin)
+    _run_for(reactor, 1.0, lambda: len(standin.calls) > 1)
+    assert standin.calls == [("POST", "/-/kv-txn")]
+    assert standin.revision == revision
+
+
+def test_an_entry_of_an_earlier_process_is_replaced(reactor, standin):
+    """An address that changed must be announced."""
+    standin.put("x/1", b"other")
+    _announcer(reactor, standin)
+    _run_for(
+        reactor,
+        2.0,
+        lambda: standin.items_by_key["x/1"]["value"] == "bWU=",
+    )
+    assert standin.items_by_key["x/1"]["value"] == "bWU="
+
+
 def test_an_entry_that_lapsed_is_back(reactor, standin):
     """Entries that lapsed in an outage are back 2 s after its end."""
     announcer = _announcer(reactor, standin, lease_s=6.0)
