Hear agents whose clock was set back before a restart

Cause: found by reading.

Change: incarnations are told apart only; numbers order the reports of one.

Measured: the test fails before.

--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -51,11 +51,16 @@
         return now - self.heard_at < defaults.LOAD_FRESH_S
 
     def on_load(self, now, load):
-        """Take over a report; return whether it is news."""
+        """Take over a report; return whether it is news.
+
+        Incarnations are told apart but not compared: the clock of an instance
+        may be set back before its agent starts again.
+        """
         known = self.load
-        if known is not None and (load.incarnation, load.number) <= (
-            known.incarnation,
-            known.number,
+        if (
+            known is not None
+            and load.incarnation == known.incarnation
+            and load.number <= known.number
         ):
             return False
         self.load = load
@@ -253,7 +258,7 @@
         flow = self.flows_by_key.get(segment.key)
         if flow is None:
             if segment.opens:
-                return self._open(now, segment)
+                return self._place(now, segment, _Flow((), now))
             if segment.is_reset:
                 # The caller gave up a flow that is not known here.
                 return []
@@ -271,11 +276,6 @@
         service = agent.entry.service_id if agent else b"\0" * 8
         return steps.ToPeer(address, tunnel.Forward(service, data))
 
-    def _open(self, now, segment):
-        """Place a new flow."""
-        flow = _Flow((), now)
-        return self._place(now, segment, flow)
-
     def _repeat(self, now, segment, flow):
         """Decide on a copy of a flow's first segment."""
         agent = self._agents_by_address.get(flow.address)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -268,3 +268,19 @@
     assert [entry.agent_id for entry in table.silent_agents(later)] == [
         "agent-1"
     ]
+
+
+def test_an_agent_that_started_with_an_earlier_clock_is_heard():
+    """A clock that was set back must not silence an agent for good."""
+    table = _balancer(agents=1)
+    address = kit.agent(1).address
+    table.on_message(1.0, address, kit.load(9, incarnation=9000))
+    later = 5.0
+    table.on_message(later, address, kit.load(1, incarnation=7000))
+    assert table.is_heard(later, address)
+    # A report that was overtaken by a later one changes nothing.
+    table.on_message(later, address, kit.load(3, incarnation=7000, busy=2))
+    table.on_message(later, address, kit.load(2, incarnation=7000, busy=0))
+    found = table.on_segment(later, kit.of_caller(1, kit.SYN))
+    note = next(step for step in found if isinstance(step, steps.Note))
+    assert note.fields["busy"] == 2
