--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 	@cat requirements.txt requirements-dev.txt | \
 	  cmp -s - $(VENV)/installed.txt || { \
 	  $(PYTHON) -m pip install --quiet --no-deps -r requirements-dev.txt && \
+	  $(PYTHON) -m pip install --quiet --no-deps --no-build-isolation -e . && \
 	  cat requirements.txt requirements-dev.txt > $(VENV)/installed.txt; }
 
 format: venv
