Share what balancer, agent and the tasks at the store did twice

Cause: read again. Three handlers of malformed segments and two of messages were copies; the UDP socket was bound as in transport/udp.py; the root logger was set up in two places; two tasks had the same back-off.

Behaviour is the same; the line for a malformed segment now names the logger of the process.

--- a/src/limpetlift/boundedlog.py
+++ b/src/limpetlift/boundedlog.py
@@ -102,7 +102,5 @@
     :returns: the :class:`BoundedHandler`.
     """
     handler = BoundedHandler(descriptor, process)
-    root = logging.getLogger()
-    root.handlers[:] = [handler]
-    root.setLevel(logging.INFO)
+    logs.install(handler, logging.INFO)
     return handler
--- a/src/limpetlift/logs.py
+++ b/src/limpetlift/logs.py
@@ -87,6 +87,14 @@
     else:
         handler = logging.FileHandler(target, delay=True)
     handler.setFormatter(KeyValueFormatter())
+    install(handler, level.upper())
+
+
+def install(handler, level):
+    """Send the records of all loggers to one handler.
+
+    :param level: a level of :mod:`logging`, as a number or a name.
+    """
     root = logging.getLogger()
     root.handlers[:] = [handler]
-    root.setLevel(level.upper())
+    root.setLevel(level)
--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -5,6 +5,7 @@
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
+from limpetlift.tasks import backoff
 from limpetlift.transport import reactor as reactors
 
 LOG = logs.EventLogger("announcing")
@@ -34,7 +35,7 @@
         self._store = store
         self._key = key
         self._value = value
-        self._rng = rng
+        self._backoff = backoff.Backoff(reactor, rng)
         self._lease_s = lease_s
         self._lease = 0
         self._revision = 0
@@ -56,19 +57,15 @@
 
     async def run(self):
         """Announce until the process ends."""
-        pause_s = defaults.ANNOUNCE_RETRY_S
         while True:
             try:
                 await self._step()
             except exceptions.CoordinationError as error:
                 self._note(False, error)
-                await self._reactor.sleep(
-                    pause_s * self._rng.uniform(0.5, 1.0)
-                )
-                pause_s = min(2 * pause_s, defaults.ANNOUNCE_RETRY_MAX_S)
+                await self._backoff.wait()
                 continue
             self._note(True, "")
-            pause_s = defaults.ANNOUNCE_RETRY_S
+            self._backoff.reset()
             await self._wait()
 
     async def _wait(self):
--- a/src/limpetlift/tasks/following.py
+++ b/src/limpetlift/tasks/following.py
@@ -3,6 +3,7 @@
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
+from limpetlift.tasks import backoff
 
 LOG = logs.EventLogger("following")
 
@@ -37,7 +38,7 @@
         self._reactor = reactor
         self._store = store
         self._prefix = prefix
-        self._rng = rng
+        self._backoff = backoff.Backoff(reactor, rng)
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self._on_unreachable = on_unreachable
@@ -46,7 +47,6 @@
 
     async def run(self):
         """Follow until the process ends."""
-        pause_s = defaults.ANNOUNCE_RETRY_S
         while True:
             try:
                 await self._step()
@@ -54,13 +54,10 @@
                 self._note(False, error)
                 if error.code == "compacted":
                     self._revision = None
-                await self._reactor.sleep(
-                    pause_s * self._rng.uniform(0.5, 1.0)
-                )
-                pause_s = min(2 * pause_s, defaults.ANNOUNCE_RETRY_MAX_S)
+                await self._backoff.wait()
             else:
                 self._note(True, "")
-                pause_s = defaults.ANNOUNCE_RETRY_S
+                self._backoff.reset()
                 await self._reactor.sleep(defaults.FOLLOW_PAUSE_S)
 
     async def _step(self):
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -5,7 +5,6 @@
 from limpetlift.coordination import directory as directories
 from limpetlift import defaults
 from limpetlift import exceptions
-from limpetlift import logs
 from limpetlift.protocol import segment as segments
 from limpetlift.state import hosting
 from limpetlift.state import steps
@@ -13,8 +12,6 @@
 from limpetlift.tasks import segmentprocess
 from limpetlift.transport import probing
 
-LOG = logs.EventLogger("agent")
-
 
 class SegmentAgent(segmentprocess.SegmentProcess):
     """Stands between balancers and one backend server.
@@ -27,13 +24,13 @@
     def start(self):
         """Open sockets and start timers and tasks."""
         settings = self.settings
-        self._hosting = hosting.FlowHosting(
+        self.decisions = hosting.FlowHosting(
             settings.service,
             self.incarnation,
             self.decode_caller,
             settings.is_first_start,
         )
-        self._peers = self.open_socket(settings.segments, self._on_datagram)
+        self._peers = self.open_socket(settings.segments, self.on_datagram)
         self._server = self.open_socket(
             settings.server_segments, self._on_server_datagram
         )
@@ -58,29 +55,11 @@
 
     # Messages, segments and reports.
 
-    def _on_datagram(self, data, address):
-        message = self.decode_message(data, address)
-        if message is None:
-            return
-        try:
-            found = self._hosting.on_message(
-                time.monotonic(), address, message
-            )
-        except exceptions.ProtocolError as error:
-            self.count("segment_malformed")
-            LOG.warning("segment_malformed", error=error)
-            return
-        self.perform(found)
-
     def _on_server_datagram(self, data, _address):
-        try:
-            segment = self.deployment.decode(data, False)
-        except exceptions.ProtocolError as error:
-            self.count("segment_malformed")
-            LOG.warning("segment_malformed", error=error)
-            return
-        self.perform(
-            self._hosting.on_server_segment(time.monotonic(), segment)
+        self.decide(
+            lambda now: self.decisions.on_server_segment(
+                now, self.deployment.decode(data, False)
+            )
         )
 
     def on_report(self, report):
@@ -90,11 +69,11 @@
         """
         if report.service != self.settings.service:
             raise exceptions.MalformedMessage("another service's server")
-        self.perform(self._hosting.on_report(time.monotonic(), report))
+        self.perform(self.decisions.on_report(time.monotonic(), report))
 
     def on_leave(self, server_id):
         """Note that the backend server ends now."""
-        self.perform(self._hosting.on_leave(time.monotonic(), server_id))
+        self.perform(self.decisions.on_leave(time.monotonic(), server_id))
 
     def perform(self, found):
         """Carry out the steps of a decision."""
@@ -119,7 +98,7 @@
                 self.note(step)
 
     def _on_refused(self):
-        self.perform(self._hosting.on_server_absent(time.monotonic()))
+        self.perform(self.decisions.on_server_absent(time.monotonic()))
 
     def _send_caller(self, key, data):
         ip, _ = segments.caller_of(key)
@@ -132,7 +111,7 @@
         )
 
     def _tick(self):
-        self.perform(self._hosting.tick(time.monotonic()))
+        self.perform(self.decisions.tick(time.monotonic()))
 
     def is_ready(self):
         """Whether this agent takes new flows."""
@@ -142,19 +121,19 @@
         """Return the current values for the metrics, by name."""
         return {
             **super().gauges(),
-            "flows": len(self._hosting.flows_by_key),
+            "flows": len(self.decisions.flows_by_key),
         }
 
     async def stop(self):
         """Serve until no caller waits for an answer."""
         now = time.monotonic()
         latest = now + defaults.STOP_MAX_S
-        self.perform(self._hosting.stop(now))
+        self.perform(self.decisions.stop(now))
         # Balancers hear of it before the last look.
         await self.reactor.sleep(defaults.LOAD_FRESH_S)
-        while time.monotonic() < latest and not self._hosting.is_idle:
+        while time.monotonic() < latest and not self.decisions.is_idle:
             await self.reactor.sleep(defaults.HOSTING_TICK_S)
-        report = self._hosting.report
+        report = self.decisions.report
         if report is not None and report.state == hosting.GONE:
             # Otherwise the agent comes back beside the same server.
             await self._announcer.withdraw()
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -34,10 +34,10 @@
         self._is_reading = False
         self._is_read_wanted = False
         self._segment_at = time.monotonic()
-        self._steering = steering.FlowSteering(
+        self.decisions = steering.FlowSteering(
             address, settings.data_centre, self.decode_caller, self.rng
         )
-        self._peers = self.open_socket(address, self._on_datagram)
+        self._peers = self.open_socket(address, self.on_datagram)
         self._segments = self.open_socket(settings.segments, self._on_segment)
         self._caller_port = settings.segments[1]
         self.serve(settings.probes)
@@ -83,28 +83,12 @@
     # Segments and messages.
 
     def _on_segment(self, data, _address):
-        try:
+        def decision(now):
             segment = self.decode_caller(data)
-        except exceptions.ProtocolError as error:
-            self.count("segment_malformed")
-            LOG.warning("segment_malformed", error=error)
-            return
-        self._segment_at = now = time.monotonic()
-        self.perform(self._steering.on_segment(now, segment))
+            self._segment_at = now
+            return self.decisions.on_segment(now, segment)
 
-    def _on_datagram(self, data, address):
-        message = self.decode_message(data, address)
-        if message is None:
-            return
-        try:
-            found = self._steering.on_message(
-                time.monotonic(), address, message
-            )
-        except exceptions.ProtocolError as error:
-            self.count("segment_malformed")
-            LOG.warning("segment_malformed", error=error)
-            return
-        self.perform(found)
+        self.decide(decision)
 
     def perform(self, found):
         """Carry out the steps of a decision."""
@@ -152,7 +136,7 @@
                 "routes_unreadable", revision=entry.mod_revision, error=error
             )
             return
-        self.perform(self._steering.on_routes(time.monotonic(), routes))
+        self.perform(self.decisions.on_routes(time.monotonic(), routes))
 
     def _on_entries(self, found):
         self._directory.on_snapshot(
@@ -183,7 +167,7 @@
             self.count("entry_unreadable")
             LOG.warning("entry_unreadable", key=key, error=error)
         self.perform(
-            self._steering.on_entries(
+            self.decisions.on_entries(
                 time.monotonic(),
                 self._directory.agents(),
                 self._directory.balancers(),
@@ -206,7 +190,7 @@
                 found, _ = await self.store.get_prefix(segmentprocess.PREFIX)
                 self._on_entries(found)
                 self.perform(
-                    self._steering.on_directory_read(
+                    self.decisions.on_directory_read(
                         time.monotonic(), began_at
                     )
                 )
@@ -218,7 +202,7 @@
 
     async def _remove_silent(self):
         """Remove the entries of agents that are gone for good."""
-        for entry in self._steering.silent_agents(time.monotonic()):
+        for entry in self.decisions.silent_agents(time.monotonic()):
             key = directories.AGENTS + entry.agent_id
             revision = self._directory.revision(key)
             if not revision:
@@ -232,7 +216,7 @@
     def _check_directory(self):
         now = time.monotonic()
         if self._directory.expire(
-            now, lambda entry: self._steering.is_heard(now, entry.address)
+            now, lambda entry: self.decisions.is_heard(now, entry.address)
         ):
             self._on_directory()
         if self._knows_directory and not self._directory.is_listed(self._key):
@@ -242,23 +226,23 @@
         self.reactor.spawn(self._remove_silent())
 
     def _tick(self):
-        self.perform(self._steering.tick(time.monotonic()))
+        self.perform(self.decisions.tick(time.monotonic()))
 
     def is_ready(self):
         """Whether this balancer can serve callers."""
         return (
             not self.is_stopping
-            and self._steering.routes.version > 0
+            and self.decisions.routes.version > 0
             and self._knows_directory
-            and self._steering.is_connected(time.monotonic())
+            and self.decisions.is_connected(time.monotonic())
         )
 
     def gauges(self):
         """Return the current values for the metrics, by name."""
         return {
             **super().gauges(),
-            "routes_version": self._steering.routes.version,
-            "flows": len(self._steering.flows_by_key),
+            "routes_version": self.decisions.routes.version,
+            "flows": len(self.decisions.flows_by_key),
             "agents": len(self._directory.agents()),
         }
 
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -54,6 +54,8 @@
     :param settings_path: of its settings file.
     :param deployment: a :class:`Deployment`.
 
+    A subclass sets ``decisions``, which has ``on_message``.
+
     .. versionadded:: 0.2
     """
 
@@ -149,16 +151,32 @@
         """Return the segment in a datagram of a caller."""
         return self.deployment.decode(data, True)
 
-    def decode_message(self, data, address):
-        """Return the message in a datagram, or None when it is none."""
+    def on_datagram(self, data, address):
+        """Decide on a datagram of another process."""
         try:
-            return tunnel.decode(data)
+            message = tunnel.decode(data)
         except exceptions.ProtocolError as error:
             self.count("message_malformed")
             LOG.warning(
                 "message_malformed", sender="%s:%d" % address, error=error
             )
-            return None
+            return
+        self.decide(
+            lambda now: self.decisions.on_message(now, address, message)
+        )
+
+    def decide(self, decision):
+        """Carry out a decision on a segment, unless its bytes are none.
+
+        :param decision: called with the time; returns steps.
+        """
+        try:
+            found = decision(time.monotonic())
+        except exceptions.ProtocolError as error:
+            self.count("segment_malformed")
+            LOG.warning("segment_malformed", error=error)
+            return
+        self.perform(found)
 
     def count(self, event):
         """Count an event for the metrics."""
--- a/src/limpetlift/transport/datagram.py
+++ b/src/limpetlift/transport/datagram.py
@@ -6,6 +6,29 @@
 from limpetlift import exceptions
 
 
+def bind(address, connect_to=None):
+    """Return a non-blocking UDP socket.
+
+    :param address: ``(ip, port)``; port 0 picks a free one.
+    :param connect_to: only exchange datagrams with this ``(ip, port)``.
+    :raises TransportError: when the address cannot be bound.
+    """
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        bound.setsockopt(socket.SOL_SOCKET, option, defaults.UDP_BUFFER_BYTES)
+    try:
+        bound.bind(address)
+        if connect_to is not None:
+            bound.connect(connect_to)
+    except OSError as error:
+        bound.close()
+        raise exceptions.TransportError(
+            "cannot bind UDP %s:%d: %s" % (*address, error)
+        ) from error
+    return bound
+
+
 class DatagramSocket:
     """A bound UDP socket that reads in batches.
 
@@ -20,19 +43,7 @@
     def __init__(self, reactor, address, receive):
         self._reactor = reactor
         self._receive = receive
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            self._socket.setsockopt(
-                socket.SOL_SOCKET, option, defaults.UDP_BUFFER_BYTES
-            )
-        try:
-            self._socket.bind(address)
-        except OSError as error:
-            self._socket.close()
-            raise exceptions.TransportError(
-                "cannot bind UDP %s:%d: %s" % (*address, error)
-            ) from error
+        self._socket = bind(address)
         self.address = self._socket.getsockname()
         reactor.watch(self._socket, self._on_readable)
 
--- a/src/limpetlift/transport/udp.py
+++ b/src/limpetlift/transport/udp.py
@@ -1,11 +1,10 @@
 """A non-blocking UDP socket that reads in batches."""
 
-import socket
-
 from tornado import ioloop
 
 from limpetlift import defaults
 from limpetlift import exceptions
+from limpetlift.transport import datagram
 
 
 class UdpSocket:
@@ -24,21 +23,7 @@
     def __init__(self, address, receive, connect_to=None, on_error=None):
         self._receive = receive
         self._on_error = on_error
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            self._socket.setsockopt(
-                socket.SOL_SOCKET, option, defaults.UDP_BUFFER_BYTES
-            )
-        try:
-            self._socket.bind(address)
-            if connect_to is not None:
-                self._socket.connect(connect_to)
-        except OSError as error:
-            self._socket.close()
-            raise exceptions.TransportError(
-                "cannot bind UDP %s:%d: %s" % (*address, error)
-            ) from error
+        self._socket = datagram.bind(address, connect_to)
         self.address = self._socket.getsockname()
         self._loop = ioloop.IOLoop.current()
         self._loop.add_handler(
