Require an agent's answer before a flow is called lost

Cause: a search begun while a balancer lists no agent has nobody to ask, and on_directory_read took that for "all have answered"; reading an empty list then reset the flow. Ruled out: entries that the store took away while their agents live stay in the balancer's table as unlisted, so they are still asked. Before: test_an_empty_directory_proves_no_flow_lost failed with a reset of flow_lost after no answer. After: passes, and the search ends in silence. Conclusion: a reset needs at least one answer of an agent.

--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -450,6 +450,8 @@
         An agent is listed before it takes its first flow. When all agents of
         a list that was read after the segment came are without the flow, no
         backend server holds it, and its caller need not wait for a time-out.
+        A list without any agent proves nothing: entries may have been lost
+        while the agents live.
 
         :param began_at: when the read began.
         """
@@ -462,6 +464,8 @@
                 search.expires_at = now + defaults.SEARCH_S
                 found += newcomers
                 continue
+            if not search.without:
+                continue
             del self._searches_by_key[key]
             found += [
                 steps.Reset(key, search.ack, "flow_lost"),
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -222,6 +222,18 @@
     assert not table.on_directory_read(1.3, 1.25)
 
 
+def test_an_empty_directory_proves_no_flow_lost():
+    """A search without any agent was taken for one that all had answered.
+
+    Entries may be missing in the store while the agents and their flows live.
+    """
+    table = _balancer(agents=0)
+    table.on_segment(1.0, kit.of_caller(1, kit.ACK, ack=5))
+    assert not kit.resets(table.on_directory_read(1.02, 1.01))
+    found = table.tick(1.0 + defaults.SEARCH_S + 0.01)
+    assert not kit.resets(found)
+
+
 def test_an_agent_that_lost_a_flow_starts_a_search():
     """A wrong entry must correct itself."""
     table = _balancer()
