Let agents without a server leave, and prove an absent server early

Cause: after a loss of power an agent restarts beside a server that had left before. Ruled out: a refused port. Change: a stopping agent leaves when its server neither reports nor serves for 1.6 s, tells the balancers so, and they forget its flows and ask it no more. Eight unanswered searches or three unanswered new flows now allow the probe of the port after 0.3 s of silence instead of 2.6 s.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -259,6 +259,11 @@
 SERVER_ANSWER_S = 0.04
 # Flows in a row that a backend server did not answer, until it gets no more.
 SILENT_FLOWS = 3
+# A backend server returns a segment of a flow that it does not hold within a
+# millisecond; of its own flows it may answer some only after the work.
+TENTATIVE_ANSWER_S = 0.1
+# More flows than one backend server holds of those searched for in a row.
+SILENT_TENTATIVE_FLOWS = 8
 # Ends of a closed flow may still send copies of their last segments.
 CLOSED_FLOW_S = 3.0
 # No flow is older; see the deployments' bounds.
@@ -292,6 +297,8 @@
 # Logging.
 # Lines of one event in a second; what is left out is counted.
 LOG_EVENT_LINES = 100
+# Agents named in one line.
+LOG_NAMES = 4
 SETTINGS_POLL_S = 2.0
 # A call of the store takes 4 ms, and some hundred when the store is slow.
 DIRECTORY_READ_S = 0.5
@@ -331,6 +338,10 @@
 PROBE_AFTER_S = 0.03
 PROBE_AGAIN_S = 0.25
 PROBE_TIMEOUT_S = 0.2
+# Longer than a turn of a slow instance, in which answers wait to be read.
+SILENT_SERVER_S = 0.3
+# A report of every 1.2 s is missing.
+REPORT_DUE_S = 1.6
 # Two reports of 1.2 s are missing. A health port may refuse connections while
 # its server lives, so a refusal proves nothing while the server is heard.
 REPORT_MISSING_S = 2.6
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -31,6 +31,7 @@
 FLOWS = 8
 FLOWS_WANTED = 9
 NOT_HERE = 10
+LEFT = 11
 
 # Codes on the wire of the reasons why an agent declines a new flow.
 REASONS = (
@@ -238,6 +239,15 @@
         return _HEAD.pack(_VERSION, FLOWS_WANTED)
 
 
+@attrs.frozen
+class Left:
+    """An agent ends after its backend server, which holds no flow any more."""
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, LEFT)
+
+
 def digest(data):
     """Return 8 pseudo-random bytes that every process derives from data."""
     return hashlib.blake2b(data, digest_size=_SERVICE_BYTES).digest()
@@ -324,3 +334,8 @@
 @registry.register(decoders_by_kind, FLOWS_WANTED)
 def _decode_flows_wanted(_body):
     return FlowsWanted()
+
+
+@registry.register(decoders_by_kind, LEFT)
+def _decode_left(_body):
+    return Left()
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -66,7 +66,8 @@
     :param began_at: when it came here.
     :param active_at: time of its last segment.
     :param first: its first segment here while the server has not answered.
-    :param answer_by: when the server must have answered it.
+    :param answer_by: when the server must have answered it; a tentative flow
+        counts once.
     :param is_tentative: whether the server may not hold it at all.
     :param asked_by: balancers that search for it.
     :param server_sequence: the server's first sequence number, or None.
@@ -128,12 +129,19 @@
     report: object = None
     flows_by_key: dict = attrs.field(factory=dict)
     is_stopping: bool = False
+    _stopping_at: float = float("inf")
     _warm_at: float = 0.0
     _reported_alive_at: float = float("-inf")
     # When the server was heard last, by a report or a segment.
     _heard_at: float = float("-inf")
+    # The same without segments that it returned or reset: a server that has
+    # left goes on to do so, and does not report.
+    _served_at: float = float("-inf")
     _rival: object = None
+    # New flows in a row that the server did not answer.
     _silent_flows: int = 0
+    # Tentative flows in a row that the server neither took nor returned.
+    _silent_tentative: int = 0
     _probed_at: float = float("-inf")
     # Until when nobody listens at the server's port for certain.
     _absent_until: float = float("-inf")
@@ -182,7 +190,8 @@
             # The server takes flows from its first report on.
             self.knows_all = True
         self.report = report
-        self._reported_alive_at = self._heard_at = now
+        self._reported_alive_at = self._heard_at = self._served_at = now
+        self._silent_tentative = 0
         self._rival = None
         self._warm_at = now + report.warming_s
         # A server that reports gets another flow to show that it answers.
@@ -254,11 +263,43 @@
         of its flows are told.
         """
         self.is_stopping = True
+        self._stopping_at = now
         found = self._tell_load(now)
         if self.report is not None and self.report.state == GONE:
             found += self._end_flows("server_gone")
         return found
 
+    def has_server_ended(self, now):
+        """Whether the server of a stopping agent has ended.
+
+        The platform stops an agent after its server's end, or to start it
+        again beside a server that lives and reports.
+
+        :returns: None while that is open.
+        """
+        if self.report is not None and self.report.state == GONE:
+            return True
+        if self._served_at > self._stopping_at:
+            return False
+        if now - self._served_at >= defaults.REPORT_DUE_S:
+            return True
+        return None
+
+    def leave(self):
+        """Tell the balancers that the server has ended."""
+        return [
+            steps.ToPeer(address, tunnel.Left())
+            for address in self._balancers_by_address
+        ] + [
+            steps.Note(
+                "agent_left",
+                fields={
+                    "flows": len(self.flows_by_key),
+                    "state": self.report.state if self.report else "unknown",
+                },
+            )
+        ]
+
     @property
     def is_idle(self):
         """Whether no caller waits for an answer."""
@@ -291,7 +332,7 @@
         A server that starts now holds no flow, and the one that held them has
         ended. It counts only while the server is silent in every other way.
         """
-        if now - self._heard_at < defaults.REPORT_MISSING_S:
+        if not self._may_be_absent(now):
             return []
         self._absent_until = now + defaults.PROBE_AGAIN_S
         self._silent_flows = defaults.SILENT_FLOWS
@@ -313,6 +354,22 @@
                 )
         return found + self._end_flows("server_gone")
 
+    def _may_be_absent(self, now):
+        """Whether the server has been silent where it had to answer.
+
+        It answers every new flow, and returns segments of flows that it does
+        not hold; it cannot hold all that are searched for. Without such
+        segments the silence of its reports decides.
+        """
+        silent_s = now - self._heard_at
+        if silent_s < defaults.SILENT_SERVER_S:
+            return False
+        return (
+            silent_s >= defaults.REPORT_MISSING_S
+            or self._silent_flows >= defaults.SILENT_FLOWS
+            or self._silent_tentative >= defaults.SILENT_TENTATIVE_FLOWS
+        )
+
     def _knows_all_at(self, now):
         return self.knows_all or now < self._absent_until
 
@@ -334,8 +391,7 @@
                 return self._accept(now, balancer, forward.service, segment)
             if self._knows_all_at(now):
                 return [steps.ToPeer(balancer, tunnel.Unknown(segment.data))]
-            flow = _Flow(balancer, now, first=segment.data, is_tentative=True)
-            self.flows_by_key[segment.key] = flow
+            flow = self._try(now, balancer, segment)
         return self._deliver(now, balancer, flow, segment)
 
     @registry.register(_handlers_by_type, tunnel.Locate)
@@ -343,8 +399,7 @@
         segment = self.decode(locate.data)
         flow = self.flows_by_key.get(segment.key)
         if flow is None and not self._knows_all_at(now):
-            flow = _Flow(balancer, now, first=segment.data, is_tentative=True)
-            self.flows_by_key[segment.key] = flow
+            flow = self._try(now, balancer, segment)
         if flow is None or not (
             flow.is_tentative or self._holds(flow, segment)
         ):
@@ -355,6 +410,18 @@
             return found
         return [steps.ToPeer(balancer, tunnel.Owned(segment.key))] + found
 
+    def _try(self, now, balancer, segment):
+        """Return a new flow that the server may hold."""
+        flow = _Flow(
+            balancer,
+            now,
+            first=segment.data,
+            answer_by=now + defaults.TENTATIVE_ANSWER_S,
+            is_tentative=True,
+        )
+        self.flows_by_key[segment.key] = flow
+        return flow
+
     @staticmethod
     def _holds(flow, segment):
         """Whether the segment belongs to the flow that the server holds.
@@ -474,10 +541,12 @@
 
     def on_server_segment(self, now, segment):
         """Decide on a segment that the backend server sent or returned."""
-        self._silent_flows = 0
+        self._silent_flows = self._silent_tentative = 0
         self._heard_at = now
         if segment.is_returned:
             return self._on_returned(now, segment)
+        if not segment.is_reset:
+            self._served_at = now
         flow = self.flows_by_key.get(segment.key)
         found = []
         if flow is None:
@@ -556,7 +625,8 @@
         if self._started_at is None:
             self._started_at = now
             self._heard_at = max(self._heard_at, now)
-        found = self._probe(now) + self._pass_on_unanswered(now)
+            self._served_at = max(self._served_at, now)
+        found = self._pass_on_unanswered(now) + self._probe(now)
         if now - self._swept_at >= defaults.SWEEP_S:
             self._swept_at = now
             self._forget(now)
@@ -579,7 +649,7 @@
         """Ask for the server when it is silent and owes an answer."""
         if (
             now - self._probed_at < defaults.PROBE_AGAIN_S
-            or now - self._heard_at < defaults.REPORT_MISSING_S
+            or not self._may_be_absent(now)
         ):
             return []
         waiting_since = now - defaults.PROBE_AFTER_S
@@ -592,10 +662,15 @@
         return [steps.ProbeServer()]
 
     def _pass_on_unanswered(self, now):
-        """Hand flows on that the server has not answered."""
+        """Hand new flows on that the server has not answered."""
         found = []
         for key, flow in list(self.flows_by_key.items()):
-            if flow.first and not flow.is_tentative and flow.answer_by <= now:
+            if not flow.first or flow.answer_by > now:
+                continue
+            if flow.is_tentative:
+                self._silent_tentative += 1
+                flow.answer_by = float("inf")
+            else:
                 self._silent_flows += 1
                 del self.flows_by_key[key]
                 found += self._decline(
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -37,6 +37,7 @@
     :param heard_at: when the load arrived.
     :param known_at: when its entry was read first.
     :param is_listed: whether the store has its entry.
+    :param has_left: whether it ended after its backend server.
     :param placed_at: times of the flows placed there since.
     """
 
@@ -45,6 +46,7 @@
     heard_at: float = float("-inf")
     known_at: float = 0.0
     is_listed: bool = True
+    has_left: bool = False
     placed_at: list = attrs.field(factory=list)
 
     def is_fresh(self, now):
@@ -63,6 +65,8 @@
             and load.number <= known.number
         ):
             return False
+        if known is None or load.incarnation != known.incarnation:
+            self.has_left = False
         self.load = load
         self.heard_at = now
         # Flows placed within the time of a message may be missing in it.
@@ -213,6 +217,8 @@
         found += [
             _agent_note("agent_gone", agent.entry) for agent in known.values()
         ]
+        if known:
+            self._forget_flows_at(set(known))
         peers = [
             entry.address
             for entry in balancers
@@ -224,6 +230,12 @@
         self._peers = peers
         return found
 
+    def _forget_flows_at(self, addresses):
+        """Search for the flows of agents that have gone when they go on."""
+        for key, flow in list(self.flows_by_key.items()):
+            if flow.address in addresses:
+                del self.flows_by_key[key]
+
     def is_connected(self, now):
         """Whether an agent was heard lately, or none is known."""
         return not self._agents_by_address or any(
@@ -440,7 +452,12 @@
     def _ask(self, search):
         """Ask the agents that were not asked before."""
         message = tunnel.Locate(search.waiting[0])
-        asked = self._agents_by_address.keys() - search.without - search.asked
+        asked = {
+            address
+            for address, agent in self._agents_by_address.items()
+            if not agent.has_left
+        }
+        asked -= search.without | search.asked
         search.asked |= asked
         return [steps.ToPeer(address, message) for address in asked]
 
@@ -533,6 +550,24 @@
         search = self._searches_by_key.get(not_here.key)
         if search is None or address not in search.asked:
             return []
+        return self._on_without(now, address, search)
+
+    @registry.register(_handlers_by_type, tunnel.Left)
+    def _on_left(self, now, address, _left):
+        agent = self._agents_by_address.get(address)
+        if agent is None:
+            return []
+        agent.has_left = True
+        self._forget_flows_at({address})
+        found = [_agent_note("agent_left", agent.entry)]
+        for search in self._searches_by_key.values():
+            if address in search.asked:
+                found += self._on_without(now, address, search)
+        return found
+
+    @staticmethod
+    def _on_without(now, address, search):
+        """Note that the agent at ``address`` is without a flow."""
         search.asked.discard(address)
         search.without.add(address)
         if search.asked:
@@ -615,7 +650,12 @@
                 del self._searches_by_key[key]
                 found.append(
                     steps.Note(
-                        "flow_not_found", key, {"waited": len(search.waiting)}
+                        "flow_not_found",
+                        key,
+                        {
+                            "waited": len(search.waiting),
+                            "unanswered": self._names_of(search.asked),
+                        },
                     )
                 )
         if now - self._swept_at >= defaults.SWEEP_S:
@@ -623,6 +663,16 @@
             self._forget(now)
         return found
 
+    def _names_of(self, addresses):
+        """Return the ids of some agents, for a log line."""
+        known = self._agents_by_address
+        names = sorted(
+            known[address].entry.agent_id
+            for address in addresses
+            if address in known
+        )
+        return ",".join(names[: defaults.LOG_NAMES])
+
     def _forget(self, now):
         """Forget flows without segments for the time that routes allow."""
         horizon = now - self.routes.idle_s - defaults.IDLE_MARGIN_S
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -90,15 +90,17 @@
                 self._announcer.on_missing()
             elif isinstance(step, steps.ProbeServer):
                 probing.PortProbe(
-                    self.reactor, self.settings.server, self._on_refused
+                    self.reactor, self.settings.server, self._on_probed
                 )
             elif isinstance(step, steps.Duration):
                 self.measure(step.name, step.seconds)
             else:
                 self.note(step)
 
-    def _on_refused(self):
-        self.perform(self.decisions.on_server_absent(time.monotonic()))
+    def _on_probed(self, outcome):
+        self.note(steps.Note("server_probed", fields={"outcome": outcome}))
+        if outcome == probing.REFUSED:
+            self.perform(self.decisions.on_server_absent(time.monotonic()))
 
     def _send_caller(self, key, data):
         ip, _ = segments.caller_of(key)
@@ -125,15 +127,19 @@
         }
 
     async def stop(self):
-        """Serve until no caller waits for an answer."""
+        """Serve until no caller waits and the server's state is known."""
         now = time.monotonic()
         latest = now + defaults.STOP_MAX_S
         self.perform(self.decisions.stop(now))
         # Balancers hear of it before the last look.
         await self.reactor.sleep(defaults.LOAD_FRESH_S)
-        while time.monotonic() < latest and not self.decisions.is_idle:
+        while time.monotonic() < latest and self._has_work():
             await self.reactor.sleep(defaults.HOSTING_TICK_S)
-        report = self.decisions.report
-        if report is not None and report.state == hosting.GONE:
-            # Otherwise the agent comes back beside the same server.
+        if self.decisions.has_server_ended(time.monotonic()):
+            self.perform(self.decisions.leave())
             await self._announcer.withdraw()
+        # Otherwise the agent comes back beside the same server.
+
+    def _has_work(self):
+        ended = self.decisions.has_server_ended(time.monotonic())
+        return ended is None or not (ended or self.decisions.is_idle)
--- a/src/limpetlift/transport/probing.py
+++ b/src/limpetlift/transport/probing.py
@@ -6,25 +6,28 @@
 
 from limpetlift import defaults
 
+REFUSED = errno.errorcode[errno.ECONNREFUSED]
+
 
 class PortProbe:
     """Asks whether a port of this instance has a listener.
 
     :param reactor: the event loop.
     :param address: ``(ip, port)``.
-    :param on_refused: called when there is certainly none. A port that does
-        not answer in time, or accepts, calls nothing.
+    :param on_result: called with the name of the outcome: ``accepted``,
+        ``no_answer``, or that of an error such as :data:`REFUSED`, which
+        says that there is certainly none.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, reactor, address, on_refused):
+    def __init__(self, reactor, address, on_result):
         self._reactor = reactor
-        self._on_refused = on_refused
+        self._on_result = on_result
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setblocking(False)
         self._timer = reactor.call_at(
-            time.monotonic() + defaults.PROBE_TIMEOUT_S, self.close
+            time.monotonic() + defaults.PROBE_TIMEOUT_S, self._on_silence
         )
         code = self._socket.connect_ex(address)
         if code == errno.EINPROGRESS:
@@ -37,10 +40,15 @@
             self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         )
 
+    def _on_silence(self):
+        self.close()
+        self._on_result("no_answer")
+
     def _finish(self, code):
         self.close()
-        if code == errno.ECONNREFUSED:
-            self._on_refused()
+        self._on_result(
+            errno.errorcode.get(code, str(code)) if code else "accepted"
+        )
 
     def close(self):
         """Ask no longer."""
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -228,6 +228,34 @@
     assert [step.reason for step in kit.resets(found)] == ["server_gone"]
 
 
+def test_a_stopping_agent_tells_whether_its_server_has_ended():
+    """An agent that never heard its server ended without leaving.
+
+    After a loss of power it had started beside a server that had left, and
+    balancers went on to ask it for flows.
+    """
+    table = _agent(knows_all=False, report=False)
+    table.tick(0.0)
+    table.stop(0.5)
+    _locate(table, 0.6, 1, ack=900)
+    table.on_server_segment(0.6, kit.returned(1, kit.ACK, ack=900))
+    assert table.has_server_ended(0.7) is None
+    assert table.has_server_ended(defaults.REPORT_DUE_S)
+    table.on_message(0.1, _BALANCER, tunnel.Hello())
+    assert kit.messages(table.leave(), tunnel.Left) == [
+        (_BALANCER, tunnel.Left())
+    ]
+
+
+def test_an_agent_stays_listed_beside_a_server_that_lives():
+    """Flows of a living server must not look lost while its agent restarts."""
+    table = _agent()
+    table.stop(0.5)
+    assert table.has_server_ended(0.6) is None
+    table.on_report(1.0, _report(2))
+    assert table.has_server_ended(9.0) is False
+
+
 def test_a_planned_stop_resets_nothing_while_the_server_lives():
     """A restart of an agent must not cut the flows of its server."""
     table = _agent()
@@ -354,6 +382,55 @@
     assert steps.ToServer in kit.kinds(found)
 
 
+def test_unanswered_searches_prove_an_absent_server_early():
+    """After a loss of power callers waited 3 s for agents without a server.
+
+    A server that lives cannot hold all flows that are searched for, and it
+    returns the others at once.
+    """
+    table = _agent(knows_all=False, report=False)
+    table.tick(0.0)
+    now = 0.3
+    for port in range(defaults.SILENT_TENTATIVE_FLOWS):
+        _locate(table, now, port, ack=900)
+    now += defaults.TENTATIVE_ANSWER_S
+    assert steps.ProbeServer in kit.kinds(table.tick(now))
+    found = table.on_server_absent(now)
+    answered = {m.key for _, m in kit.messages(found, tunnel.NotHere)}
+    assert answered == {
+        kit.key_of(port) for port in range(defaults.SILENT_TENTATIVE_FLOWS)
+    }
+
+
+def test_one_returned_segment_shows_that_the_server_lives():
+    """A restarted agent must not end the flows of a slow server."""
+    table = _agent(knows_all=False, report=False)
+    table.tick(0.0)
+    now = 0.3
+    for port in range(defaults.SILENT_TENTATIVE_FLOWS + 1):
+        _locate(table, now, port, ack=900)
+    table.on_server_segment(now + 0.01, kit.returned(0, kit.ACK, ack=900))
+    now += defaults.TENTATIVE_ANSWER_S
+    assert steps.ProbeServer not in kit.kinds(table.tick(now))
+    assert not table.on_server_absent(now)
+
+
+def test_callers_are_told_early_when_new_flows_are_not_answered():
+    """A crashed server's callers waited until two reports were missing."""
+    table = _agent()
+    table.tick(0.0)
+    _open(table, 0.0, 1, sequence=500)
+    _forward(table, 0.1, 1, kit.ACK, sequence=1, ack=501, payload=b"ask")
+    for port in range(2, 2 + defaults.SILENT_FLOWS):
+        _forward(table, 0.2, port, kit.SYN)
+    now = 0.2 + defaults.SERVER_ANSWER_S
+    table.tick(now)
+    now = max(now, defaults.SILENT_SERVER_S)
+    assert steps.ProbeServer in kit.kinds(table.tick(now))
+    found = table.on_server_absent(now)
+    assert [step.reason for step in kit.resets(found)] == ["server_gone"]
+
+
 def test_a_refused_connection_proves_nothing_while_the_server_is_heard():
     """A health port may lie in either way while the server serves."""
     table = _agent()
--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -131,10 +131,11 @@
     seen = []
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = listener.getsockname()
-        probing.PortProbe(reactor, address, lambda: seen.append("listening"))
-    probing.PortProbe(reactor, address, lambda: seen.append("refused"))
-    _run_until(reactor, lambda: seen)
-    assert seen == ["refused"]
+        probing.PortProbe(reactor, address, seen.append)
+        _run_until(reactor, lambda: seen)
+    probing.PortProbe(reactor, address, seen.append)
+    _run_until(reactor, lambda: len(seen) > 1)
+    assert seen == ["accepted", probing.REFUSED]
 
 
 def test_a_large_answer_arrives_whole(reactor):
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -222,6 +222,53 @@
     assert not table.on_directory_read(1.3, 1.25)
 
 
+def test_an_agent_that_left_need_not_answer():
+    """Callers waited 15 s for the answer of an agent that had ended."""
+    table = _balancer()
+    table.on_segment(1.0, kit.of_caller(1, kit.ACK, ack=5))
+    table.on_message(1.01, kit.agent(1).address, tunnel.NotHere(kit.key_of(1)))
+    found = table.on_message(1.02, kit.agent(2).address, tunnel.Left())
+    assert kit.kinds(found) == [steps.ReadDirectory]
+    assert kit.resets(table.on_directory_read(1.03, 1.025))
+    found = table.on_segment(1.1, kit.of_caller(2, kit.ACK, ack=5))
+    assert [to for to, _ in kit.messages(found, tunnel.Locate)] == [
+        kit.agent(1).address
+    ]
+
+
+def test_an_agent_that_comes_back_is_asked_again():
+    """A new start beside a new server may hold flows."""
+    table = _balancer()
+    address = kit.agent(2).address
+    table.on_message(1.0, address, tunnel.Left())
+    table.on_message(2.0, address, kit.load(1, incarnation=2))
+    found = table.on_segment(2.1, kit.of_caller(1, kit.ACK, ack=5))
+    assert address in [to for to, _ in kit.messages(found, tunnel.Locate)]
+
+
+def test_flows_of_an_agent_that_left_are_searched():
+    """Their segments went to an address that nobody reads any more."""
+    for leave in (
+        lambda table, address: table.on_message(0.1, address, tunnel.Left()),
+        lambda table, address: table.on_entries(
+            0.1,
+            [
+                entry
+                for entry in (kit.agent(1), kit.agent(2))
+                if entry.address != address
+            ],
+            [],
+        ),
+    ):
+        table = _balancer()
+        found = table.on_segment(0.0, kit.of_caller(1, kit.SYN))
+        ((address, _),) = _forwards(found)
+        leave(table, address)
+        found = table.on_segment(0.2, kit.of_caller(1, kit.ACK, ack=5))
+        asked = [to for to, _ in kit.messages(found, tunnel.Locate)]
+        assert asked and address not in asked
+
+
 def test_an_empty_directory_proves_no_flow_lost():
     """A search without any agent was taken for one that all had answered.
 
