--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -235,9 +235,6 @@
 # Reports after changes; shorter than the shortest usual request.
 LOAD_MIN_S = 0.02
 HELLO_S = 0.5
-# The same to agents that are not heard: a restart takes some tenths of a
-# second, and callers wait for every agent that is back.
-HELLO_SILENT_S = 0.06
 # An agent forgets a balancer that has not said hello for this long.
 HELLO_FRESH_S = 2.0
 # An agent without any balancer for this long announces itself again.
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -156,7 +156,6 @@
     _peers: list = attrs.field(factory=list)
     _records: list = attrs.field(factory=list)
     _hello_at: float = float("-inf")
-    _silent_hello_at: float = float("-inf")
     _swept_at: float = float("-inf")
     _choose: object = attrs.field(init=False)
     _admit: object = attrs.field(init=False)
@@ -640,7 +639,12 @@
                     steps.ToPeer(address, message) for address in self._peers
                 ]
             self._records = []
-        found += self._say_hello(now)
+        if now - self._hello_at >= defaults.HELLO_S:
+            self._hello_at = now
+            found += [
+                steps.ToPeer(address, tunnel.Hello(agent.is_listed))
+                for address, agent in self._agents_by_address.items()
+            ]
         for key, search in list(self._searches_by_key.items()):
             if search.expires_at <= now:
                 del self._searches_by_key[key]
@@ -659,27 +663,6 @@
             self._forget(now)
         return found
 
-    def _say_hello(self, now):
-        """Ask the agents for reports, silent ones more often.
-
-        An agent that has just started does not know the balancers, and gets
-        no flows while only others are heard.
-        """
-        if now - self._hello_at >= defaults.HELLO_S:
-            self._hello_at = self._silent_hello_at = now
-            return [
-                steps.ToPeer(address, tunnel.Hello(agent.is_listed))
-                for address, agent in self._agents_by_address.items()
-            ]
-        if now - self._silent_hello_at < defaults.HELLO_SILENT_S:
-            return []
-        self._silent_hello_at = now
-        return [
-            steps.ToPeer(address, tunnel.Hello(agent.is_listed))
-            for address, agent in self._agents_by_address.items()
-            if not agent.is_fresh(now)
-        ]
-
     def _names_of(self, addresses):
         """Return the ids of some agents, for a log line."""
         known = self._agents_by_address
