Search for flows in batches of keys, with agents that are certain

Cause: after a loss of power every open flow was searched for with a segment to every agent, and every agent tried its server with it. Agents were not certain because the server's first report that arrived was its fourth; agents that came back without a server were announced and then asked for every flow.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -234,6 +234,9 @@
 LOAD_MAX_S = 0.2
 # Reports after changes; shorter than the shortest usual request.
 LOAD_MIN_S = 0.02
+# Reports of changes to balancers of other data centres, which place few flows
+# here; their number grows with the product of agents and balancers.
+LOAD_FAR_S = 0.02
 HELLO_S = 0.5
 # An agent forgets a balancer that has not said hello for this long.
 HELLO_FRESH_S = 2.0
@@ -246,6 +249,12 @@
 # Longer than a round trip between data centres and a slow agent's turn;
 # shorter than the caller's first retransmission after 200 ms.
 SEARCH_S = 0.15
+# Searches that begin within this time share their messages.
+SEARCH_BATCH_S = 0.003
+# An agent that has just started is asked again after this time, and not
+# waited for longer than a caller's second copy takes.
+SEARCH_AGAIN_S = 0.06
+SEARCH_MAX_S = 0.6
 # A caller has at most 16 segments under way.
 SEARCH_SEGMENTS = 16
 SWEEP_S = 1.0
@@ -270,8 +279,15 @@
 FLOW_LIFETIME_S = 60.0
 HOSTED_IDLE_S = 60.0
 HOSTING_TICK_S = 0.02
-# Two reports of a backend server are missing.
-SERVER_SILENT_S = 3.0
+# Backend servers report this often, unless the settings say otherwise.
+REPORT_INTERVAL_S = 1.2
+# Intervals after which two reports are missing for certain.
+SERVER_SILENT_INTERVALS = 2.5
+# Share of the interval in which a server that was acknowledged is silent.
+REPORT_EARLY_SHARE = 0.75
+# An agent that has just started hears its server in less than this, as the
+# server repeats a report that failed after about 0.1 s.
+AGENT_STARTING_S = 0.3
 
 # Announcing and following in the store.
 # An entry that lapsed is back within this time if its process lives.
@@ -302,6 +318,8 @@
 SETTINGS_POLL_S = 2.0
 # A call of the store takes 4 ms, and some hundred when the store is slow.
 DIRECTORY_READ_S = 0.5
+# Between two reads; each is a call that is paid for.
+DIRECTORY_PAUSE_S = 0.03
 # An agent that is silent for this long is gone for good; restarts and
 # outages of an instance last a few seconds.
 SILENT_ENTRY_S = 15.0
@@ -340,8 +358,8 @@
 PROBE_TIMEOUT_S = 0.2
 # Longer than a turn of a slow instance, in which answers wait to be read.
 SILENT_SERVER_S = 0.3
-# A report of every 1.2 s is missing.
-REPORT_DUE_S = 1.6
-# Two reports of 1.2 s are missing. A health port may refuse connections while
-# its server lives, so a refusal proves nothing while the server is heard.
-REPORT_MISSING_S = 2.6
+# Intervals after which one report is missing, late ones considered.
+REPORT_DUE_INTERVALS = 1.35
+# The same for two. A health port may refuse connections while its server
+# lives, so a refusal proves nothing while the server is heard.
+REPORT_MISSING_INTERVALS = 2.2
--- a/src/limpetlift/protocol/segment.py
+++ b/src/limpetlift/protocol/segment.py
@@ -57,7 +57,12 @@
 
         :param sequence: the receiver's first sequence number.
         """
-        return (self.ack - sequence) & _SEQUENCE_MASK < SEQUENCE_WINDOW
+        return is_acknowledged(self.ack, sequence)
+
+
+def is_acknowledged(ack, sequence):
+    """Whether ``ack`` follows ``sequence`` in one flow; both may wrap."""
+    return (ack - sequence) & _SEQUENCE_MASK < SEQUENCE_WINDOW
 
 
 def pack_key(caller_ip, caller_port, service_ip, service_port):
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -32,6 +32,17 @@
 FLOWS_WANTED = 9
 NOT_HERE = 10
 LEFT = 11
+LOCATED = 12
+TRY = 13
+
+# What an agent says of a flow that a balancer searches for.
+HELD = 1
+ABSENT = 2
+# Its server may hold the flow and is to be tried with a segment.
+UNSURE = 3
+# It has just started and has not heard its server yet.
+STARTING = 4
+_VERDICTS = frozenset((HELD, ABSENT, UNSURE, STARTING))
 
 # Codes on the wire of the reasons why an agent declines a new flow.
 REASONS = (
@@ -49,8 +60,12 @@
 _HEAD = struct.Struct("!BB")
 _LOAD = struct.Struct("!QIBBHHHH8s")
 _RECORD = struct.Struct("!12s4sHB")
+_QUERY = struct.Struct("!12sI")
+_VERDICT = struct.Struct("!12sB")
 # Entries in one message of flows: it fits in one datagram of 1,400 bytes.
 FLOWS_PER_MESSAGE = 70
+# The same of a search.
+QUERIES_PER_MESSAGE = 80
 
 
 @attrs.frozen
@@ -69,15 +84,60 @@
         return _HEAD.pack(_VERSION, FORWARD) + self.service + self.data
 
 
+@attrs.frozen
+class Query:
+    """A flow that a balancer searches for.
+
+    :param key: flow key.
+    :param ack: what its caller acknowledged last.
+    """
+
+    key: bytes
+    ack: int
+
+
 @attrs.frozen
 class Locate:
-    """A balancer asks all agents which of them has the segment's flow."""
+    """A balancer asks an agent which of some flows it has.
+
+    :param queries: at most :data:`QUERIES_PER_MESSAGE` :class:`Query`.
+    """
+
+    queries: list
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, LOCATE) + b"".join(
+            _QUERY.pack(query.key, query.ack) for query in self.queries
+        )
+
+
+@attrs.frozen
+class Located:
+    """An agent answers a search.
+
+    :param verdicts: ``(flow key, verdict)`` for each query; the verdict is
+        :data:`HELD`, :data:`ABSENT`, :data:`UNSURE` or :data:`STARTING`.
+    """
+
+    verdicts: list
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEAD.pack(_VERSION, LOCATED) + b"".join(
+            _VERDICT.pack(key, verdict) for key, verdict in self.verdicts
+        )
+
+
+@attrs.frozen
+class Try:
+    """A balancer hands over a segment of a flow that the server may hold."""
 
     data: bytes
 
     def encode(self):
         """Return the datagram."""
-        return _HEAD.pack(_VERSION, LOCATE) + self.data
+        return _HEAD.pack(_VERSION, TRY) + self.data
 
 
 @attrs.frozen
@@ -85,13 +145,17 @@
     """A balancer asks an agent for reports of its load.
 
     :param is_listed: whether the balancer finds the agent in the store.
+    :param is_near: whether the balancer is in the agent's data centre.
     """
 
     is_listed: bool = True
+    is_near: bool = True
 
     def encode(self):
         """Return the datagram."""
-        return _HEAD.pack(_VERSION, HELLO) + bytes((self.is_listed,))
+        return _HEAD.pack(_VERSION, HELLO) + bytes(
+            (self.is_listed, self.is_near)
+        )
 
 
 @attrs.frozen
@@ -281,12 +345,26 @@
 
 @registry.register(decoders_by_kind, LOCATE)
 def _decode_locate(body):
-    return Locate(body)
+    return Locate([Query(*fields) for fields in _QUERY.iter_unpack(body)])
+
+
+@registry.register(decoders_by_kind, LOCATED)
+def _decode_located(body):
+    verdicts = list(_VERDICT.iter_unpack(body))
+    for _, verdict in verdicts:
+        if verdict not in _VERDICTS:
+            raise exceptions.MalformedMessage("unknown verdict %d" % verdict)
+    return Located(verdicts)
+
+
+@registry.register(decoders_by_kind, TRY)
+def _decode_try(body):
+    return Try(body)
 
 
 @registry.register(decoders_by_kind, HELLO)
 def _decode_hello(body):
-    return Hello(bool(body[0]))
+    return Hello(bool(body[0]), bool(body[1]))
 
 
 @registry.register(decoders_by_kind, LOAD)
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -8,8 +8,10 @@
 import attrs
 
 from limpetlift import defaults
+from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift import registry
+from limpetlift.state import loadreporting
 from limpetlift.state import steps
 
 _handlers_by_type = {}
@@ -117,6 +119,7 @@
     :param incarnation: start time of this agent in milliseconds.
     :param decode: turns a datagram of a caller into a segment.
     :param knows_all: whether no other agent served the server before.
+    :param report_interval_s: seconds between two reports of the server.
 
     .. versionadded:: 0.2
     """
@@ -126,6 +129,7 @@
     decode: object
     # Whether this agent knows every flow of the server.
     knows_all: bool = False
+    report_interval_s: float = defaults.REPORT_INTERVAL_S
     report: object = None
     flows_by_key: dict = attrs.field(factory=dict)
     is_stopping: bool = False
@@ -147,10 +151,11 @@
     _absent_until: float = float("-inf")
     # Mean run time of requests, in seconds.
     _run_s: float = 0.0
-    _balancers_by_address: dict = attrs.field(factory=dict)
+    _reporting: loadreporting.LoadReporting = attrs.field(
+        factory=loadreporting.LoadReporting
+    )
+    # Number of the last report of load.
     _number: int = 0
-    _reported_at: float = float("-inf")
-    _reported: object = None
     _started_at: object = None
     _swept_at: float = float("-inf")
     _service_id: bytes = attrs.field(init=False)
@@ -160,12 +165,13 @@
 
     # The backend server's own words.
 
-    def on_report(self, now, report):
+    def on_report(self, now, report, age_s=float("inf")):
         """Take over a report of the server.
 
         A report that is older than the last one, or of a server that was
         there before, changes nothing.
 
+        :param age_s: seconds since the server's start.
         :returns: steps; the state is in force when this returns.
         """
         known = self.report
@@ -186,9 +192,9 @@
         if known is not None and not _is_same_start(report, known):
             found += self._repeat_last()
             self.knows_all = True
-        if known is None and report.number <= _FIRST_REPORT:
-            # The server takes flows from its first report on.
-            self.knows_all = True
+        if known is None:
+            self.knows_all = self.knows_all or self._is_first(report, age_s)
+            found.append(steps.Announce())
         self.report = report
         self._reported_alive_at = self._heard_at = self._served_at = now
         self._silent_tentative = 0
@@ -217,6 +223,16 @@
             found += self._tell_load(now)
         return found
 
+    def _is_first(self, report, age_s):
+        """Whether no report of this server was acknowledged before.
+
+        The server takes flows from its first report on. After a report that
+        was acknowledged the next one follows an interval later; those that
+        were not are repeated at once.
+        """
+        early_s = defaults.REPORT_EARLY_SHARE * self.report_interval_s
+        return report.number <= _FIRST_REPORT or 0.0 <= age_s < early_s
+
     def _is_news(self, now, report):
         """Whether a report replaces the one that is known.
 
@@ -232,7 +248,8 @@
         rival = self._rival
         self._rival = report
         return (
-            now - self._reported_alive_at > defaults.SERVER_SILENT_S
+            now - self._reported_alive_at
+            > self.report_interval_s * defaults.SERVER_SILENT_INTERVALS
             and rival is not None
             and _is_same_start(rival, report)
             and report.number > rival.number
@@ -281,7 +298,10 @@
             return True
         if self._served_at > self._stopping_at:
             return False
-        if now - self._served_at >= defaults.REPORT_DUE_S:
+        if (
+            now - self._served_at
+            >= self.report_interval_s * defaults.REPORT_DUE_INTERVALS
+        ):
             return True
         return None
 
@@ -289,7 +309,7 @@
         """Tell the balancers that the server has ended."""
         return [
             steps.ToPeer(address, tunnel.Left())
-            for address in self._balancers_by_address
+            for address in self._reporting.addresses()
         ] + [
             steps.Note(
                 "agent_left",
@@ -365,7 +385,8 @@
         if silent_s < defaults.SILENT_SERVER_S:
             return False
         return (
-            silent_s >= defaults.REPORT_MISSING_S
+            silent_s
+            >= self.report_interval_s * defaults.REPORT_MISSING_INTERVALS
             or self._silent_flows >= defaults.SILENT_FLOWS
             or self._silent_tentative >= defaults.SILENT_TENTATIVE_FLOWS
         )
@@ -396,12 +417,33 @@
 
     @registry.register(_handlers_by_type, tunnel.Locate)
     def _on_locate(self, now, balancer, locate):
-        segment = self.decode(locate.data)
+        verdicts = [
+            (query.key, self._verdict(now, query)) for query in locate.queries
+        ]
+        return [steps.ToPeer(balancer, tunnel.Located(verdicts))]
+
+    def _verdict(self, now, query):
+        flow = self.flows_by_key.get(query.key)
+        if flow is not None and not flow.is_tentative:
+            is_held = self._holds(flow, query.ack)
+            return tunnel.HELD if is_held else tunnel.ABSENT
+        if self._knows_all_at(now):
+            return tunnel.ABSENT
+        if self.report is None and (
+            self._started_at is None
+            or now - self._started_at < defaults.AGENT_STARTING_S
+        ):
+            return tunnel.STARTING
+        return tunnel.UNSURE
+
+    @registry.register(_handlers_by_type, tunnel.Try)
+    def _on_try(self, now, balancer, attempt):
+        segment = self.decode(attempt.data)
         flow = self.flows_by_key.get(segment.key)
         if flow is None and not self._knows_all_at(now):
             flow = self._try(now, balancer, segment)
         if flow is None or not (
-            flow.is_tentative or self._holds(flow, segment)
+            flow.is_tentative or self._holds(flow, segment.ack)
         ):
             return [steps.ToPeer(balancer, tunnel.NotHere(segment.key))]
         found = self._deliver(now, balancer, flow, segment)
@@ -423,23 +465,22 @@
         return flow
 
     @staticmethod
-    def _holds(flow, segment):
-        """Whether the segment belongs to the flow that the server holds.
+    def _holds(flow, ack):
+        """Whether the server holds the flow whose caller acknowledges ``ack``.
 
         Two servers can have answered copies of one first segment; the caller
         goes on with one of them.
         """
-        return flow.server_sequence is not None and segment.acknowledges(
-            flow.server_sequence
+        return flow.server_sequence is not None and segments.is_acknowledged(
+            ack, flow.server_sequence
         )
 
     @registry.register(_handlers_by_type, tunnel.Hello)
     def _on_hello(self, now, balancer, hello):
         found = []
-        if balancer not in self._balancers_by_address:
+        if self._reporting.on_hello(now, balancer, hello.is_near):
             found.append(steps.ToPeer(balancer, self._load(now)))
-        self._balancers_by_address[balancer] = now
-        if not hello.is_listed:
+        if not hello.is_listed and self.report is not None:
             found.append(steps.Announce())
         return found
 
@@ -599,7 +640,7 @@
                 flow.balancer, segment.key, "server_refused", segment.data
             )
         del self.flows_by_key[segment.key]
-        if self._holds(flow, segment):
+        if self._holds(flow, segment.ack):
             return [steps.Reset(segment.key, segment.ack, "server_lost_flow")]
         return self._give_back(flow, segment.key, segment.data)
 
@@ -638,9 +679,10 @@
 
         Balancers remove the entry of an agent that was cut off for long.
         """
-        heard_at = max(
-            self._balancers_by_address.values(), default=self._started_at
-        )
+        if self.report is None:
+            # Without a server there is nothing to find.
+            return []
+        heard_at = self._reporting.heard_at(self._started_at)
         if now - heard_at < defaults.HELLO_LOST_S:
             return []
         return [steps.Announce()]
@@ -709,34 +751,9 @@
         )
 
     def _report_load(self, now):
-        since = now - self._reported_at
-        if since < defaults.LOAD_MIN_S:
+        if not self._reporting.is_due(now):
             return []
-        load = self._load(now)
-        if since < defaults.LOAD_MAX_S and self._is_reported(load):
-            self._number -= 1
-            return []
-        return self._send_load(now, load)
-
-    def _is_reported(self, load):
-        known = self._reported
-        return known is not None and (
-            known.accepting,
-            known.is_warming,
-            known.busy,
-        ) == (load.accepting, load.is_warming, load.busy)
+        return self._reporting.on_load(now, self._load(now))
 
     def _tell_load(self, now):
-        return self._send_load(now, self._load(now))
-
-    def _send_load(self, now, load):
-        self._reported_at = now
-        self._reported = load
-        horizon = now - defaults.HELLO_FRESH_S
-        for address, heard_at in list(self._balancers_by_address.items()):
-            if heard_at < horizon:
-                del self._balancers_by_address[address]
-        return [
-            steps.ToPeer(address, load)
-            for address in self._balancers_by_address
-        ]
+        return self._reporting.tell_all(now, self._load(now))
--- a/src/limpetlift/state/segmentsettings.py
+++ b/src/limpetlift/state/segmentsettings.py
@@ -9,6 +9,7 @@
 import attrs
 from attrs import validators
 
+from limpetlift import defaults
 from limpetlift import exceptions
 
 _text = validators.and_(validators.instance_of(str), validators.min_len(1))
@@ -45,6 +46,7 @@
     :param service: name of its service.
     :param is_first_start: whether the whole deployment starts for the first
         time.
+    :param report_interval_ms: a backend server reports this often.
     """
 
     id: str = attrs.field(validator=_text)
@@ -63,6 +65,12 @@
     is_first_start: bool = attrs.field(
         default=False, validator=validators.instance_of(bool)
     )
+    report_interval_ms: int = attrs.field(
+        default=int(defaults.REPORT_INTERVAL_S * 1000),
+        validator=validators.and_(
+            validators.instance_of(int), validators.gt(0)
+        ),
+    )
 
 
 def load(path):
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -7,6 +7,7 @@
 the flow is the authority.
 """
 
+import collections
 import random
 
 import attrs
@@ -115,6 +116,8 @@
     :param waiting: segments that came meanwhile.
     :param asked: addresses of agents that have not answered.
     :param without: addresses of agents that do not have it.
+    :param starting: addresses of asked agents that do not know yet.
+    :param again_at: when those are asked again.
     """
 
     began_at: float
@@ -123,6 +126,8 @@
     waiting: list = attrs.field(factory=list)
     asked: set = attrs.field(factory=set)
     without: set = attrs.field(factory=set)
+    starting: set = attrs.field(factory=set)
+    again_at: float = float("inf")
 
 
 @attrs.define
@@ -152,6 +157,9 @@
     flows_by_key: dict = attrs.field(factory=dict)
     _agents_by_address: dict = attrs.field(factory=dict)
     _searches_by_key: dict = attrs.field(factory=dict)
+    _queries_by_address: dict = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
     _deferrals_by_key: dict = attrs.field(factory=dict)
     _peers: list = attrs.field(factory=list)
     _records: list = attrs.field(factory=list)
@@ -208,7 +216,7 @@
             if agent is None or agent.entry.service != entry.service:
                 agent = _Agent(entry, known_at=now)
                 found += [
-                    steps.ToPeer(entry.address, tunnel.Hello()),
+                    self._hello(agent),
                     _agent_note("agent_joined", entry),
                 ]
             agent.entry = entry
@@ -230,6 +238,11 @@
         self._peers = peers
         return found
 
+    def _hello(self, agent):
+        is_near = agent.entry.data_centre == self.data_centre
+        message = tunnel.Hello(agent.is_listed, is_near)
+        return steps.ToPeer(agent.entry.address, message)
+
     def _forget_flows_at(self, addresses):
         """Search for the flows of agents that have gone when they go on."""
         for key, flow in list(self.flows_by_key.items()):
@@ -441,17 +454,15 @@
         self._searches_by_key[segment.key] = search
         if without is not None:
             search.without.add(without)
-        found = self._ask(search)
-        found.append(
+        self._ask(segment.key, search)
+        return [
             steps.Note(
                 "flow_searched", segment.key, {"asked": len(search.asked)}
             )
-        )
-        return found
+        ]
 
-    def _ask(self, search):
-        """Ask the agents that were not asked before."""
-        message = tunnel.Locate(search.waiting[0])
+    def _ask(self, key, search):
+        """Ask the agents that were not asked before; whether there are any."""
         asked = {
             address
             for address, agent in self._agents_by_address.items()
@@ -459,7 +470,36 @@
         }
         asked -= search.without | search.asked
         search.asked |= asked
-        return [steps.ToPeer(address, message) for address in asked]
+        self._queue_queries(key, search, asked)
+        return bool(asked)
+
+    def _queue_queries(self, key, search, addresses):
+        query = tunnel.Query(key, search.ack)
+        for address in addresses:
+            self._queries_by_address[address].append(query)
+
+    @property
+    def has_queries(self):
+        """Whether :meth:`send_queries` has something to send."""
+        return bool(self._queries_by_address)
+
+    def send_queries(self, now):
+        """Send the queries of the searches that began lately, in batches.
+
+        After a loss of power every open flow is searched for at every agent;
+        a message for each would fill the link of a small instance.
+        """
+        found = []
+        size = tunnel.QUERIES_PER_MESSAGE
+        for address, queries in self._queries_by_address.items():
+            found += [
+                steps.ToPeer(
+                    address, tunnel.Locate(queries[start : start + size])
+                )
+                for start in range(0, len(queries), size)
+            ]
+        self._queries_by_address.clear()
+        return found
 
     def on_directory_read(self, now, began_at):
         """Decide on searches after all entries were read from the store.
@@ -476,10 +516,8 @@
         for key, search in list(self._searches_by_key.items()):
             if search.asked or search.began_at > began_at:
                 continue
-            newcomers = self._ask(search)
-            if newcomers:
+            if self._ask(key, search):
                 search.expires_at = now + defaults.SEARCH_S
-                found += newcomers
                 continue
             if not search.without:
                 continue
@@ -527,7 +565,14 @@
 
     @registry.register(_handlers_by_type, tunnel.Owned)
     def _on_owned(self, now, address, owned):
-        key = owned.key
+        # The owner delivered the first segment when it was asked.
+        return self._on_found(now, address, owned.key, delivered=1)
+
+    def _on_found(self, now, address, key, delivered):
+        """Note that the agent at ``address`` has a flow.
+
+        :param delivered: waiting segments that its server has got already.
+        """
         search = self._searches_by_key.pop(key, None)
         known = self.flows_by_key.get(key)
         if known is not None and known.address == address:
@@ -537,14 +582,47 @@
             self._records.append(tunnel.FlowRecord(key, address))
         if search is None:
             return []
-        # The owner delivered the first one when it was asked.
         return [
-            self._forward(address, data) for data in search.waiting[1:]
+            self._forward(address, data) for data in search.waiting[delivered:]
         ] + [
             steps.Duration("search", now - search.began_at),
             steps.Note("flow_found", key, {"agent": "%s:%d" % address}),
         ]
 
+    @registry.register(_handlers_by_type, tunnel.Located)
+    def _on_located(self, now, address, located):
+        found = []
+        for key, verdict in located.verdicts:
+            search = self._searches_by_key.get(key)
+            if search is None or address not in search.asked:
+                continue
+            if verdict == tunnel.HELD:
+                found += self._on_found(now, address, key, delivered=0)
+            elif verdict == tunnel.ABSENT:
+                found += self._on_without(now, address, search)
+            elif verdict == tunnel.UNSURE:
+                message = tunnel.Try(search.waiting[0])
+                found.append(steps.ToPeer(address, message))
+            else:
+                search.starting.add(address)
+                search.again_at = min(
+                    search.again_at, now + defaults.SEARCH_AGAIN_S
+                )
+        return found
+
+    def _ask_starting(self, now):
+        """Ask agents again that had not heard their servers yet."""
+        for key, search in self._searches_by_key.items():
+            if search.again_at > now:
+                continue
+            self._queue_queries(key, search, search.starting)
+            search.starting = set()
+            search.again_at = float("inf")
+            search.expires_at = min(
+                now + defaults.SEARCH_S,
+                search.began_at + defaults.SEARCH_MAX_S,
+            )
+
     @registry.register(_handlers_by_type, tunnel.NotHere)
     def _on_not_here(self, now, address, not_here):
         search = self._searches_by_key.get(not_here.key)
@@ -569,6 +647,7 @@
     def _on_without(now, address, search):
         """Note that the agent at ``address`` is without a flow."""
         search.asked.discard(address)
+        search.starting.discard(address)
         search.without.add(address)
         if search.asked:
             return []
@@ -642,9 +721,11 @@
         if now - self._hello_at >= defaults.HELLO_S:
             self._hello_at = now
             found += [
-                steps.ToPeer(address, tunnel.Hello(agent.is_listed))
-                for address, agent in self._agents_by_address.items()
+                self._hello(agent)
+                for agent in self._agents_by_address.values()
             ]
+        self._ask_starting(now)
+        found += self.send_queries(now)
         for key, search in list(self._searches_by_key.items()):
             if search.expires_at <= now:
                 del self._searches_by_key[key]
--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -137,12 +137,17 @@
             )
 
     async def withdraw(self):
-        """Remove the entry."""
+        """Remove the entry, also one that an earlier start left."""
         try:
             if self._lease:
                 await self._store.revoke(self._lease)
-            elif self._revision:
-                await self._store.remove(self._key, self._revision)
+                return
+            if not self._revision:
+                entry = await self._store.get(self._key)
+                if entry is None:
+                    return
+                self._revision = entry.mod_revision
+            await self._store.remove(self._key, self._revision)
         except exceptions.CoordinationError as error:
             # The lease lapses by itself, and balancers remove the entry of
             # an agent that stays silent.
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -29,6 +29,7 @@
             self.incarnation,
             self.decode_caller,
             settings.is_first_start,
+            settings.report_interval_ms / 1000,
         )
         self._peers = self.open_socket(settings.segments, self.on_datagram)
         self._server = self.open_socket(
@@ -50,7 +51,7 @@
             entry.encode(),
             self.rng,
         )
-        self.reactor.spawn(self._announcer.run())
+        self._is_announcing = False
         self.every(defaults.HOSTING_TICK_S, self._tick)
 
     # Messages, segments and reports.
@@ -69,7 +70,10 @@
         """
         if report.service != self.settings.service:
             raise exceptions.MalformedMessage("another service's server")
-        self.perform(self.decisions.on_report(time.monotonic(), report))
+        age_s = float("inf")
+        if report.started_ms:
+            age_s = time.time() - report.started_ms / 1000
+        self.perform(self.decisions.on_report(time.monotonic(), report, age_s))
 
     def on_leave(self, server_id):
         """Note that the backend server ends now."""
@@ -87,7 +91,7 @@
             elif isinstance(step, steps.Reset):
                 self._reset(step)
             elif isinstance(step, steps.Announce):
-                self._announcer.on_missing()
+                self._announce()
             elif isinstance(step, steps.ProbeServer):
                 probing.PortProbe(
                     self.reactor, self.settings.server, self._on_probed
@@ -97,6 +101,18 @@
             else:
                 self.note(step)
 
+    def _announce(self):
+        """Announce this agent, or do so again.
+
+        It is not announced before its server reports: balancers would ask an
+        agent for flows that may end without ever having a server.
+        """
+        if self._is_announcing:
+            self._announcer.on_missing()
+        else:
+            self._is_announcing = True
+            self.reactor.spawn(self._announcer.run())
+
     def _on_probed(self, outcome):
         self.note(steps.Note("server_probed", fields={"outcome": outcome}))
         if outcome == probing.REFUSED:
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -33,6 +33,7 @@
         self._knows_directory = False
         self._is_reading = False
         self._is_read_wanted = False
+        self._is_sending_queries = False
         self._segment_at = time.monotonic()
         self.decisions = steering.FlowSteering(
             address, settings.data_centre, self.decode_caller, self.rng
@@ -89,6 +90,20 @@
             return self.decisions.on_segment(now, segment)
 
         self.decide(decision)
+        self._send_queries_soon()
+
+    def _send_queries_soon(self):
+        """Let searches that begin within a short time share messages."""
+        if self._is_sending_queries or not self.decisions.has_queries:
+            return
+        self._is_sending_queries = True
+        self.reactor.call_at(
+            time.monotonic() + defaults.SEARCH_BATCH_S, self._send_queries
+        )
+
+    def _send_queries(self):
+        self._is_sending_queries = False
+        self.perform(self.decisions.send_queries(time.monotonic()))
 
     def perform(self, found):
         """Carry out the steps of a decision."""
@@ -194,6 +209,8 @@
                         time.monotonic(), began_at
                     )
                 )
+                # One read serves all searches that ended meanwhile.
+                await self.reactor.sleep(defaults.DIRECTORY_PAUSE_S)
         except exceptions.CoordinationError as error:
             self.count("directory_read_failed")
             LOG.warning("directory_read_failed", error=error)
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -12,6 +12,9 @@
 _DESK = tunnel.service_id("desk")
 
 
+_INTERVAL_S = defaults.REPORT_INTERVAL_S
+
+
 def _report(number=1, state=hosting.READY, started_ms=1000, server_id="s-1"):
     return hosting.Report(
         server_id, "desk", started_ms, number, state, slots=2
@@ -30,9 +33,9 @@
     return table.on_message(now, balancer, tunnel.Forward(_DESK, data))
 
 
-def _locate(table, now, port, balancer=_BALANCER, **fields):
+def _try(table, now, port, balancer=_BALANCER, **fields):
     data = kit.datagram(port, kit.ACK, **fields)
-    return table.on_message(now, balancer, tunnel.Locate(data))
+    return table.on_message(now, balancer, tunnel.Try(data))
 
 
 def _open(table, now, port, sequence=500):
@@ -88,7 +91,7 @@
     """A clock that was set back must not hide a restarted server for good."""
     table = _agent()
     table.on_report(1.0, _report(2, started_ms=9000))
-    later = 1.0 + defaults.SERVER_SILENT_S + 0.1
+    later = 1.0 + _INTERVAL_S * defaults.SERVER_SILENT_INTERVALS + 0.1
     for number in (1, 2):
         table.on_report(
             later,
@@ -237,10 +240,10 @@
     table = _agent(knows_all=False, report=False)
     table.tick(0.0)
     table.stop(0.5)
-    _locate(table, 0.6, 1, ack=900)
+    _try(table, 0.6, 1, ack=900)
     table.on_server_segment(0.6, kit.returned(1, kit.ACK, ack=900))
     assert table.has_server_ended(0.7) is None
-    assert table.has_server_ended(defaults.REPORT_DUE_S)
+    assert table.has_server_ended(_INTERVAL_S * defaults.REPORT_DUE_INTERVALS)
     table.on_message(0.1, _BALANCER, tunnel.Hello())
     assert kit.messages(table.leave(), tunnel.Left) == [
         (_BALANCER, tunnel.Left())
@@ -283,7 +286,7 @@
     brought a segment to a server that had not started.
     """
     table = _agent(knows_all=False, report=False)
-    _locate(table, 0.0, 1, ack=900)
+    _try(table, 0.0, 1, ack=900)
     found = table.on_server_segment(0.001, kit.of_server(1, kit.RST))
     assert kit.kinds(found) == [steps.ToPeer]
     assert kit.messages(found, tunnel.NotHere) == [
@@ -300,21 +303,86 @@
     """A wrong answer would end a flow that its server holds."""
     table = _agent()
     _open(table, 0.0, 1, sequence=500)
-    found = _locate(table, 1.0, 1, ack=501)
+    found = _try(table, 1.0, 1, ack=501)
     assert kit.messages(found, tunnel.Owned)
     assert steps.ToServer in kit.kinds(found)
-    found = _locate(table, 1.0, 2, ack=501)
+    found = _try(table, 1.0, 2, ack=501)
     assert kit.messages(found, tunnel.NotHere)
-    found = _locate(table, 1.0, 1, ack=500 + (1 << 28))
+    found = _try(table, 1.0, 1, ack=500 + (1 << 28))
     assert kit.messages(found, tunnel.NotHere)
 
 
+def _verdicts(table, now, *queries):
+    found = table.on_message(
+        now,
+        _BALANCER,
+        tunnel.Locate(
+            [tunnel.Query(kit.key_of(port), ack) for port, ack in queries]
+        ),
+    )
+    ((_, message),) = kit.messages(found, tunnel.Located)
+    return [verdict for _, verdict in message.verdicts]
+
+
+def test_many_flows_are_looked_up_in_one_message():
+    """A message for each lost flow filled the links after a loss of power."""
+    table = _agent()
+    _open(table, 0.0, 1, sequence=500)
+    assert _verdicts(table, 1.0, (1, 501), (2, 501), (1, 500 + (1 << 28))) == [
+        tunnel.HELD,
+        tunnel.ABSENT,
+        tunnel.ABSENT,
+    ]
+
+
+def test_an_agent_that_starts_is_not_certain_of_anything():
+    """Its server may hold flows of the time before."""
+    table = _agent(knows_all=False, report=False)
+    table.tick(0.0)
+    assert _verdicts(table, 0.1, (1, 501)) == [tunnel.STARTING]
+    late = defaults.AGENT_STARTING_S
+    assert _verdicts(table, late, (1, 501)) == [tunnel.UNSURE]
+    table.on_report(late, _report(7))
+    assert _verdicts(table, late, (1, 501)) == [tunnel.UNSURE]
+
+
+def test_a_server_that_has_just_started_holds_no_flows_of_before():
+    """After a loss of power every flow was tried at every server.
+
+    The server's first reports failed since the agent was not up yet, so the
+    number of the first one that arrived did not tell.
+    """
+    table = _agent(knows_all=False, report=False)
+    table.on_report(0.3, _report(4), 0.25)
+    assert _verdicts(table, 0.3, (1, 501)) == [tunnel.ABSENT]
+
+
+def test_a_server_that_was_acknowledged_before_may_hold_flows():
+    """Only a server without an acknowledged report repeats it at once."""
+    table = _agent(knows_all=False, report=False)
+    table.on_report(0.3, _report(4), _INTERVAL_S)
+    assert _verdicts(table, 0.3, (1, 501)) == [tunnel.UNSURE]
+    table = _agent(knows_all=False, report=False)
+    # A clock that was set back makes the server look younger than it is.
+    table.on_report(0.3, _report(4), -1.0)
+    assert _verdicts(table, 0.3, (1, 501)) == [tunnel.UNSURE]
+
+
+def test_an_agent_is_announced_with_its_servers_first_report():
+    """Agents that came back without a server were asked for every flow."""
+    table = _agent(knows_all=False, report=False)
+    table.tick(0.0)
+    found = table.on_message(0.1, _BALANCER, tunnel.Hello(is_listed=False))
+    assert steps.Announce not in kit.kinds(found)
+    assert steps.Announce in kit.kinds(table.on_report(0.3, _report(4)))
+
+
 def test_all_searchers_hear_what_the_server_decided():
     """Two balancers may search for one flow at the same time."""
     table = _agent(knows_all=False)
     table.knows_all = False
-    _locate(table, 0.0, 1, balancer=_BALANCER, ack=900)
-    _locate(table, 0.0, 1, balancer=_OTHER, ack=900)
+    _try(table, 0.0, 1, balancer=_BALANCER, ack=900)
+    _try(table, 0.0, 1, balancer=_OTHER, ack=900)
     found = table.on_server_segment(0.001, kit.returned(1, kit.ACK, ack=900))
     assert {address for address, _ in kit.messages(found, tunnel.NotHere)} == {
         _BALANCER,
@@ -365,20 +433,20 @@
     """
     table = _agent(knows_all=False, report=False)
     table.tick(0.0)
-    now = defaults.REPORT_MISSING_S + 0.1
-    assert steps.ToServer in kit.kinds(_locate(table, now, 1, ack=900))
+    now = _INTERVAL_S * defaults.REPORT_MISSING_INTERVALS + 0.1
+    assert steps.ToServer in kit.kinds(_try(table, now, 1, ack=900))
     now += defaults.PROBE_AFTER_S + 0.001
     assert steps.ProbeServer in kit.kinds(table.tick(now))
     found = table.on_server_absent(now)
     assert kit.messages(found, tunnel.NotHere) == [
         (_BALANCER, tunnel.NotHere(kit.key_of(1)))
     ]
-    found = _locate(table, now, 2, ack=900)
+    found = _try(table, now, 2, ack=900)
     assert kit.kinds(found) == [steps.ToPeer]
     assert kit.messages(found, tunnel.NotHere)
     # The proof does not last: a server may start.
     now += defaults.PROBE_AGAIN_S
-    found = _locate(table, now, 3, ack=900)
+    found = _try(table, now, 3, ack=900)
     assert steps.ToServer in kit.kinds(found)
 
 
@@ -392,7 +460,7 @@
     table.tick(0.0)
     now = 0.3
     for port in range(defaults.SILENT_TENTATIVE_FLOWS):
-        _locate(table, now, port, ack=900)
+        _try(table, now, port, ack=900)
     now += defaults.TENTATIVE_ANSWER_S
     assert steps.ProbeServer in kit.kinds(table.tick(now))
     found = table.on_server_absent(now)
@@ -408,7 +476,7 @@
     table.tick(0.0)
     now = 0.3
     for port in range(defaults.SILENT_TENTATIVE_FLOWS + 1):
-        _locate(table, now, port, ack=900)
+        _try(table, now, port, ack=900)
     table.on_server_segment(now + 0.01, kit.returned(0, kit.ACK, ack=900))
     now += defaults.TENTATIVE_ANSWER_S
     assert steps.ProbeServer not in kit.kinds(table.tick(now))
@@ -448,7 +516,7 @@
     table.tick(0.0)
     _open(table, 0.0, 1, sequence=500)
     _forward(table, 0.1, 1, kit.ACK, sequence=1, ack=501, payload=b"ask")
-    late = defaults.REPORT_MISSING_S + 0.1
+    late = _INTERVAL_S * defaults.REPORT_MISSING_INTERVALS + 0.1
     assert steps.ProbeServer in kit.kinds(table.tick(late))
     _forward(table, late, 2, kit.SYN)
     found = table.on_server_absent(late + 0.01)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -404,6 +404,7 @@
         "platform.address": "10.200.1.7:8169",
         "internal_port_range.0": "7720",
         "bootstrap|json": "true",
+        "heartbeat_ms": "900",
     }
     filled = re.sub(
         r"\{\{([^}]+)\}\}",
@@ -416,6 +417,7 @@
     assert found.segments == ("10.1.0.10", 8172)
     assert found.server is None
     assert found.is_first_start
+    assert found.report_interval_ms == 900
 
 
 def test_invalid_settings_say_what_is_wrong(tmp_path):
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -29,6 +29,14 @@
     return kit.messages(found, tunnel.Forward)
 
 
+def _asked(table, now=0.0):
+    """Return the addresses that are asked for flows now."""
+    return [
+        address
+        for address, _ in kit.messages(table.send_queries(now), tunnel.Locate)
+    ]
+
+
 def test_all_segments_of_a_flow_go_to_one_agent():
     """A flow must stay with its server whatever the loads do."""
     table = _balancer()
@@ -166,8 +174,8 @@
 def test_an_unknown_flow_is_searched_and_found():
     """A balancer that knows nothing must not break an open flow."""
     table = _balancer()
-    found = table.on_segment(0.0, kit.of_caller(1, kit.ACK, ack=5))
-    assert len(kit.messages(found, tunnel.Locate)) == 2
+    table.on_segment(0.0, kit.of_caller(1, kit.ACK, ack=5))
+    assert len(_asked(table)) == 2
     second = kit.of_caller(1, kit.ACK, ack=6)
     assert not table.on_segment(0.001, second)
     owner = kit.agent(2).address
@@ -179,6 +187,62 @@
     assert [to for to, _ in _forwards(found)] == [owner]
 
 
+def test_searches_that_begin_together_share_their_messages():
+    """A message for each lost flow filled the links after a loss of power."""
+    table = _balancer()
+    flows = tunnel.QUERIES_PER_MESSAGE + 1
+    for port in range(flows):
+        table.on_segment(1.0, kit.of_caller(port, kit.ACK, ack=5))
+    found = kit.messages(table.send_queries(1.003), tunnel.Locate)
+    assert len(found) == 2 * 2
+    assert not table.has_queries
+    decoded = [tunnel.decode(message.encode()) for _, message in found]
+    assert sum(len(message.queries) for message in decoded) == 2 * flows
+
+
+def test_a_found_flow_gets_all_its_segments():
+    """The agent that answers a query has not got any of them yet."""
+    table = _balancer()
+    first = kit.of_caller(1, kit.ACK, ack=5)
+    table.on_segment(1.0, first)
+    owner = kit.agent(2).address
+    verdicts = [(kit.key_of(1), tunnel.HELD)]
+    found = table.on_message(1.01, owner, tunnel.Located(verdicts))
+    assert [(to, message.data) for to, message in _forwards(found)] == [
+        (owner, first.data)
+    ]
+
+
+def test_only_unsure_agents_are_tried_with_a_segment():
+    """Every server was given a segment of every flow that was searched."""
+    table = _balancer()
+    table.on_segment(1.0, kit.of_caller(1, kit.ACK, ack=5))
+    key = kit.key_of(1)
+    for number, verdict in ((1, tunnel.ABSENT), (2, tunnel.UNSURE)):
+        address = kit.agent(number).address
+        found = table.on_message(
+            1.01, address, tunnel.Located([(key, verdict)])
+        )
+        tried = [to for to, _ in kit.messages(found, tunnel.Try)]
+        assert tried == ([address] if verdict == tunnel.UNSURE else [])
+
+
+def test_an_agent_that_starts_is_asked_again():
+    """Its server reports within some tenths of a second."""
+    table = _balancer(agents=1)
+    address = kit.agent(1).address
+    table.on_segment(1.0, kit.of_caller(1, kit.ACK, ack=5))
+    _asked(table, 1.0)
+    verdicts = [(kit.key_of(1), tunnel.STARTING)]
+    table.on_message(1.0, address, tunnel.Located(verdicts))
+    now = 1.0 + defaults.SEARCH_AGAIN_S
+    asked = [to for to, _ in kit.messages(table.tick(now), tunnel.Locate)]
+    assert asked == [address]
+    verdicts = [(kit.key_of(1), tunnel.ABSENT)]
+    found = table.on_message(now + 0.1, address, tunnel.Located(verdicts))
+    assert kit.kinds(found) == [steps.ReadDirectory]
+
+
 def test_a_flow_that_nobody_holds_is_reset_with_proof():
     """After a loss of power callers waited for their time-outs.
 
@@ -204,12 +268,11 @@
     key = kit.key_of(1)
     for number in (1, 2):
         table.on_message(1.01, kit.agent(number).address, tunnel.NotHere(key))
+    _asked(table)
     table.on_entries(1.02, [kit.agent(n) for n in (1, 2, 3)], [])
     found = table.on_directory_read(1.02, 1.015)
     assert not kit.resets(found)
-    assert [to for to, _ in kit.messages(found, tunnel.Locate)] == [
-        kit.agent(3).address
-    ]
+    assert _asked(table) == [kit.agent(3).address]
 
 
 def test_an_unanswered_search_ends_in_silence():
@@ -230,10 +293,9 @@
     found = table.on_message(1.02, kit.agent(2).address, tunnel.Left())
     assert kit.kinds(found) == [steps.ReadDirectory]
     assert kit.resets(table.on_directory_read(1.03, 1.025))
-    found = table.on_segment(1.1, kit.of_caller(2, kit.ACK, ack=5))
-    assert [to for to, _ in kit.messages(found, tunnel.Locate)] == [
-        kit.agent(1).address
-    ]
+    _asked(table)
+    table.on_segment(1.1, kit.of_caller(2, kit.ACK, ack=5))
+    assert _asked(table) == [kit.agent(1).address]
 
 
 def test_an_agent_that_comes_back_is_asked_again():
@@ -242,8 +304,8 @@
     address = kit.agent(2).address
     table.on_message(1.0, address, tunnel.Left())
     table.on_message(2.0, address, kit.load(1, incarnation=2))
-    found = table.on_segment(2.1, kit.of_caller(1, kit.ACK, ack=5))
-    assert address in [to for to, _ in kit.messages(found, tunnel.Locate)]
+    table.on_segment(2.1, kit.of_caller(1, kit.ACK, ack=5))
+    assert address in _asked(table)
 
 
 def test_flows_of_an_agent_that_left_are_searched():
@@ -264,8 +326,8 @@
         found = table.on_segment(0.0, kit.of_caller(1, kit.SYN))
         ((address, _),) = _forwards(found)
         leave(table, address)
-        found = table.on_segment(0.2, kit.of_caller(1, kit.ACK, ack=5))
-        asked = [to for to, _ in kit.messages(found, tunnel.Locate)]
+        table.on_segment(0.2, kit.of_caller(1, kit.ACK, ack=5))
+        asked = _asked(table)
         assert asked and address not in asked
 
 
@@ -287,8 +349,8 @@
     found = table.on_segment(0.0, kit.of_caller(1, kit.SYN))
     ((first, _),) = _forwards(found)
     data = kit.datagram(1, kit.ACK, ack=9)
-    found = table.on_message(0.1, first, tunnel.Unknown(data))
-    asked = [to for to, _ in kit.messages(found, tunnel.Locate)]
+    table.on_message(0.1, first, tunnel.Unknown(data))
+    asked = _asked(table)
     assert asked and first not in asked
 
 
