--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -320,10 +320,11 @@
 DIRECTORY_READ_S = 0.5
 # Between two reads; each is a call that is paid for.
 DIRECTORY_PAUSE_S = 0.03
-# An agent that is silent for this long is gone for good; restarts and
-# outages of an instance last a few seconds.
-SILENT_ENTRY_S = 15.0
-SILENT_CHECK_S = 5.0
+# The entry of an agent that is silent for this long is removed, so that
+# callers of its flows are told; longer than the restart of an instance. An
+# agent that was cut off announces itself again.
+SILENT_ENTRY_S = 6.0
+SILENT_CHECK_S = 1.0
 
 # Admission of new flows.
 # Weight of a request's run time in the mean.
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -138,8 +138,8 @@
     _reported_alive_at: float = float("-inf")
     # When the server was heard last, by a report or a segment.
     _heard_at: float = float("-inf")
-    # The same without segments that it returned or reset: a server that has
-    # left goes on to do so, and does not report.
+    # The same by a report or payload: a server that has left goes on to
+    # return, reset and acknowledge segments for a while.
     _served_at: float = float("-inf")
     _rival: object = None
     # New flows in a row that the server did not answer.
@@ -586,7 +586,7 @@
         self._heard_at = now
         if segment.is_returned:
             return self._on_returned(now, segment)
-        if not segment.is_reset:
+        if segment.length:
             self._served_at = now
         flow = self.flows_by_key.get(segment.key)
         found = []
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -242,6 +242,8 @@
     table.stop(0.5)
     _try(table, 0.6, 1, ack=900)
     table.on_server_segment(0.6, kit.returned(1, kit.ACK, ack=900))
+    table.on_server_segment(0.6, kit.of_server(2, kit.ACK))
+    table.on_server_segment(0.6, kit.of_server(3, kit.RST))
     assert table.has_server_ended(0.7) is None
     assert table.has_server_ended(_INTERVAL_S * defaults.REPORT_DUE_INTERVALS)
     table.on_message(0.1, _BALANCER, tunnel.Hello())
