Choose among the first agents in placement order, and search there first

Each placement also weighed every agent of the service. Ruled out: the batches of keys, which only help where agents are certain.

--- a/src/limpetlift/coordination/placement.py
+++ b/src/limpetlift/coordination/placement.py
@@ -32,7 +32,7 @@
 # A service rebuilds its placement at each change of one member; 256 columns
 # take 4 MB.
 @functools.lru_cache(maxsize=256)
-def _draws(agent_id):
+def draws(agent_id):
     """Return one pseudo-random 32-bit number for each bucket."""
     data = hashlib.shake_128(agent_id.encode("utf-8")).digest(
         4 * defaults.BUCKETS
@@ -62,7 +62,7 @@
 
     def __attrs_post_init__(self):
         self._draws_by_id = {
-            target.agent_id: _draws(target.agent_id) for target in self.targets
+            target.agent_id: draws(target.agent_id) for target in self.targets
         }
 
     def score(self, target, bucket):
@@ -121,10 +121,10 @@
 
     :param members: indexes by rising id.
     """
-    best = list(_draws(targets[members[0]].agent_id))
+    best = list(draws(targets[members[0]].agent_id))
     owners = bytearray([members[0]]) * defaults.BUCKETS
     for index in members[1:]:
-        for bucket, draw in enumerate(_draws(targets[index].agent_id)):
+        for bucket, draw in enumerate(draws(targets[index].agent_id)):
             if draw >= best[bucket]:
                 best[bucket] = draw
                 owners[bucket] = index
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -225,6 +225,10 @@
 # Requests per slot that the own data centre is preferred by; crossing one
 # costs at most 1.4 ms each way, a queued request tens of milliseconds.
 NEAR_BONUS = 0.05
+# Agents that a new flow chooses from, the first ones in its placement order.
+# The least loaded of 8 is nearly that of all, and after a restart of all the
+# flow is found again at one of 8 instead of at one of all.
+PLACING_CANDIDATES = 8
 # Requests per slot; spreads the choices of balancers with the same news.
 PLACING_JITTER = 0.1
 
@@ -255,6 +259,9 @@
 # waited for longer than a caller's second copy takes.
 SEARCH_AGAIN_S = 0.06
 SEARCH_MAX_S = 0.6
+# Longer than a round trip between data centres and a server's answer; after
+# it the servers are tried that are less likely to hold the flow.
+SEARCH_LIKELY_S = 0.03
 # A caller has at most 16 segments under way.
 SEARCH_SEGMENTS = 16
 SWEEP_S = 1.0
@@ -287,7 +294,7 @@
 REPORT_EARLY_SHARE = 0.75
 # An agent that has just started hears its server in less than this, as the
 # server repeats a report that failed after about 0.1 s.
-AGENT_STARTING_S = 0.3
+AGENT_STARTING_S = 0.2
 
 # Announcing and following in the store.
 # An entry that lapsed is back within this time if its process lives.
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -8,10 +8,12 @@
 """
 
 import collections
+import heapq
 import random
 
 import attrs
 
+from limpetlift.coordination import placement
 from limpetlift import defaults
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
@@ -49,6 +51,11 @@
     is_listed: bool = True
     has_left: bool = False
     placed_at: list = attrs.field(factory=list)
+    # Its draw in each bucket of placement.
+    draws: object = attrs.field(init=False, repr=False)
+
+    def __attrs_post_init__(self):
+        self.draws = placement.draws(self.entry.agent_id)
 
     def is_fresh(self, now):
         return now - self.heard_at < defaults.LOAD_FRESH_S
@@ -118,6 +125,9 @@
     :param without: addresses of agents that do not have it.
     :param starting: addresses of asked agents that do not know yet.
     :param again_at: when those are asked again.
+    :param likely: addresses whose servers are tried first.
+    :param untried: addresses of the other agents that are unsure.
+    :param try_all_at: when those are tried.
     """
 
     began_at: float
@@ -128,6 +138,9 @@
     without: set = attrs.field(factory=set)
     starting: set = attrs.field(factory=set)
     again_at: float = float("inf")
+    likely: frozenset = frozenset()
+    untried: set = attrs.field(factory=set)
+    try_all_at: float = float("inf")
 
 
 @attrs.define
@@ -317,20 +330,20 @@
         route = self.routes.routes_by_address.get(segments.service_of(key))
         if route is None:
             return self._refuse(segment, "no_route")
-        draw = int.from_bytes(tunnel.digest(key), "big") / (1 << 64)
-        for service in route.services_for(draw):
-            candidates = self._candidates(now, service, flow.tried)
-            if candidates:
+        hashed = int.from_bytes(tunnel.digest(key), "big")
+        for service in route.services_for(hashed / (1 << 64)):
+            able = self._able(now, service, flow.tried)
+            if able:
                 break
         else:
             if flow.may_recover:
                 return self._defer(now, segment, "no_agent", flow)
             return self._refuse(segment, "no_agent", len(flow.tried))
-        chosen = self._choose(candidates, self.rng)
-        queue = admitting.Queue(
-            chosen.slots, chosen.busy + chosen.placed, chosen.run_s
-        )
-        if not self._admit(queue, route.aim_s, segment.ack):
+        preferred = _first_in_order(able, placement.bucket_of(hashed))
+        chosen = self._admitted(preferred, route, segment)
+        if chosen is None and len(preferred) < len(able):
+            chosen = self._admitted(able, route, segment)
+        if chosen is None:
             return self._defer(now, segment, "overloaded", flow)
         address = chosen.agent_id
         agent = self._agents_by_address[address]
@@ -348,7 +361,7 @@
                     "agent": agent.entry.agent_id,
                     "copy": segment.ack,
                     "declined": len(flow.tried),
-                    "candidates": len(candidates),
+                    "candidates": len(able),
                     "busy": load.busy if load else "unknown",
                     "age_s": round(now - agent.heard_at, 3),
                     "routes": self.routes.version,
@@ -356,7 +369,18 @@
             ),
         ]
 
-    def _candidates(self, now, service, tried):
+    def _admitted(self, agents, route, segment):
+        """Return the candidate that takes a flow, or None if none can."""
+        candidates = [self._candidate(agent) for agent in agents]
+        chosen = self._choose(candidates, self.rng)
+        queue = admitting.Queue(
+            chosen.slots, chosen.busy + chosen.placed, chosen.run_s
+        )
+        if self._admit(queue, route.aim_s, segment.ack):
+            return chosen
+        return None
+
+    def _able(self, now, service, tried):
         """Return the agents that may take a flow of ``service``.
 
         Without news of any of them, all count: silence of all is more likely
@@ -372,9 +396,24 @@
             for agent in agents
             if agent.is_fresh(now) and agent.load.accepting
         ]
-        if not able:
-            able = [agent for agent in agents if not agent.is_fresh(now)]
-        return [self._candidate(agent) for agent in able]
+        return able or [agent for agent in agents if not agent.is_fresh(now)]
+
+    def _likely(self, key):
+        """Return the addresses of the agents that most likely have a flow."""
+        route = self.routes.routes_by_address.get(segments.service_of(key))
+        if route is None:
+            return frozenset()
+        hashed = int.from_bytes(tunnel.digest(key), "big")
+        services = {share.service for share in route.shares}
+        agents = [
+            agent
+            for agent in self._agents_by_address.values()
+            if agent.entry.service in services
+        ]
+        return frozenset(
+            agent.entry.address
+            for agent in _first_in_order(agents, placement.bucket_of(hashed))
+        )
 
     def _candidate(self, agent):
         load = agent.load
@@ -449,7 +488,11 @@
                 search.waiting.append(segment.data)
             return []
         search = _Search(
-            now, now + defaults.SEARCH_S, segment.ack, [segment.data]
+            now,
+            now + defaults.SEARCH_S,
+            segment.ack,
+            [segment.data],
+            likely=self._likely(segment.key),
         )
         self._searches_by_key[segment.key] = search
         if without is not None:
@@ -601,8 +644,7 @@
             elif verdict == tunnel.ABSENT:
                 found += self._on_without(now, address, search)
             elif verdict == tunnel.UNSURE:
-                message = tunnel.Try(search.waiting[0])
-                found.append(steps.ToPeer(address, message))
+                found += self._on_unsure(now, address, search)
             else:
                 search.starting.add(address)
                 search.again_at = min(
@@ -610,6 +652,32 @@
                 )
         return found
 
+    @staticmethod
+    def _on_unsure(now, address, search):
+        """Try the server beside an unsure agent, a likely one at once."""
+        if search.likely and address not in search.likely:
+            search.untried.add(address)
+            search.try_all_at = min(
+                search.try_all_at, now + defaults.SEARCH_LIKELY_S
+            )
+            return []
+        return [steps.ToPeer(address, tunnel.Try(search.waiting[0]))]
+
+    def _try_all(self, now):
+        """Try the servers that are less likely to hold a flow."""
+        found = []
+        for search in self._searches_by_key.values():
+            if search.try_all_at > now:
+                continue
+            message = tunnel.Try(search.waiting[0])
+            found += [
+                steps.ToPeer(address, message) for address in search.untried
+            ]
+            search.untried = set()
+            search.try_all_at = float("inf")
+            search.expires_at = now + defaults.SEARCH_S
+        return found
+
     def _ask_starting(self, now):
         """Ask agents again that had not heard their servers yet."""
         for key, search in self._searches_by_key.items():
@@ -725,7 +793,7 @@
                 for agent in self._agents_by_address.values()
             ]
         self._ask_starting(now)
-        found += self.send_queries(now)
+        found += self.send_queries(now) + self._try_all(now)
         for key, search in list(self._searches_by_key.items()):
             if search.expires_at <= now:
                 del self._searches_by_key[key]
@@ -765,6 +833,19 @@
                 del self._deferrals_by_key[key]
 
 
+def _first_in_order(agents, bucket):
+    """Return the first agents in the placement order of ``bucket``.
+
+    Every process computes the same, so that a flow is found again after a
+    restart of all without asking every server.
+    """
+    return heapq.nlargest(
+        defaults.PLACING_CANDIDATES,
+        agents,
+        key=lambda agent: agent.draws[bucket],
+    )
+
+
 def _batches(records):
     size = tunnel.FLOWS_PER_MESSAGE
     return [
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -227,6 +227,68 @@
         assert tried == ([address] if verdict == tunnel.UNSURE else [])
 
 
+def test_a_flow_is_found_again_where_placement_puts_it():
+    """After a restart of all each flow was tried at every server.
+
+    The segments of a few thousand flows filled the links of the small
+    instances for two seconds.
+    """
+    agents = 40
+    table = _balancer(agents=agents)
+    placed = {}
+    for port in range(50):
+        found = table.on_segment(0.0, kit.of_caller(port, kit.SYN))
+        ((placed[port], _),) = _forwards(found)
+    restarted = _balancer(agents=agents)
+    for port, address in placed.items():
+        key = kit.key_of(port)
+        restarted.on_segment(1.0, kit.of_caller(port, kit.ACK, ack=5))
+        tried = []
+        for number in range(1, agents + 1):
+            found = restarted.on_message(
+                1.0,
+                kit.agent(number).address,
+                tunnel.Located([(key, tunnel.UNSURE)]),
+            )
+            tried += [to for to, _ in kit.messages(found, tunnel.Try)]
+        assert len(tried) == defaults.PLACING_CANDIDATES
+        assert address in tried
+
+
+def test_the_other_servers_are_tried_a_little_later():
+    """A flow may have been placed while its likely agents were down."""
+    agents = 20
+    table = _balancer(agents=agents)
+    table.on_segment(1.0, kit.of_caller(1, kit.ACK, ack=5))
+    verdicts = [(kit.key_of(1), tunnel.UNSURE)]
+    tried = []
+    for number in range(1, agents + 1):
+        found = table.on_message(
+            1.0, kit.agent(number).address, tunnel.Located(verdicts)
+        )
+        tried += [to for to, _ in kit.messages(found, tunnel.Try)]
+    found = table.tick(1.0 + defaults.SEARCH_LIKELY_S)
+    tried += [to for to, _ in kit.messages(found, tunnel.Try)]
+    assert len(tried) == len(set(tried)) == agents
+
+
+def test_all_agents_count_when_the_first_in_order_are_full():
+    """A flow must not wait beside idle servers."""
+    agents = 20
+    table = _balancer(agents=agents)
+    table.on_routes(0.0, kit.routes(2, aim_s=0.2))
+    for number in range(1, agents):
+        table.on_message(
+            0.1, kit.agent(number).address, kit.load(2, busy=40, run_ms=50)
+        )
+    for port in range(10):
+        now = 0.1 + 0.04 * port
+        found = table.on_segment(now, kit.of_caller(port, kit.SYN))
+        ((address, _),) = _forwards(found)
+        assert address == kit.agent(agents).address
+        table.on_message(now, address, kit.load(2 + port, run_ms=50))
+
+
 def test_an_agent_that_starts_is_asked_again():
     """Its server reports within some tenths of a second."""
     table = _balancer(agents=1)
