Let agents decline new flows that would wait too long; split searching

Change: a balancer tells with a new flow how long its request may wait; an agent with a longer queue declines (busy), three times at most. A quarter of the aim stands for an unknown run time.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -347,6 +347,14 @@
 OPENING_S = 1.5
 # Share of a route's time that a new flow may wait; run times vary.
 AIM_SHARE = 0.7
+# Run time that is taken for granted while it is unknown, as a share of the
+# aim: callers set their aims at a few times the usual run time.
+UNKNOWN_RUN_SHARE = 0.25
+# The same at an agent, which knows the wait only: that many runs fit into it.
+UNKNOWN_WAIT_RUNS = 2
+# Agents that a new flow is given to in a row when each is found busy; news of
+# load is some tens of milliseconds old, and more balancers than one go by it.
+BUSY_TRIES = 3
 # Share of that queue that a copy may join: the rest is for new flows.
 COPY_SHARE = 0.2
 
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -54,10 +54,13 @@
     "other_service",
     "too_many_flows",
     "server_gone",
+    "busy",
 )
 _CODE_BY_REASON = {reason: code for code, reason in enumerate(REASONS)}
 
 _HEAD = struct.Struct("!BB")
+_FORWARD = struct.Struct("!BBH8s")
+_FORWARD_BODY = struct.Struct("!H8s")
 _LOAD = struct.Struct("!QIBBHHHH8s")
 _RECORD = struct.Struct("!12s4sHB")
 _QUERY = struct.Struct("!12sI")
@@ -74,14 +77,19 @@
 
     :param service: :func:`service_id` of the service that the route names;
         it tells an agent whose address was another service's before.
+    :param wait_ms: a new flow is declined when its request would wait longer
+        than this; 0 for any wait.
     """
 
     service: bytes
     data: bytes
+    wait_ms: int = 0
 
     def encode(self):
         """Return the datagram."""
-        return _HEAD.pack(_VERSION, FORWARD) + self.service + self.data
+        return _FORWARD.pack(_VERSION, FORWARD, self.wait_ms, self.service) + (
+            self.data
+        )
 
 
 @attrs.frozen
@@ -340,7 +348,8 @@
 
 @registry.register(decoders_by_kind, FORWARD)
 def _decode_forward(body):
-    return Forward(body[:_SERVICE_BYTES], body[_SERVICE_BYTES:])
+    wait_ms, service = _FORWARD_BODY.unpack_from(body)
+    return Forward(service, body[_FORWARD_BODY.size :], wait_ms)
 
 
 @registry.register(decoders_by_kind, LOCATE)
--- a/src/limpetlift/state/admitting.py
+++ b/src/limpetlift/state/admitting.py
@@ -1,11 +1,13 @@
-"""Admission policies: whether a new flow is worth its place in a queue.
+"""Admission: whether a new flow is worth its place in a queue.
 
-A policy is called by a balancer with the queue of the backend server that
-would take the flow. Every policy is a function ``(queue, aim_s, copy)`` that
-returns whether to place it now; ``copy`` counts the copies of its first
-segment that came before this one.
+A policy is a function ``(aim_s, run_s, copy)`` that returns the seconds that
+a new flow's request may wait; ``copy`` counts the copies of its first segment
+that came before this one. A balancer goes by it with the queue that an agent
+reported last, and the agent with the queue that it has.
 """
 
+import math
+
 import attrs
 
 from limpetlift import defaults
@@ -33,24 +35,38 @@
         ahead = max(self.busy + 1 - self.slots, 0)
         return ahead / max(self.slots, 1) * self.run_s
 
+    def is_within(self, wait_s):
+        """Whether a new request would wait no longer than ``wait_s``."""
+        return wait_s == math.inf or self.wait_s <= wait_s
+
+
+def with_run_time(queue, aim_s):
+    """Return the queue with a run time that is likely when none is known.
+
+    Right after a restart nobody has measured one yet.
+    """
+    if queue.run_s:
+        return queue
+    return attrs.evolve(queue, run_s=defaults.UNKNOWN_RUN_SHARE * aim_s)
+
 
 @registry.register(policies_by_name, "always")
-def admit_always(_queue, _aim_s, _copy):
+def admit_always(_aim_s, _run_s, _copy):
     """Place every flow; the baseline."""
-    return True
+    return math.inf
 
 
 @registry.register(policies_by_name, "timely")
-def admit_timely(queue, aim_s, copy):
+def admit_timely(aim_s, run_s, copy):
     """Place a flow whose request can still be answered within its aim.
 
     Beyond the capacity of all servers a queue only makes every answer late.
     A first segment that is not placed comes again as a copy. Its answer is
     late by then, so it takes what new flows leave.
     """
-    if not aim_s or not queue.run_s:
-        return True
-    left_s = defaults.AIM_SHARE * (aim_s - defaults.WAY_S - queue.run_s)
+    if not aim_s:
+        return math.inf
+    left_s = defaults.AIM_SHARE * (aim_s - defaults.WAY_S - run_s)
     if copy:
         left_s *= defaults.COPY_SHARE
-    return queue.wait_s <= max(left_s, defaults.QUEUE_MIN_S)
+    return max(left_s, defaults.QUEUE_MIN_S)
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -11,6 +11,7 @@
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift import registry
+from limpetlift.state import admitting
 from limpetlift.state import loadreporting
 from limpetlift.state import steps
 
@@ -409,7 +410,7 @@
         flow = self.flows_by_key.get(segment.key)
         if flow is None:
             if segment.opens:
-                return self._accept(now, balancer, forward.service, segment)
+                return self._accept(now, balancer, forward, segment)
             if self._knows_all_at(now):
                 return [steps.ToPeer(balancer, tunnel.Unknown(segment.data))]
             flow = self._try(now, balancer, segment)
@@ -550,8 +551,30 @@
         is_open = sum(flow.is_open for flow in flows.values())
         return is_open >= defaults.TARGET_CONNECTIONS
 
-    def _accept(self, now, balancer, service_id, segment):
-        reason = self.refusal(service_id)
+    def _is_busy_for(self, wait_s):
+        """Whether a new request would wait longer than ``wait_s``.
+
+        A balancer decided with a report that is some tens of milliseconds
+        old, and other balancers with the same one.
+        """
+        run_s = self._run_s or wait_s / defaults.UNKNOWN_WAIT_RUNS
+        queue = admitting.Queue(
+            self.report.slots, self._waiting_callers(), run_s
+        )
+        return not queue.is_within(wait_s)
+
+    def _waiting_callers(self):
+        return sum(
+            flow.is_open and (flow.is_busy or bool(flow.first))
+            for flow in self.flows_by_key.values()
+        )
+
+    def _accept(self, now, balancer, forward, segment):
+        reason = self.refusal(forward.service)
+        if not reason and forward.wait_ms:
+            reason = (
+                "busy" if self._is_busy_for(forward.wait_ms / 1000) else ""
+            )
         if reason:
             return self._decline(balancer, segment.key, reason, segment.data)
         flow = _Flow(
@@ -741,10 +764,7 @@
             not self.refusal(self._service_id),
             self._warm_at > now,
             report.slots if report else 1,
-            sum(
-                flow.is_open and (flow.is_busy or bool(flow.first))
-                for flow in flows
-            ),
+            self._waiting_callers(),
             sum(flow.is_open for flow in flows),
             round(self._run_s * 1000),
             self._service_id,
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -7,8 +7,8 @@
 the flow is the authority.
 """
 
-import collections
 import heapq
+import math
 import random
 
 import attrs
@@ -21,15 +21,19 @@
 from limpetlift.state import admitting
 from limpetlift.state import placing
 from limpetlift.state import routing
+from limpetlift.state import searching
 from limpetlift.state import steps
 
 _handlers_by_type = {}
 
 # An agent that declines for one of these may take flows a moment later.
 _PASSING_REASONS = frozenset(
-    ("server_unknown", "server_refused", "server_silent", "stopping")
+    ("server_unknown", "server_refused", "server_silent", "stopping", "busy")
 )
 
+# Those that say nothing about the next flow.
+_SINGLE_REASONS = frozenset(("server_refused", "busy"))
+
 
 @attrs.define
 class _Agent:
@@ -92,6 +96,7 @@
     :param is_open: whether its caller has sent more than the first segment.
     :param tried: addresses of agents that declined it.
     :param may_recover: whether one of them may take flows again soon.
+    :param busy: how many of them declined it because of their queues.
     """
 
     address: tuple
@@ -99,6 +104,7 @@
     is_open: bool = False
     tried: set = attrs.field(factory=set)
     may_recover: bool = False
+    busy: int = 0
 
 
 @attrs.define
@@ -113,36 +119,6 @@
     copies: set = attrs.field(factory=set)
 
 
-@attrs.define
-class _Search:
-    """A flow that the agents are asked for.
-
-    :param began_at: when its segment came.
-    :param expires_at: when it is given up.
-    :param ack: what the caller acknowledged last.
-    :param waiting: segments that came meanwhile.
-    :param asked: addresses of agents that have not answered.
-    :param without: addresses of agents that do not have it.
-    :param starting: addresses of asked agents that do not know yet.
-    :param again_at: when those are asked again.
-    :param likely: addresses whose servers are tried first.
-    :param untried: addresses of the other agents that are unsure.
-    :param try_all_at: when those are tried.
-    """
-
-    began_at: float
-    expires_at: float
-    ack: int
-    waiting: list = attrs.field(factory=list)
-    asked: set = attrs.field(factory=set)
-    without: set = attrs.field(factory=set)
-    starting: set = attrs.field(factory=set)
-    again_at: float = float("inf")
-    likely: frozenset = frozenset()
-    untried: set = attrs.field(factory=set)
-    try_all_at: float = float("inf")
-
-
 @attrs.define
 class FlowSteering:
     """Decides on the segments of callers and on messages of other processes.
@@ -169,9 +145,8 @@
     routes: routing.RouteTable = attrs.field(factory=routing.RouteTable)
     flows_by_key: dict = attrs.field(factory=dict)
     _agents_by_address: dict = attrs.field(factory=dict)
-    _searches_by_key: dict = attrs.field(factory=dict)
-    _queries_by_address: dict = attrs.field(
-        factory=lambda: collections.defaultdict(list)
+    searches: searching.FlowSearches = attrs.field(
+        factory=searching.FlowSearches
     )
     _deferrals_by_key: dict = attrs.field(factory=dict)
     _peers: list = attrs.field(factory=list)
@@ -309,10 +284,11 @@
             del self.flows_by_key[segment.key]
         return [self._forward(flow.address, segment.data)]
 
-    def _forward(self, address, data):
+    def _forward(self, address, data, wait_s=math.inf):
         agent = self._agents_by_address.get(address)
         service = agent.entry.service_id if agent else b"\0" * 8
-        return steps.ToPeer(address, tunnel.Forward(service, data))
+        wait_ms = 0 if wait_s == math.inf else max(round(wait_s * 1000), 1)
+        return steps.ToPeer(address, tunnel.Forward(service, data, wait_ms))
 
     def _repeat(self, now, segment, flow):
         """Decide on a copy of a flow's first segment."""
@@ -339,12 +315,15 @@
             if flow.may_recover:
                 return self._defer(now, segment, "no_agent", flow)
             return self._refuse(segment, "no_agent", len(flow.tried))
+        if flow.busy >= defaults.BUSY_TRIES:
+            return self._defer(now, segment, "overloaded", flow)
         preferred = _first_in_order(able, placement.bucket_of(hashed))
-        chosen = self._admitted(preferred, route, segment)
-        if chosen is None and len(preferred) < len(able):
-            chosen = self._admitted(able, route, segment)
-        if chosen is None:
+        admitted = self._admitted(preferred, route, segment)
+        if admitted is None and len(preferred) < len(able):
+            admitted = self._admitted(able, route, segment)
+        if admitted is None:
             return self._defer(now, segment, "overloaded", flow)
+        chosen, wait_s = admitted
         address = chosen.agent_id
         agent = self._agents_by_address[address]
         agent.placed_at.append(now)
@@ -353,7 +332,7 @@
         self._records.append(tunnel.FlowRecord(key, address, True))
         load = agent.load
         return [
-            self._forward(address, segment.data),
+            self._forward(address, segment.data, wait_s),
             steps.Note(
                 "flow_placed",
                 key,
@@ -370,15 +349,21 @@
         ]
 
     def _admitted(self, agents, route, segment):
-        """Return the candidate that takes a flow, or None if none can."""
+        """Return ``(candidate, wait_s)`` for a flow, or None if none can.
+
+        :returns: the candidate that takes the flow and the seconds that its
+            request may wait there.
+        """
         candidates = [self._candidate(agent) for agent in agents]
         chosen = self._choose(candidates, self.rng)
-        queue = admitting.Queue(
-            chosen.slots, chosen.busy + chosen.placed, chosen.run_s
+        queue = admitting.with_run_time(
+            admitting.Queue(
+                chosen.slots, chosen.busy + chosen.placed, chosen.run_s
+            ),
+            route.aim_s,
         )
-        if self._admit(queue, route.aim_s, segment.ack):
-            return chosen
-        return None
+        wait_s = self._admit(route.aim_s, queue.run_s, segment.ack)
+        return (chosen, wait_s) if queue.is_within(wait_s) else None
 
     def _able(self, now, service, tried):
         """Return the agents that may take a flow of ``service``.
@@ -441,7 +426,8 @@
         if deferral is None:
             deferral = _Deferral(now + defaults.OPENING_S)
             self._deferrals_by_key[key] = deferral
-        if not flow.tried:
+        if len(flow.tried) == flow.busy:
+            # No server has got this copy.
             deferral.copies.add(segment.ack)
         note = steps.Note(
             "flow_deferred",
@@ -480,103 +466,32 @@
             return [note]
         return [steps.Reset(key, 0, reason), note]
 
-    def _search(self, now, segment, without=None):
+    def _search(self, now, segment, without=()):
         """Ask the agents for the flow of a segment."""
-        search = self._searches_by_key.get(segment.key)
-        if search is not None:
-            if len(search.waiting) < defaults.SEARCH_SEGMENTS:
-                search.waiting.append(segment.data)
-            return []
-        search = _Search(
+        return self.searches.begin(
             now,
-            now + defaults.SEARCH_S,
-            segment.ack,
-            [segment.data],
-            likely=self._likely(segment.key),
+            segment,
+            self._asked_agents(),
+            self._likely(segment.key),
+            without,
         )
-        self._searches_by_key[segment.key] = search
-        if without is not None:
-            search.without.add(without)
-        self._ask(segment.key, search)
-        return [
-            steps.Note(
-                "flow_searched", segment.key, {"asked": len(search.asked)}
-            )
-        ]
 
-    def _ask(self, key, search):
-        """Ask the agents that were not asked before; whether there are any."""
-        asked = {
+    def _asked_agents(self):
+        """Return the addresses of the agents that may have flows."""
+        return {
             address
             for address, agent in self._agents_by_address.items()
             if not agent.has_left
         }
-        asked -= search.without | search.asked
-        search.asked |= asked
-        self._queue_queries(key, search, asked)
-        return bool(asked)
-
-    def _queue_queries(self, key, search, addresses):
-        query = tunnel.Query(key, search.ack)
-        for address in addresses:
-            self._queries_by_address[address].append(query)
-
-    @property
-    def has_queries(self):
-        """Whether :meth:`send_queries` has something to send."""
-        return bool(self._queries_by_address)
-
-    def send_queries(self, now):
-        """Send the queries of the searches that began lately, in batches.
-
-        After a loss of power every open flow is searched for at every agent;
-        a message for each would fill the link of a small instance.
-        """
-        found = []
-        size = tunnel.QUERIES_PER_MESSAGE
-        for address, queries in self._queries_by_address.items():
-            found += [
-                steps.ToPeer(
-                    address, tunnel.Locate(queries[start : start + size])
-                )
-                for start in range(0, len(queries), size)
-            ]
-        self._queries_by_address.clear()
-        return found
 
     def on_directory_read(self, now, began_at):
         """Decide on searches after all entries were read from the store.
 
-        An agent is listed before it takes its first flow. When all agents of
-        a list that was read after the segment came are without the flow, no
-        backend server holds it, and its caller need not wait for a time-out.
-        A list without any agent proves nothing: entries may have been lost
-        while the agents live.
-
         :param began_at: when the read began.
         """
-        found = []
-        for key, search in list(self._searches_by_key.items()):
-            if search.asked or search.began_at > began_at:
-                continue
-            if self._ask(key, search):
-                search.expires_at = now + defaults.SEARCH_S
-                continue
-            if not search.without:
-                continue
-            del self._searches_by_key[key]
-            found += [
-                steps.Reset(key, search.ack, "flow_lost"),
-                steps.Note(
-                    "flow_lost",
-                    key,
-                    {
-                        "agents_without": len(search.without),
-                        "directory_age_s": round(now - began_at, 3),
-                    },
-                ),
-            ]
-        return found
+        return self.searches.on_directory_read(
+            now, began_at, self._asked_agents()
+        )
 
     # Messages.
 
@@ -616,7 +531,7 @@
 
         :param delivered: waiting segments that its server has got already.
         """
-        search = self._searches_by_key.pop(key, None)
+        search = self.searches.end(key)
         known = self.flows_by_key.get(key)
         if known is not None and known.address == address:
             known.is_open = True
@@ -625,78 +540,34 @@
             self._records.append(tunnel.FlowRecord(key, address))
         if search is None:
             return []
+        waiting, began_at = search
         return [
-            self._forward(address, data) for data in search.waiting[delivered:]
+            self._forward(address, data) for data in waiting[delivered:]
         ] + [
-            steps.Duration("search", now - search.began_at),
+            steps.Duration("search", now - began_at),
             steps.Note("flow_found", key, {"agent": "%s:%d" % address}),
         ]
 
     @registry.register(_handlers_by_type, tunnel.Located)
     def _on_located(self, now, address, located):
+        searches = self.searches
         found = []
         for key, verdict in located.verdicts:
-            search = self._searches_by_key.get(key)
-            if search is None or address not in search.asked:
+            if not searches.is_asked(key, address):
                 continue
             if verdict == tunnel.HELD:
                 found += self._on_found(now, address, key, delivered=0)
             elif verdict == tunnel.ABSENT:
-                found += self._on_without(now, address, search)
+                found += searches.on_absent(now, address, key)
             elif verdict == tunnel.UNSURE:
-                found += self._on_unsure(now, address, search)
+                found += searches.on_unsure(now, address, key)
             else:
-                search.starting.add(address)
-                search.again_at = min(
-                    search.again_at, now + defaults.SEARCH_AGAIN_S
-                )
-        return found
-
-    @staticmethod
-    def _on_unsure(now, address, search):
-        """Try the server beside an unsure agent, a likely one at once."""
-        if search.likely and address not in search.likely:
-            search.untried.add(address)
-            search.try_all_at = min(
-                search.try_all_at, now + defaults.SEARCH_LIKELY_S
-            )
-            return []
-        return [steps.ToPeer(address, tunnel.Try(search.waiting[0]))]
-
-    def _try_all(self, now):
-        """Try the servers that are less likely to hold a flow."""
-        found = []
-        for search in self._searches_by_key.values():
-            if search.try_all_at > now:
-                continue
-            message = tunnel.Try(search.waiting[0])
-            found += [
-                steps.ToPeer(address, message) for address in search.untried
-            ]
-            search.untried = set()
-            search.try_all_at = float("inf")
-            search.expires_at = now + defaults.SEARCH_S
+                searches.on_starting(now, address, key)
         return found
 
-    def _ask_starting(self, now):
-        """Ask agents again that had not heard their servers yet."""
-        for key, search in self._searches_by_key.items():
-            if search.again_at > now:
-                continue
-            self._queue_queries(key, search, search.starting)
-            search.starting = set()
-            search.again_at = float("inf")
-            search.expires_at = min(
-                now + defaults.SEARCH_S,
-                search.began_at + defaults.SEARCH_MAX_S,
-            )
-
     @registry.register(_handlers_by_type, tunnel.NotHere)
     def _on_not_here(self, now, address, not_here):
-        search = self._searches_by_key.get(not_here.key)
-        if search is None or address not in search.asked:
-            return []
-        return self._on_without(now, address, search)
+        return self.searches.on_absent(now, address, not_here.key)
 
     @registry.register(_handlers_by_type, tunnel.Left)
     def _on_left(self, now, address, _left):
@@ -705,29 +576,16 @@
             return []
         agent.has_left = True
         self._forget_flows_at({address})
-        found = [_agent_note("agent_left", agent.entry)]
-        for search in self._searches_by_key.values():
-            if address in search.asked:
-                found += self._on_without(now, address, search)
-        return found
-
-    @staticmethod
-    def _on_without(now, address, search):
-        """Note that the agent at ``address`` is without a flow."""
-        search.asked.discard(address)
-        search.starting.discard(address)
-        search.without.add(address)
-        if search.asked:
-            return []
-        search.expires_at = now + defaults.DIRECTORY_READ_S
-        return [steps.ReadDirectory()]
+        return [
+            _agent_note("agent_left", agent.entry)
+        ] + self.searches.on_left(now, address)
 
     @registry.register(_handlers_by_type, tunnel.Declined)
     def _on_declined(self, now, address, declined):
         segment = self.decode(declined.data)
         agent = self._agents_by_address.get(address)
         if agent is not None and agent.load is not None:
-            if declined.reason != "server_refused":
+            if declined.reason not in _SINGLE_REASONS:
                 agent.load = attrs.evolve(agent.load, accepting=False)
         flow = self.flows_by_key.get(segment.key)
         if flow is None:
@@ -740,6 +598,7 @@
             {"agent": "%s:%d" % address, "reason": declined.reason},
         )
         flow.tried.add(address)
+        flow.busy += declined.reason == "busy"
         if declined.reason in _PASSING_REASONS:
             flow.may_recover = True
         return [note] + self._place(now, segment, flow)
@@ -751,7 +610,7 @@
         if flow is not None and flow.address != address:
             return [self._forward(flow.address, segment.data)]
         self.flows_by_key.pop(segment.key, None)
-        return self._search(now, segment, without=address)
+        return self._search(now, segment, without=(address,))
 
     @registry.register(_handlers_by_type, tunnel.Flows)
     def _on_flows(self, now, _address, message):
@@ -792,21 +651,7 @@
                 self._hello(agent)
                 for agent in self._agents_by_address.values()
             ]
-        self._ask_starting(now)
-        found += self.send_queries(now) + self._try_all(now)
-        for key, search in list(self._searches_by_key.items()):
-            if search.expires_at <= now:
-                del self._searches_by_key[key]
-                found.append(
-                    steps.Note(
-                        "flow_not_found",
-                        key,
-                        {
-                            "waited": len(search.waiting),
-                            "unanswered": self._names_of(search.asked),
-                        },
-                    )
-                )
+        found += self.searches.tick(now, self._names_of)
         if now - self._swept_at >= defaults.SWEEP_S:
             self._swept_at = now
             self._forget(now)
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -94,7 +94,7 @@
 
     def _send_queries_soon(self):
         """Let searches that begin within a short time share messages."""
-        if self._is_sending_queries or not self.decisions.has_queries:
+        if self._is_sending_queries or not self.decisions.searches.has_queries:
             return
         self._is_sending_queries = True
         self.reactor.call_at(
@@ -103,7 +103,7 @@
 
     def _send_queries(self):
         self._is_sending_queries = False
-        self.perform(self.decisions.send_queries(time.monotonic()))
+        self.perform(self.decisions.searches.send_queries())
 
     def perform(self, found):
         """Carry out the steps of a decision."""
--- a/tests/crestmodel.py
+++ b/tests/crestmodel.py
@@ -52,6 +52,10 @@
     :param slow: function of the time to the factor of every work time.
     :param admission: name of an admission policy.
     :param placing_policy: name of a placing policy.
+    :param up_at: function of a server's number to the time from which it is
+        there; before, segments are lost.
+    :param agents_admit: whether an agent hands flows on by what it knows
+        itself when a balancer's news of it was old.
     """
 
     per_s: object
@@ -67,6 +71,8 @@
     deadline_s: float = 1.2
     mean_s: float = 0.043
     seed: int = 1
+    up_at: object = staticmethod(lambda _number: 0.0)
+    agents_admit: bool = True
     requests: list = attrs.field(factory=list)
     _events: list = attrs.field(factory=list)
     _order: object = attrs.field(factory=itertools.count)
@@ -132,9 +138,38 @@
         if now - request.at > self.deadline_s:
             return
         placed = self._placed[self._rng.randrange(self.balancers)]
+        candidates = self._candidates(now, placed)
+        if not candidates:
+            return
+        for _ in range(defaults.BUSY_TRIES):
+            chosen = self._choose(candidates, self._rng)
+            queue = admitting.with_run_time(
+                admitting.Queue(
+                    chosen.slots, chosen.busy + chosen.placed, chosen.run_s
+                ),
+                self.aim_s,
+            )
+            wait_s = self._admit(self.aim_s, queue.run_s, copy)
+            if not queue.is_within(wait_s):
+                break
+            server = self._servers[chosen.agent_id]
+            placed[chosen.agent_id].append(now)
+            if not self.agents_admit or _is_timely(server, wait_s):
+                request.opened = True
+                self._serve(now, server, request)
+                return
+            candidates.remove(chosen)
+            if not candidates:
+                break
+        if copy == defaults.LAST_COPY:
+            self._again(now, request)
+
+    def _candidates(self, now, placed):
         horizon = now - defaults.PLACED_UNSEEN_S
         candidates = []
         for number, server in enumerate(self._servers):
+            if self.up_at(number) > now:
+                continue
             placed[number] = [at for at in placed[number] if at > horizon]
             candidates.append(
                 placing.Candidate(
@@ -146,17 +181,7 @@
                     run_s=server.run_s,
                 )
             )
-        chosen = self._choose(candidates, self._rng)
-        queue = admitting.Queue(
-            chosen.slots, chosen.busy + chosen.placed, chosen.run_s
-        )
-        if not self._admit(queue, self.aim_s, copy):
-            if copy == defaults.LAST_COPY:
-                self._again(now, request)
-            return
-        request.opened = True
-        placed[chosen.agent_id].append(now)
-        self._serve(now, self._servers[chosen.agent_id], request)
+        return candidates
 
     def _serve(self, now, server, request):
         if server.running < server.slots:
@@ -199,3 +224,9 @@
         return sum(
             worth_by_outcome[request.outcome] for request in found
         ) / len(found)
+
+
+def _is_timely(server, wait_s):
+    busy = server.running + len(server.queue)
+    run_s = server.run_s or wait_s / defaults.UNKNOWN_WAIT_RUNS
+    return admitting.Queue(server.slots, busy, run_s).is_within(wait_s)
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -121,6 +121,25 @@
     )
 
 
+def test_an_agent_declines_what_would_wait_too_long():
+    """A balancer's news is old when many balancers place at the same time."""
+    table = _agent()
+    for port in range(1, 9):
+        data = kit.datagram(port, kit.SYN)
+        found = table.on_message(
+            0.0, _BALANCER, tunnel.Forward(_DESK, data, wait_ms=40)
+        )
+    ((_, message),) = kit.messages(found, tunnel.Declined)
+    assert message.reason == "busy"
+    # A copy of a flow that is there, and a flow that may wait, are taken.
+    data = kit.datagram(1, kit.SYN, ack=1)
+    found = table.on_message(
+        0.0, _BALANCER, tunnel.Forward(_DESK, data, wait_ms=40)
+    )
+    assert steps.ToServer in kit.kinds(found)
+    assert steps.ToServer in kit.kinds(_forward(table, 0.0, 20, kit.SYN))
+
+
 def test_a_returned_first_segment_goes_on_at_once():
     """The caller's copy after 200 ms would make its request late."""
     table = _agent()
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -29,11 +29,13 @@
     return kit.messages(found, tunnel.Forward)
 
 
-def _asked(table, now=0.0):
+def _asked(table):
     """Return the addresses that are asked for flows now."""
     return [
         address
-        for address, _ in kit.messages(table.send_queries(now), tunnel.Locate)
+        for address, _ in kit.messages(
+            table.searches.send_queries(), tunnel.Locate
+        )
     ]
 
 
@@ -193,9 +195,9 @@
     flows = tunnel.QUERIES_PER_MESSAGE + 1
     for port in range(flows):
         table.on_segment(1.0, kit.of_caller(port, kit.ACK, ack=5))
-    found = kit.messages(table.send_queries(1.003), tunnel.Locate)
+    found = kit.messages(table.searches.send_queries(), tunnel.Locate)
     assert len(found) == 2 * 2
-    assert not table.has_queries
+    assert not table.searches.has_queries
     decoded = [tunnel.decode(message.encode()) for _, message in found]
     assert sum(len(message.queries) for message in decoded) == 2 * flows
 
@@ -294,7 +296,7 @@
     table = _balancer(agents=1)
     address = kit.agent(1).address
     table.on_segment(1.0, kit.of_caller(1, kit.ACK, ack=5))
-    _asked(table, 1.0)
+    _asked(table)
     verdicts = [(kit.key_of(1), tunnel.STARTING)]
     table.on_message(1.0, address, tunnel.Located(verdicts))
     now = 1.0 + defaults.SEARCH_AGAIN_S
@@ -416,6 +418,26 @@
     assert asked and first not in asked
 
 
+def test_a_flow_goes_on_from_busy_agents_a_few_times():
+    """A flow must neither queue where the news was old nor walk for long."""
+    table = _balancer(agents=9)
+    table.on_routes(0.0, kit.routes(2, aim_s=0.2))
+    found = table.on_segment(0.0, kit.of_caller(1, kit.SYN))
+    seen = set()
+    for _ in range(defaults.BUSY_TRIES):
+        ((address, forward),) = _forwards(found)
+        assert forward.wait_ms and address not in seen
+        seen.add(address)
+        found = table.on_message(
+            0.0, address, tunnel.Declined("busy", forward.data)
+        )
+    assert not _forwards(found)
+    assert not kit.resets(found)
+    # The next copy may go anywhere again.
+    found = table.on_segment(0.2, kit.of_caller(1, kit.SYN, ack=1))
+    assert _forwards(found)
+
+
 def test_the_last_copy_is_refused_when_all_came_here():
     """A caller whose copies were all left must not wait for its time-out."""
     table = _balancer(agents=1)
