Keep the flows of agents whose entries are gone; judge silence only awake

By reading: an agent that was paused and then stopped took its server for ended. Ruled out: a wrong answer of an agent; the three others were right. Change: only an agent that says that it left loses its flows; an agent counts silence from the end of its own pause. Reports of servers moved to state/reports.py, so that balancers do not import the decisions of agents. Conclusion: a missing entry is no proof.

--- a/src/limpetlift/platform/documents.py
+++ b/src/limpetlift/platform/documents.py
@@ -3,12 +3,12 @@
 import json
 
 from limpetlift import exceptions
-from limpetlift.state import hosting
+from limpetlift.state import reports
 from limpetlift.state import routing
 
 CONFIG_KEY = "op/config"
 
-_STATE_BY_WORD = {"ready": hosting.READY, "draining": hosting.DRAINING}
+_STATE_BY_WORD = {"ready": reports.READY, "draining": reports.DRAINING}
 
 
 def decode_routes(value):
@@ -51,7 +51,7 @@
 
 
 def decode_report(server_id, body):
-    """Return the :class:`~limpetlift.state.hosting.Report` of a server.
+    """Return the :class:`~limpetlift.state.reports.Report` of a server.
 
     :param server_id: the id that the call names.
     :param body: bytes of the call.
@@ -61,7 +61,7 @@
         fields = json.loads(body)
         if not isinstance(fields, dict):
             raise ValueError("not an object")
-        return hosting.Report(
+        return reports.Report(
             server_id,
             _typed(fields, "service", str),
             _typed(fields, "born", int, 0),
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -13,49 +13,16 @@
 from limpetlift import registry
 from limpetlift.state import admitting
 from limpetlift.state import loadreporting
+from limpetlift.state import reports
 from limpetlift.state import steps
 
 _handlers_by_type = {}
 
-READY = "ready"
-DRAINING = "draining"
-# The server said that it leaves; it ends by itself.
-GONE = "gone"
-
 # Number of the first report after a server's start, at most.
 _FIRST_REPORT = 1
 _SEQUENCE_MASK = 0xFFFFFFFF
 
 
-@attrs.frozen
-class Report:
-    """What a backend server says of itself.
-
-    :param server_id: its id.
-    :param service: name of its service.
-    :param started_ms: its start, in Unix milliseconds, or 0 when not said.
-    :param number: rises with each report since that start.
-    :param state: :data:`READY`, :data:`DRAINING` or :data:`GONE`.
-    :param slots: requests that it runs at a time.
-    :param warming_s: how much longer it is slow after its start.
-    """
-
-    server_id: str
-    service: str
-    started_ms: int
-    number: int
-    state: str
-    slots: int
-    warming_s: float = 0.0
-
-
-def _is_same_start(first, second):
-    return (first.server_id, first.started_ms) == (
-        second.server_id,
-        second.started_ms,
-    )
-
-
 def _is_after(first, second):
     """Whether a sequence number follows another one, which may wrap."""
     return 0 < (first - second) & _SEQUENCE_MASK < 1 << 31
@@ -158,6 +125,7 @@
     # Number of the last report of load.
     _number: int = 0
     _started_at: object = None
+    _ticked_at: float = float("-inf")
     _swept_at: float = float("-inf")
     _service_id: bytes = attrs.field(init=False)
 
@@ -190,7 +158,7 @@
                 )
             ]
         found = []
-        if known is not None and not _is_same_start(report, known):
+        if known is not None and not reports.is_same_start(report, known):
             found += self._repeat_last()
             self.knows_all = True
         if known is None:
@@ -242,7 +210,7 @@
         that looks newer is silent; a report that was held up comes once.
         """
         known = self.report
-        if _is_same_start(report, known):
+        if reports.is_same_start(report, known):
             return report.number > known.number
         if report.started_ms > known.started_ms:
             return True
@@ -252,7 +220,7 @@
             now - self._reported_alive_at
             > self.report_interval_s * defaults.SERVER_SILENT_INTERVALS
             and rival is not None
-            and _is_same_start(rival, report)
+            and reports.is_same_start(rival, report)
             and report.number > rival.number
         )
 
@@ -260,15 +228,15 @@
         """Note that the server ends now."""
         if self.report is None or self.report.server_id != server_id:
             return [steps.Note("leave_ignored", fields={"server": server_id})]
-        if self.report.state == GONE:
+        if self.report.state == reports.GONE:
             return []
-        self.report = attrs.evolve(self.report, state=GONE)
+        self.report = attrs.evolve(self.report, state=reports.GONE)
         return [
             steps.Note(
                 "server_state",
                 fields={
                     "server": server_id,
-                    "state": GONE,
+                    "state": reports.GONE,
                     "flows": len(self.flows_by_key),
                 },
             )
@@ -283,7 +251,7 @@
         self.is_stopping = True
         self._stopping_at = now
         found = self._tell_load(now)
-        if self.report is not None and self.report.state == GONE:
+        if self.report is not None and self.report.state == reports.GONE:
             found += self._end_flows("server_gone")
         return found
 
@@ -295,7 +263,7 @@
 
         :returns: None while that is open.
         """
-        if self.report is not None and self.report.state == GONE:
+        if self.report is not None and self.report.state == reports.GONE:
             return True
         if self._served_at > self._stopping_at:
             return False
@@ -534,9 +502,9 @@
             return "other_service"
         if self.report is None:
             return "server_unknown"
-        if self.report.state == DRAINING:
+        if self.report.state == reports.DRAINING:
             return "draining"
-        if self.report.state == GONE:
+        if self.report.state == reports.GONE:
             return "server_gone"
         if self._silent_flows >= defaults.SILENT_FLOWS:
             return "server_silent"
@@ -688,8 +656,10 @@
         """Run the timers."""
         if self._started_at is None:
             self._started_at = now
-            self._heard_at = max(self._heard_at, now)
-            self._served_at = max(self._served_at, now)
+        if now - self._ticked_at > defaults.PAUSE_S:
+            # Silence counts only while this agent itself runs.
+            self._heard_at = self._served_at = now
+        self._ticked_at = now
         found = self._pass_on_unanswered(now) + self._probe(now)
         if now - self._swept_at >= defaults.SWEEP_S:
             self._swept_at = now
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -213,8 +213,6 @@
         found += [
             _agent_note("agent_gone", agent.entry) for agent in known.values()
         ]
-        if known:
-            self._forget_flows_at(set(known))
         peers = [
             entry.address
             for entry in balancers
@@ -231,10 +229,14 @@
         message = tunnel.Hello(agent.is_listed, is_near)
         return steps.ToPeer(agent.entry.address, message)
 
-    def _forget_flows_at(self, addresses):
-        """Search for the flows of agents that have gone when they go on."""
+    def _forget_flows_at(self, address):
+        """Search for the flows of an agent that left when they go on.
+
+        Those of an agent whose entry is gone stay: it may be paused beside a
+        server that holds them.
+        """
         for key, flow in list(self.flows_by_key.items()):
-            if flow.address in addresses:
+            if flow.address == address:
                 del self.flows_by_key[key]
 
     def is_connected(self, now):
@@ -575,7 +577,7 @@
         if agent is None:
             return []
         agent.has_left = True
-        self._forget_flows_at({address})
+        self._forget_flows_at(address)
         return [
             _agent_note("agent_left", agent.entry)
         ] + self.searches.on_left(now, address)
