Tell far balancers less often; prefer near servers by what crossing costs

Change: changes of load go to balancers of other data centres every 100 ms at most; the own data centre is preferred by 5 ms of run time instead of a fixed share of a request; the directory is read at most ten times a second and followed with pauses of 0.5 s.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -222,9 +222,13 @@
 # Placing of new flows by load.
 # A backend server that has just started takes up to 1.6 times as long.
 WARMING_FACTOR = 1.6
-# Requests per slot that the own data centre is preferred by; crossing one
-# costs at most 1.4 ms each way, a queued request tens of milliseconds.
-NEAR_BONUS = 0.05
+# What crossing to another data centre and back may cost in waiting: at most
+# 1.4 ms each way, and the bytes between data centres, which are paid for.
+CROSSING_S = 0.005
+# Requests per slot that the own data centre is preferred by: enough to decide
+# among equals, and not so much that its servers queue beside idle ones.
+NEAR_BONUS_MIN = 0.05
+NEAR_BONUS_MAX = 0.7
 # Agents that a new flow chooses from, the first ones in its placement order.
 # The least loaded of 8 is nearly that of all, and after a restart of all the
 # flow is found again at one of 8 instead of at one of all.
@@ -240,7 +244,7 @@
 LOAD_MIN_S = 0.02
 # Reports of changes to balancers of other data centres, which place few flows
 # here; their number grows with the product of agents and balancers.
-LOAD_FAR_S = 0.02
+LOAD_FAR_S = 0.1
 HELLO_S = 0.5
 # An agent forgets a balancer that has not said hello for this long.
 HELLO_FRESH_S = 2.0
@@ -286,6 +290,9 @@
 FLOW_LIFETIME_S = 60.0
 HOSTED_IDLE_S = 60.0
 HOSTING_TICK_S = 0.02
+# An agent without a tick for this long was paused; a slow instance's turns are
+# shorter.
+PAUSE_S = 0.5
 # Backend servers report this often, unless the settings say otherwise.
 REPORT_INTERVAL_S = 1.2
 # Intervals after which two reports are missing for certain.
@@ -308,7 +315,7 @@
 # change of the routes in force within 3 s of its acknowledgement.
 FOLLOW_WAIT_S = 2.5
 # Changes that come in quick succession are read together.
-FOLLOW_PAUSE_S = 0.2
+FOLLOW_PAUSE_S = 0.5
 
 # Stopping.
 # The fabric's probes come twice a second and two must fail.
@@ -326,12 +333,11 @@
 # A call of the store takes 4 ms, and some hundred when the store is slow.
 DIRECTORY_READ_S = 0.5
 # Between two reads; each is a call that is paid for.
-DIRECTORY_PAUSE_S = 0.03
-# The entry of an agent that is silent for this long is removed, so that
-# callers of its flows are told; longer than the restart of an instance. An
-# agent that was cut off announces itself again.
-SILENT_ENTRY_S = 6.0
-SILENT_CHECK_S = 1.0
+DIRECTORY_PAUSE_S = 0.1
+# An agent that is silent for this long is gone for good; restarts, pauses and
+# outages of an instance last a few seconds.
+SILENT_ENTRY_S = 15.0
+SILENT_CHECK_S = 5.0
 
 # Admission of new flows.
 # Weight of a request's run time in the mean.
--- a/src/limpetlift/state/placing.py
+++ b/src/limpetlift/state/placing.py
@@ -52,6 +52,22 @@
     return work / max(candidate.slots, 1)
 
 
+def near_bonus(candidates):
+    """Return the requests per slot that the own data centre may have more.
+
+    A request ahead costs its run time, crossing to another data centre
+    :data:`~limpetlift.defaults.CROSSING_S`.
+    """
+    known = [candidate.run_s for candidate in candidates if candidate.run_s]
+    if not known:
+        return defaults.NEAR_BONUS_MIN
+    run_s = sum(known) / len(known)
+    return min(
+        max(defaults.CROSSING_S / run_s, defaults.NEAR_BONUS_MIN),
+        defaults.NEAR_BONUS_MAX,
+    )
+
+
 @registry.register(policies_by_name, "random")
 def choose_random(candidates, rng):
     """Return any candidate; the baseline."""
@@ -68,16 +84,20 @@
 def choose_least(candidates, rng):
     """Return the candidate that expects the least work for a slot.
 
-    Among equals the own data centre goes first, then chance decides, so that
-    balancers with the same news do not all choose the same agent.
+    The own data centre goes first where crossing to another one costs more
+    than the longer wait: for work of a few milliseconds nearly always, for
+    long work only among equals. Chance decides the rest, so that balancers
+    with the same news do not all choose the same agent.
     """
     flows = sum(candidate.flows for candidate in candidates)
     busy = sum(candidate.busy for candidate in candidates)
     busy_per_flow = min(busy / flows, 1.0) if flows else 0.0
 
+    near = near_bonus(candidates)
+
     def rank(candidate):
         work = expected_work(candidate, busy_per_flow)
-        near = defaults.NEAR_BONUS if candidate.is_near else 0.0
-        return work - near + rng.random() * defaults.PLACING_JITTER
+        bonus = near if candidate.is_near else 0.0
+        return work - bonus + rng.random() * defaults.PLACING_JITTER
 
     return min(candidates, key=rank)
