--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -286,6 +286,9 @@
 SILENT_TENTATIVE_FLOWS = 8
 # Ends of a closed flow may still send copies of their last segments.
 CLOSED_FLOW_S = 3.0
+# Bytes that a server may have sent beyond what its caller acknowledged: 16
+# segments of 1,200 bytes, taken four times.
+SEGMENTS_AHEAD_BYTES = 76_800
 # No flow is older; see the deployments' bounds.
 FLOW_LIFETIME_S = 60.0
 HOSTED_IDLE_S = 60.0
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -606,6 +606,9 @@
         flow.first = b""
         if flow.server_sequence is None:
             flow.server_sequence = segment.sequence
+            if not segment.is_open:
+                # Not the first one; its caller may acknowledge earlier ones.
+                flow.server_sequence -= defaults.SEGMENTS_AHEAD_BYTES
             found.append(steps.Duration("flow_open", now - flow.began_at))
         if segment.length and flow.is_busy:
             found.append(steps.Duration("answer", now - flow.asked_at))
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -374,6 +374,19 @@
     ]
 
 
+def test_a_flow_that_is_learned_late_is_held_for_earlier_acknowledgements():
+    """A restarted agent may see a later segment of the server first.
+
+    Its caller then still acknowledges an earlier one, and the flow counted
+    as another server's, so that a search could end with a reset.
+    """
+    table = _agent(knows_all=False)
+    table.knows_all = False
+    later = kit.of_server(1, kit.ACK, sequence=6200, payload=b"part")
+    table.on_server_segment(0.0, later)
+    assert _verdicts(table, 0.1, (1, 5000)) == [tunnel.HELD]
+
+
 def test_an_agent_that_starts_is_not_certain_of_anything():
     """Its server may hold flows of the time before."""
     table = _agent(knows_all=False, report=False)
