Take the latest of the times of both audiences from one list

Found by reading: the default stood twice in a call of max, only so that it never got a single number. Same result; test_hosting and test_loadreporting pass before and after.

--- a/src/limpetlift/state/loadreporting.py
+++ b/src/limpetlift/state/loadreporting.py
@@ -85,12 +85,10 @@
 
     def heard_at(self, default):
         """Return when a balancer asked last, or ``default``."""
-        return max(
-            *self._near.heard_at_by_address.values(),
-            *self._far.heard_at_by_address.values(),
-            default,
-            default,
-        )
+        times = [default]
+        times += self._near.heard_at_by_address.values()
+        times += self._far.heard_at_by_address.values()
+        return max(times)
 
     def is_due(self, now):
         """Whether a change would be reported now."""
