Share what stood twice; skip work for segments of a search in progress

Found by reading the whole change, no fault behind it: - a further segment of a flow that is searched for already still computed the set of all agents and the likely ones, and dropped them; that is the hot path after a loss of power. Ruled out as one piece: the notes of announcing and following (other words and fields), the message classes, the two HTTP read handlers (other errors).

--- a/src/limpetlift/bench/flows.py
+++ b/src/limpetlift/bench/flows.py
@@ -13,6 +13,7 @@
 from limpetlift.coordination import member as members
 from limpetlift.coordination import placement
 from limpetlift import defaults
+from limpetlift.protocol import hashing
 from limpetlift.protocol import messages
 from limpetlift.protocol import packet as packets
 from limpetlift.state import actions
@@ -32,7 +33,7 @@
 PACKETS = 20_000
 WINDOW = 64
 _KEY = bytes.fromhex(workers.KEY)
-_SERVICE_ID = packets.service_id(SERVICE)
+_SERVICE_ID = hashing.service_id(SERVICE)
 _START_S = 10.0
 _TICK_S = defaults.TICK_S
 
@@ -48,7 +49,7 @@
         kind=packets.KIND_TO_AGENT,
         hops=0,
         service_id=_SERVICE_ID,
-        flow_hash=packets.flow_hash(key),
+        flow_hash=hashing.flow_hash(key),
         caller=caller,
         balancer=("127.0.0.1", 1),
         incarnation=0,
--- a/src/limpetlift/bench/packets.py
+++ b/src/limpetlift/bench/packets.py
@@ -12,6 +12,7 @@
 from limpetlift.bench import workers
 from limpetlift.coordination import member as members
 from limpetlift import defaults
+from limpetlift.protocol import hashing
 from limpetlift.protocol import packet as packets
 from limpetlift.state import config
 from limpetlift.tasks import flowpath
@@ -93,12 +94,12 @@
 
 def answer(number, caller, balancer_address):
     """Return an encoded answer of an agent to ``caller``."""
-    service = packets.service_id("service-%d" % number)
+    service = hashing.service_id("service-%d" % number)
     packet = packets.Packet(
         kind=packets.KIND_TO_CALLER,
         hops=0,
         service_id=service,
-        flow_hash=packets.flow_hash(packets.flow_key(service, caller)),
+        flow_hash=hashing.flow_hash(packets.flow_key(service, caller)),
         caller=caller,
         balancer=balancer_address,
         incarnation=0,
--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -12,7 +12,7 @@
 
 from limpetlift import defaults
 from limpetlift import exceptions
-from limpetlift.protocol import tunnel
+from limpetlift.protocol import hashing
 
 AGENTS = "agents/"
 BALANCERS = "balancers/"
@@ -35,7 +35,9 @@
     service_id: bytes = attrs.field(init=False, repr=False)
 
     def __attrs_post_init__(self):
-        object.__setattr__(self, "service_id", tunnel.service_id(self.service))
+        object.__setattr__(
+            self, "service_id", hashing.service_id(self.service)
+        )
 
     def encode(self):
         """Return the value of the entry in the store."""
--- a/src/limpetlift/protocol/packet.py
+++ b/src/limpetlift/protocol/packet.py
@@ -60,23 +60,11 @@
         return flow_key(self.service_id, self.caller)
 
 
-def service_id(name):
-    """Return the 8-byte id of the service called ``name``."""
-    return hashlib.blake2b(name.encode("utf-8"), digest_size=8).digest()
-
-
 def flow_key(service, caller):
     """Return the 14-byte key of the flow of ``caller`` to ``service``."""
     return service + socket.inet_aton(caller[0]) + caller[1].to_bytes(2, "big")
 
 
-def flow_hash(key):
-    """Return the 64-bit placement hash of a flow key."""
-    return int.from_bytes(
-        hashlib.blake2b(key, digest_size=_HASH_BYTES).digest(), "big"
-    )
-
-
 @functools.lru_cache(maxsize=64)
 def _keyed(key):
     return hashlib.blake2b(key=key, digest_size=defaults.PACKET_DIGEST_BYTES)
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -4,7 +4,6 @@
 of a flow, and a round trip of the compact codec costs more than forwarding.
 """
 
-import hashlib
 import socket
 import struct
 
@@ -16,7 +15,6 @@
 # First byte of each message; it changes with the format.
 _VERSION = 1
 
-_SERVICE_BYTES = 8
 _KEY_BYTES = 12
 
 decoders_by_kind = {}
@@ -320,14 +318,11 @@
         return _HEAD.pack(_VERSION, LEFT)
 
 
-def digest(data):
-    """Return 8 pseudo-random bytes that every process derives from data."""
-    return hashlib.blake2b(data, digest_size=_SERVICE_BYTES).digest()
-
-
-def service_id(name):
-    """Return the 8 bytes that stand for a service in messages."""
-    return digest(name.encode("utf-8"))
+def in_batches(items, size):
+    """Return the items in lists of at most ``size``, one for a message."""
+    return [
+        items[start : start + size] for start in range(0, len(items), size)
+    ]
 
 
 def decode(data):
--- a/src/limpetlift/replay/baselines.py
+++ b/src/limpetlift/replay/baselines.py
@@ -3,7 +3,7 @@
 import attrs
 
 from limpetlift.coordination import member as members
-from limpetlift.protocol import packet as packets
+from limpetlift.protocol import hashing
 from limpetlift import registry
 from limpetlift.state import actions
 from limpetlift.state import flows
@@ -29,7 +29,7 @@
     _service_id: bytes = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        self._service_id = packets.service_id(self.member.service)
+        self._service_id = hashing.service_id(self.member.service)
 
     def join(self, now):
         """Announce the agent at once."""
--- a/src/limpetlift/replay/nodes.py
+++ b/src/limpetlift/replay/nodes.py
@@ -7,6 +7,7 @@
 from limpetlift.coordination import member as members
 from limpetlift.coordination import membership
 from limpetlift import defaults
+from limpetlift.protocol import hashing
 from limpetlift.protocol import packet as packets
 from limpetlift import registry
 from limpetlift.replay import baselines
@@ -210,8 +211,8 @@
 
     def forward(self, service, caller, payload):
         """Forward a datagram of a caller to the natural owner."""
-        service_id = packets.service_id(service)
-        flow_hash = packets.flow_hash(packets.flow_key(service_id, caller))
+        service_id = hashing.service_id(service)
+        flow_hash = hashing.flow_hash(packets.flow_key(service_id, caller))
         endpoint = self.tables_by_name[service].endpoint(flow_hash)
         if endpoint is None:
             self.world.outcomes.drop("no_target")
--- a/src/limpetlift/state/balancing.py
+++ b/src/limpetlift/state/balancing.py
@@ -12,7 +12,7 @@
 
 from limpetlift.coordination import placement
 from limpetlift import defaults
-from limpetlift.protocol import packet
+from limpetlift.protocol import hashing
 from limpetlift import registry
 
 OK = "ok"
@@ -241,5 +241,5 @@
         targets = [placement.Target(m.agent_id, m.weight) for m in members]
         if self._placement is None or self._placement.targets != targets:
             self._placement = placement.Placement(targets)
-        digest = packet.flow_hash(key.encode("utf-8"))
+        digest = hashing.flow_hash(key.encode("utf-8"))
         return self._placement.order(placement.bucket_of(digest))
--- a/src/limpetlift/state/flows.py
+++ b/src/limpetlift/state/flows.py
@@ -4,6 +4,7 @@
 
 from limpetlift.coordination import member as members
 from limpetlift import defaults
+from limpetlift.protocol import hashing
 from limpetlift.protocol import packet as packets
 from limpetlift.state import actions
 from limpetlift.state import flowmessages
@@ -35,7 +36,7 @@
     _last_call: float = float("-inf")
 
     def __attrs_post_init__(self):
-        self._service_id = packets.service_id(self.member.service)
+        self._service_id = hashing.service_id(self.member.service)
         self._parts = ownership.Ownership(self.member, self.limits)
         self._handlers = flowmessages.Handlers(self._parts)
         self._flows_by_key = self._parts.own.flows_by_key
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -8,6 +8,7 @@
 import attrs
 
 from limpetlift import defaults
+from limpetlift.protocol import hashing
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift import registry
@@ -130,7 +131,7 @@
     _service_id: bytes = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        self._service_id = tunnel.service_id(self.service)
+        self._service_id = hashing.service_id(self.service)
 
     # The backend server's own words.
 
--- a/src/limpetlift/state/searching.py
+++ b/src/limpetlift/state/searching.py
@@ -59,8 +59,17 @@
         factory=lambda: collections.defaultdict(list)
     )
 
+    def keep(self, segment):
+        """Keep a segment for the search of its flow; whether there is one."""
+        search = self._searches_by_key.get(segment.key)
+        if search is None:
+            return False
+        if len(search.waiting) < defaults.SEARCH_SEGMENTS:
+            search.waiting.append(segment.data)
+        return True
+
     def begin(self, now, segment, agents, likely, without=()):
-        """Search for the flow of a segment, or keep it for that search.
+        """Search for the flow of a segment.
 
         :param agents: addresses of the agents that may have it.
         :param likely: those whose servers are tried first; all when empty.
@@ -68,11 +77,6 @@
         :returns: steps.
         """
         key = segment.key
-        search = self._searches_by_key.get(key)
-        if search is not None:
-            if len(search.waiting) < defaults.SEARCH_SEGMENTS:
-                search.waiting.append(segment.data)
-            return []
         search = _Search(
             now, now + defaults.SEARCH_S, segment.ack, likely, [segment.data]
         )
@@ -118,11 +122,10 @@
         After a loss of power every open flow is searched for at every agent;
         a message for each would fill the link of a small instance.
         """
-        size = tunnel.QUERIES_PER_MESSAGE
         found = [
-            steps.ToPeer(address, tunnel.Locate(queries[start : start + size]))
+            steps.ToPeer(address, tunnel.Locate(batch))
             for address, queries in self._queries_by_address.items()
-            for start in range(0, len(queries), size)
+            for batch in tunnel.in_batches(queries, tunnel.QUERIES_PER_MESSAGE)
         ]
         self._queries_by_address.clear()
         return found
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -15,6 +15,7 @@
 
 from limpetlift.coordination import placement
 from limpetlift import defaults
+from limpetlift.protocol import hashing
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift import registry
@@ -308,7 +309,7 @@
         route = self.routes.routes_by_address.get(segments.service_of(key))
         if route is None:
             return self._refuse(segment, "no_route")
-        hashed = int.from_bytes(tunnel.digest(key), "big")
+        hashed = hashing.flow_hash(key)
         for service in route.services_for(hashed / (1 << 64)):
             able = self._able(now, service, flow.tried)
             if able:
@@ -319,7 +320,7 @@
             return self._refuse(segment, "no_agent", len(flow.tried))
         if flow.busy >= defaults.BUSY_TRIES:
             return self._defer(now, segment, "overloaded", flow)
-        preferred = _first_in_order(able, placement.bucket_of(hashed))
+        preferred = _first_in_order(able, hashed)
         admitted = self._admitted(preferred, route, segment)
         if admitted is None and len(preferred) < len(able):
             admitted = self._admitted(able, route, segment)
@@ -390,7 +391,6 @@
         route = self.routes.routes_by_address.get(segments.service_of(key))
         if route is None:
             return frozenset()
-        hashed = int.from_bytes(tunnel.digest(key), "big")
         services = {share.service for share in route.shares}
         agents = [
             agent
@@ -399,7 +399,7 @@
         ]
         return frozenset(
             agent.entry.address
-            for agent in _first_in_order(agents, placement.bucket_of(hashed))
+            for agent in _first_in_order(agents, hashing.flow_hash(key))
         )
 
     def _candidate(self, agent):
@@ -470,6 +470,8 @@
 
     def _search(self, now, segment, without=()):
         """Ask the agents for the flow of a segment."""
+        if self.searches.keep(segment):
+            return []
         return self.searches.begin(
             now,
             segment,
@@ -680,12 +682,13 @@
                 del self._deferrals_by_key[key]
 
 
-def _first_in_order(agents, bucket):
-    """Return the first agents in the placement order of ``bucket``.
+def _first_in_order(agents, hashed):
+    """Return the first agents in the placement order of a flow's hash.
 
     Every process computes the same, so that a flow is found again after a
     restart of all without asking every server.
     """
+    bucket = placement.bucket_of(hashed)
     return heapq.nlargest(
         defaults.PLACING_CANDIDATES,
         agents,
@@ -694,10 +697,9 @@
 
 
 def _batches(records):
-    size = tunnel.FLOWS_PER_MESSAGE
     return [
-        tunnel.Flows(records[start : start + size])
-        for start in range(0, len(records), size)
+        tunnel.Flows(batch)
+        for batch in tunnel.in_batches(records, tunnel.FLOWS_PER_MESSAGE)
     ]
 
 
--- a/src/limpetlift/state/steps.py
+++ b/src/limpetlift/state/steps.py
@@ -67,7 +67,7 @@
 
 @attrs.frozen
 class Announce:
-    """Write the own entry again: a balancer does not find it."""
+    """Write the own entry, for the first time or because it is missing."""
 
 
 @attrs.frozen
--- a/src/limpetlift/tasks/flowpath.py
+++ b/src/limpetlift/tasks/flowpath.py
@@ -8,6 +8,7 @@
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift import metrics
+from limpetlift.protocol import hashing
 from limpetlift.protocol import packet as packets
 from limpetlift.state import actions
 from limpetlift.state import flows
@@ -66,7 +67,7 @@
 
     def _open_service(self, service):
         ip, port = service.endpoint
-        service_id = packets.service_id(service.name)
+        service_id = hashing.service_id(service.name)
         table = servicetable.ServiceTable(service)
         encoder = packets.FlowEncoder(
             service_id, self._node.address, self._node.keys[0], self._headers
@@ -87,7 +88,7 @@
 
     def _close_service(self, name):
         del self.tables_by_name[name]
-        service_id = packets.service_id(name)
+        service_id = hashing.service_id(name)
         self._sockets_by_id.pop(service_id).close()
         self._encoders_by_id.pop(service_id).close()
 
--- a/src/limpetlift/testing/flowsim.py
+++ b/src/limpetlift/testing/flowsim.py
@@ -14,12 +14,13 @@
 from limpetlift.coordination import member as members
 from limpetlift.coordination import placement
 from limpetlift import defaults
+from limpetlift.protocol import hashing
 from limpetlift.protocol import packet as packets
 from limpetlift.state import actions
 from limpetlift.state import flows
 
 SERVICE = "job-desk"
-_SERVICE_ID = packets.service_id(SERVICE)
+_SERVICE_ID = hashing.service_id(SERVICE)
 # A batch that is repeated ASK_ATTEMPTS times is acknowledged at least once.
 _LOSSES_IN_A_ROW = defaults.ASK_ATTEMPTS - 1
 
@@ -329,7 +330,7 @@
         kind=packets.KIND_TO_AGENT,
         hops=0,
         service_id=service_id,
-        flow_hash=packets.flow_hash(key),
+        flow_hash=hashing.flow_hash(key),
         caller=address,
         balancer=("127.0.0.1", 7000),
         incarnation=0,
--- a/src/limpetlift/transport/datagram.py
+++ b/src/limpetlift/transport/datagram.py
@@ -29,6 +29,31 @@
     return bound
 
 
+def receive_batch(bound, receive, on_error=None):
+    """Hand on what a UDP socket has received, up to a batch.
+
+    :param bound: a non-blocking socket; ``receive`` may close it.
+    :param receive: called with ``(data, (ip, port))`` for each datagram.
+    :param on_error: called after an ICMP error, which ends the batch; without
+        it errors are passed over.
+    """
+    recvfrom = bound.recvfrom
+    for _ in range(defaults.UDP_BATCH):
+        try:
+            data, address = recvfrom(65535)
+        except BlockingIOError:
+            return
+        except OSError:
+            # An ICMP error of an earlier datagram; the next read works.
+            if on_error is not None:
+                on_error()
+                return
+            continue
+        receive(data, address)
+        if bound.fileno() < 0:
+            return
+
+
 class DatagramSocket:
     """A bound UDP socket that reads in batches.
 
@@ -48,19 +73,7 @@
         reactor.watch(self._socket, self._on_readable)
 
     def _on_readable(self):
-        recvfrom = self._socket.recvfrom
-        receive = self._receive
-        for _ in range(defaults.UDP_BATCH):
-            try:
-                data, address = recvfrom(65535)
-            except BlockingIOError:
-                return
-            except OSError:
-                # An ICMP error of an earlier datagram; the next read works.
-                continue
-            receive(data, address)
-            if self._socket.fileno() < 0:
-                return
+        receive_batch(self._socket, self._receive)
 
     def send(self, data, address):
         """Send one datagram; return the error if the kernel refused it."""
--- a/src/limpetlift/transport/udp.py
+++ b/src/limpetlift/transport/udp.py
@@ -2,7 +2,6 @@
 
 from tornado import ioloop
 
-from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift.transport import datagram
 
@@ -31,22 +30,7 @@
         )
 
     def _on_readable(self, _socket, _events):
-        recvfrom = self._socket.recvfrom
-        receive = self._receive
-        for _ in range(defaults.UDP_BATCH):
-            try:
-                data, address = recvfrom(65535)
-            except BlockingIOError:
-                return
-            except OSError:
-                # An ICMP error of an earlier datagram; the next read works.
-                if self._on_error is not None:
-                    self._on_error()
-                    return
-                continue
-            receive(data, address)
-            if self._socket.fileno() < 0:
-                return
+        datagram.receive_batch(self._socket, self._receive, self._on_error)
 
     def send(self, data, address):
         """Send one datagram; return whether the kernel took it."""
--- a/tests/segmentkit.py
+++ b/tests/segmentkit.py
@@ -4,6 +4,7 @@
 
 from limpetlift.coordination import directory
 from limpetlift.platform import packet
+from limpetlift.protocol import hashing
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift.state import routing
@@ -98,7 +99,7 @@
         "busy": 0,
         "flows": 0,
         "run_ms": 0,
-        "service": tunnel.service_id(service),
+        "service": hashing.service_id(service),
     }
     values.update(fields)
     return tunnel.Load(**values)
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -9,6 +9,7 @@
 
 from limpetlift.coordination import member as members
 from limpetlift import defaults
+from limpetlift.protocol import hashing
 from limpetlift.protocol import packet as packets
 from limpetlift.state import actions
 from limpetlift.state import flows
@@ -221,7 +222,7 @@
 def test_packet_of_another_service_is_dropped():
     """A packet must never reach a service it was not sent to."""
     cluster = _cluster(2)
-    other = flowsim.make_packet(1, packets.service_id("room-photos"))
+    other = flowsim.make_packet(1, hashing.service_id("room-photos"))
     table = _tables(cluster)["old-0"]
     assert table.on_packet(cluster.now, other) == [
         actions.Drop("other_service")
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -3,6 +3,7 @@
 import segmentkit as kit
 
 from limpetlift import defaults
+from limpetlift.protocol import hashing
 from limpetlift.protocol import tunnel
 from limpetlift.state import hosting
 from limpetlift.state import reports
@@ -10,7 +11,7 @@
 
 _BALANCER = ("10.9.0.1", 80)
 _OTHER = ("10.9.0.2", 80)
-_DESK = tunnel.service_id("desk")
+_DESK = hashing.service_id("desk")
 
 
 _INTERVAL_S = defaults.REPORT_INTERVAL_S
@@ -121,7 +122,7 @@
     table = _agent()
     data = kit.datagram(1, kit.SYN)
     found = table.on_message(
-        0.0, _BALANCER, tunnel.Forward(tunnel.service_id("photos"), data)
+        0.0, _BALANCER, tunnel.Forward(hashing.service_id("photos"), data)
     )
     assert kit.messages(found, tunnel.Declined)[0][1].reason == (
         "other_service"
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -8,6 +8,7 @@
 
 from limpetlift import exceptions
 from limpetlift.protocol import envelope
+from limpetlift.protocol import hashing
 from limpetlift.protocol import messages
 from limpetlift.protocol import packet
 from limpetlift.protocol import refusal
@@ -54,13 +55,13 @@
 
 def test_packet_round_trip_and_bad_digest():
     """A packet with a changed header must not be delivered."""
-    service = packet.service_id("job-desk")
+    service = hashing.service_id("job-desk")
     caller = ("127.0.0.9", 4242)
     sent = packet.Packet(
         kind=packet.KIND_TO_AGENT,
         hops=1,
         service_id=service,
-        flow_hash=packet.flow_hash(packet.flow_key(service, caller)),
+        flow_hash=hashing.flow_hash(packet.flow_key(service, caller)),
         caller=caller,
         balancer=("127.0.0.1", 7000),
         incarnation=7,
@@ -85,16 +86,16 @@
 )
 def test_flow_encoder_gives_the_bytes_of_encode(limit, ip, port, payload):
     """A prepared header that differs would be dropped by every agent."""
-    service, balancer = packet.service_id("desk"), ("10.0.0.1", 6000)
+    service, balancer = hashing.service_id("desk"), ("10.0.0.1", 6000)
     caller = (str(ip), port)
     cache = packet.HeaderCache(limit)
     encoder = packet.FlowEncoder(service, balancer, KEY, cache)
-    other = packet.FlowEncoder(packet.service_id("x"), balancer, KEY, cache)
+    other = packet.FlowEncoder(hashing.service_id("x"), balancer, KEY, cache)
     for port_before in (port, port ^ 1, port):
         encoder.encode((caller[0], port_before), b"earlier")
         other.encode(caller, b"earlier")
     flow_hash, data = encoder.encode(caller, payload)
-    assert flow_hash == packet.flow_hash(packet.flow_key(service, caller))
+    assert flow_hash == hashing.flow_hash(packet.flow_key(service, caller))
     expected = packet.Packet(
         packet.KIND_TO_AGENT,
         0,
@@ -112,7 +113,7 @@
 @pytest.mark.parametrize("limit", [1, 2, 100])
 def test_decoder_verifies_every_header_that_differs(limit):
     """A cached header must not let a forged or truncated one through."""
-    service = packet.service_id("desk")
+    service = hashing.service_id("desk")
     decoder = packet.Decoder([KEY], limit)
     for hops in (0, 1, 0, 1, 0):
         expected = packet.Packet(
