Assign each constant once

PAUSE_THRESHOLD_S was assigned under Membership (1.0 s) and again under Hosting of flows (0.5 s), so membership took the second value for its own. The agent's threshold is now AGENT_PAUSE_THRESHOLD_S.

Test: test_defaults fails on the code before (it names the constant) and passes now; the tests of membership, view and hosting pass.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -161,7 +161,8 @@
 
 # Membership.
 
-# Overridden under "Hosting of flows": all users get the value given there.
+# A member without an event for this long was paused, so that the silence of
+# others during that time is its own.
 PAUSE_THRESHOLD_S = 1.0
 HEARTBEAT_INTERVAL_S = 1.0
 # Balancers to which a member sends its heartbeats, and the candidates from
@@ -376,7 +377,7 @@
 HOSTING_TICK_S = 0.02
 # An agent without a tick for this long was paused; event loop iterations of a
 # slow instance are shorter.
-PAUSE_THRESHOLD_S = 0.5
+AGENT_PAUSE_THRESHOLD_S = 0.5
 # Interval of the reports of backend servers, unless the settings specify it.
 REPORT_INTERVAL_S = 1.2
 # Intervals after which two reports are certainly missing.
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -743,7 +743,7 @@
         """Run the timers that are due."""
         if self._started_at is None:
             self._started_at = now
-        if now - self._last_tick_at > defaults.PAUSE_THRESHOLD_S:
+        if now - self._last_tick_at > defaults.AGENT_PAUSE_THRESHOLD_S:
             # This agent was paused, and the server's silence counts only
             # while the agent itself runs.
             self._last_heard_at = self._last_served_at = now
