--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -360,6 +360,10 @@
 SEARCH_LIKELY_TIMEOUT_S = 0.03
 # A caller has at most 16 segments in flight.
 MAX_SEARCH_SEGMENTS = 16
+# A process without an event for this long was paused. A caller sends the
+# first copy of a first segment after 200 ms, so what waited for less has not
+# been placed elsewhere.
+PAUSE_MIN_S = 0.2
 # Interval at which balancers and agents drop state of ended or idle flows.
 SWEEP_INTERVAL_S = 1.0
 # Caller and balancer measure the idle time from different segments.
@@ -389,9 +393,6 @@
 MAX_FLOW_LIFETIME_S = 60.0
 HOSTED_FLOW_IDLE_S = 60.0
 HOSTING_TICK_S = 0.02
-# An agent without a tick for this long was paused; event loop iterations of a
-# slow instance are shorter.
-AGENT_PAUSE_THRESHOLD_S = 0.5
 # Interval of the reports of backend servers, unless the settings specify it.
 REPORT_INTERVAL_S = 1.2
 # Intervals after which two reports are certainly missing.
--- a/src/limpetlift/platform/store.py
+++ b/src/limpetlift/platform/store.py
@@ -6,9 +6,9 @@
 
 import base64
 import json
-import time
 import urllib.parse
 
+from limpetlift import clock
 from limpetlift.coordination import entries
 from limpetlift import exceptions
 from limpetlift.transport import http1
@@ -218,7 +218,7 @@
         :param expected_statuses: statuses besides 200 that the caller handles.
         :raises StoreUnavailable: when the response has any other status.
         """
-        started_at = time.monotonic()
+        started_at = clock.now()
         response = await http1.call(
             self._reactor,
             self._address,
@@ -228,7 +228,7 @@
             timeout_s,
         )
         if timeout_s == _CALL_TIMEOUT_S:
-            self._measure("store_call", time.monotonic() - started_at)
+            self._measure("store_call", clock.now() - started_at)
         status = response.status
         if status != 200 and status not in expected_statuses:
             raise exceptions.StoreUnavailable(
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -56,6 +56,7 @@
     "too_many_flows",
     "server_gone",
     "busy",
+    "paused",
 )
 _CODE_BY_REASON = {reason: code for code, reason in enumerate(REASONS)}
 
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -22,6 +22,8 @@
 # Highest number that the first report after a server's start can have.
 _MAX_FIRST_REPORT_NUMBER = 1
 _SEQUENCE_MASK = 0xFFFFFFFF
+# Beyond the payload, the first and the last segment have a number each.
+_NUMBERS_BESIDES_PAYLOAD = 2
 
 
 def _is_after(sequence, other):
@@ -47,6 +49,10 @@
         and await the result.
     :param server_initial_sequence: the server's first sequence number, or a
         lower bound when the agent has not seen it; None before any answer.
+    :param server_next_sequence: the sequence number after the server's last
+        byte so far, or None before any answer.
+    :param is_known_from_start: whether this agent has seen every segment that
+        the server sent of the flow.
     :param caller_next_sequence: the sequence number after the caller's last
         byte so far, or None before any payload.
     :param caller_ack: the caller's last acknowledgement number.
@@ -69,6 +75,8 @@
     is_tentative: bool = False
     searched_by: set = attrs.field(factory=set)
     server_initial_sequence: object = None
+    server_next_sequence: object = None
+    is_known_from_start: bool = False
     caller_next_sequence: object = None
     caller_ack: int = 0
     last_caller_segment: bytes = b""
@@ -117,6 +125,8 @@
     report: object = None
     flows_by_key: dict = attrs.field(factory=dict)
     is_stopping: bool = False
+    # Whether messages that waited through a pause are being handled.
+    _is_catching_up: bool = False
     _stopping_at: float = float("inf")
     _warmed_up_at: float = 0.0
     _reported_at: float = float("-inf")
@@ -143,13 +153,32 @@
     # Number of the last load report.
     _load_number: int = 0
     _started_at: object = None
-    _last_tick_at: float = float("-inf")
     _last_sweep_at: float = float("-inf")
     _service_id: bytes = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self._service_id = hashing.service_id(self.service)
 
+    # Pauses.
+
+    def on_pause(self, now, pause_s):
+        """Handle the end of a pause of this agent.
+
+        :param pause_s: how long the process did not run, in seconds.
+        """
+        self._is_catching_up = True
+        # The server's silence counts only while the agent itself runs.
+        self._last_heard_at = self._last_served_at = now
+        answer_due_at = now + defaults.SERVER_ANSWER_TIMEOUT_S
+        for flow in self.flows_by_key.values():
+            if flow.first_segment:
+                flow.answer_due_at = max(flow.answer_due_at, answer_due_at)
+        return []
+
+    def on_caught_up(self):
+        """Handle that all messages of the last pause have been read."""
+        self._is_catching_up = False
+
     # State of the backend server and of this agent.
 
     def on_report(self, now, report, age_s=float("inf")):
@@ -440,6 +469,13 @@
                     )
                 ]
             flow = self._add_tentative_flow(now, balancer, segment)
+        elif self._belongs_to_other_server(flow, segment):
+            return [
+                steps.SendToPeer(balancer, tunnel.UnknownFlow(segment.data)),
+                steps.LogEvent(
+                    "flow_elsewhere", segment.key, {"ack": segment.ack}
+                ),
+            ]
         return self._deliver(now, balancer, flow, segment)
 
     @registry.register(_handlers_by_type, tunnel.LocateRequest)
@@ -499,9 +535,29 @@
         Two servers may have answered copies of the same first segment, and
         the caller continues with only one of them.
         """
+        initial = flow.server_initial_sequence
+        if initial is None:
+            return False
+        if not flow.is_known_from_start:
+            return segments.is_acknowledged(ack, initial)
+        sent = (flow.server_next_sequence - initial) & _SEQUENCE_MASK
+        return (ack - initial) & _SEQUENCE_MASK <= (
+            sent + _NUMBERS_BESIDES_PAYLOAD
+        )
+
+    def _belongs_to_other_server(self, flow, segment):
+        """Whether a caller's segment continues a flow of another server.
+
+        The caller acknowledges only what it received, and everything that the
+        server sent went through this agent. A segment that acknowledges
+        anything else must not reach the server: another server has opened
+        the flow, for example while this agent was paused.
+        """
         return (
-            flow.server_initial_sequence is not None
-            and segments.is_acknowledged(ack, flow.server_initial_sequence)
+            flow.is_known_from_start
+            and not segment.is_syn
+            and not segment.is_reset
+            and not self._is_held(flow, segment.ack)
         )
 
     @registry.register(_handlers_by_type, tunnel.Hello)
@@ -621,6 +677,8 @@
 
     def _accept_or_decline(self, now, balancer, forward, segment):
         reason = self.decline_reason(forward.service)
+        if not reason and self._is_catching_up:
+            reason = "paused"
         if not reason and forward.wait_ms:
             reason = (
                 "busy" if self._exceeds_wait(forward.wait_ms / 1000) else ""
@@ -632,6 +690,7 @@
             now,
             first_segment=segment.data,
             answer_due_at=now + defaults.SERVER_ANSWER_TIMEOUT_S,
+            is_known_from_start=self.knows_all_flows,
         )
         self.flows_by_key[segment.key] = flow
         return self._deliver(now, balancer, flow, segment) + [
@@ -688,6 +747,18 @@
         result = []
         flow.last_segment_at = now
         flow.first_segment = b""
+        end = segment.sequence + segment.length & _SEQUENCE_MASK
+        if segment.is_syn and flow.server_initial_sequence not in (
+            None,
+            segment.sequence,
+        ):
+            # A server that was started again took a copy of the first segment.
+            flow.server_initial_sequence = segment.sequence
+            flow.server_next_sequence = end
+        if flow.server_next_sequence is None or _is_after(
+            end, flow.server_next_sequence
+        ):
+            flow.server_next_sequence = end
         if flow.server_initial_sequence is None:
             flow.server_initial_sequence = segment.sequence
             if not segment.is_syn:
@@ -746,11 +817,9 @@
         """Run the timers that are due."""
         if self._started_at is None:
             self._started_at = now
-        if now - self._last_tick_at > defaults.AGENT_PAUSE_THRESHOLD_S:
-            # This agent was paused, and the server's silence counts only
-            # while the agent itself runs.
-            self._last_heard_at = self._last_served_at = now
-        self._last_tick_at = now
+            # The server's silence counts from the start of this agent.
+            self._last_heard_at = max(self._last_heard_at, now)
+            self._last_served_at = max(self._last_served_at, now)
         result = self._decline_unanswered(now) + self._probe_if_silent(now)
         if now - self._last_sweep_at >= defaults.SWEEP_INTERVAL_S:
             self._last_sweep_at = now
--- a/src/limpetlift/state/polling.py
+++ b/src/limpetlift/state/polling.py
@@ -186,6 +186,11 @@
                 result.append(self._polls_by_key.pop(key))
         return result
 
+    def on_pause(self, now):
+        """Wait for the answers again that a pause of this process delayed."""
+        for poll in self._polls_by_key.values():
+            poll.decide_at = now + defaults.POLL_TIMEOUT_S
+
     def pop_due(self, now):
         """Remove and return the polls that have waited long enough."""
         due = [
--- a/src/limpetlift/state/searching.py
+++ b/src/limpetlift/state/searching.py
@@ -252,6 +252,13 @@
 
     # Timers.
 
+    def on_pause(self, now):
+        """Wait for the answers again that a pause of this process delayed."""
+        for search in self._searches_by_key.values():
+            search.expires_at = max(
+                search.expires_at, now + defaults.SEARCH_TIMEOUT_S
+            )
+
     def tick(self, now, format_agents):
         """Run the timers.
 
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -31,11 +31,18 @@
 # After declining a flow for one of these reasons, an agent may accept flows
 # again within moments.
 _TEMPORARY_REASONS = frozenset(
-    ("server_unknown", "server_refused", "server_silent", "stopping", "busy")
+    (
+        "server_unknown",
+        "server_refused",
+        "server_silent",
+        "stopping",
+        "busy",
+        "paused",
+    )
 )
 
 # Reasons that apply to the declined flow only, not to the next one.
-_PER_FLOW_REASONS = frozenset(("server_refused", "busy"))
+_PER_FLOW_REASONS = frozenset(("server_refused", "busy", "paused"))
 
 
 @attrs.define
@@ -86,9 +93,12 @@
             self.entry.address, tunnel.Hello(self.is_listed)
         )
 
-    def on_load(self, now, load):
+    def on_load(self, now, load, is_outdated):
         """Store a load report.
 
+        :param is_outdated: whether the report waited through a pause of this
+            balancer. It then does not show that the agent is alive.
+
         Incarnations are checked for equality but not for their order, because
         the clock of an instance may be set back before its agent restarts.
 
@@ -104,6 +114,8 @@
         if known is None or load.incarnation != known.incarnation:
             self.has_left = False
         self.load = load
+        if is_outdated:
+            return True
         self.load_received_at = now
         self.asked_at = None
         # The report may not include flows that were placed while it was on
@@ -196,6 +208,11 @@
     _hello_sent_at: float = float("-inf")
     # Time of the last answer of any agent.
     _agents_heard_at: float = float("-inf")
+    # End of the last pause of this balancer, its length, and whether messages
+    # that waited through it are being handled.
+    _resumed_at: float = float("-inf")
+    _pause_s: float = 0.0
+    _is_catching_up: bool = False
     _swept_at: float = float("-inf")
     _choose: object = attrs.field(init=False)
     _admit: object = attrs.field(init=False)
@@ -210,6 +227,59 @@
             "admission policy",
         )
 
+    # Pauses.
+
+    def on_pause(self, now, pause_s):
+        """Handle the end of a pause of this balancer.
+
+        :param pause_s: how long the process did not run, in seconds.
+        """
+        self._resumed_at = now
+        self._pause_s = pause_s
+        self._is_catching_up = True
+        # Hellos are sent at once, and only silence from now on counts.
+        self._hello_sent_at = float("-inf")
+        for agent in self._agents_by_address.values():
+            agent.asked_at = None
+            if agent.monitored_since is not None:
+                agent.monitored_since = now
+        self._polls.on_pause(now)
+        self.searches.on_pause(now)
+        return []
+
+    def on_caught_up(self):
+        """Handle that all messages of the last pause have been read."""
+        self._is_catching_up = False
+
+    def _are_routes_outdated(self, now):
+        """Whether the routes may have changed during the last pause.
+
+        After this time the store has been asked for changes again.
+        """
+        return now - self._resumed_at < (
+            defaults.FOLLOW_LONG_POLL_S + defaults.FOLLOW_PAUSE_S
+        )
+
+    def _has_caller_given_up(self, now, flow):
+        """Whether the caller of a flow that is not open has given up.
+
+        :param flow: the flow. Messages that waited through a pause of this
+            balancer count as old as the pause.
+        """
+        age_s = now - flow.active_at
+        if self._is_catching_up:
+            age_s += self._pause_s
+        return age_s > defaults.OPENING_TIMEOUT_S
+
+    def _drop_outdated(self, key):
+        """Drop a flow whose caller has given up.
+
+        A first segment would only open a connection that nobody uses.
+        """
+        self.flows_by_key.pop(key, None)
+        fields = {"pause_s": round(self._pause_s, 3)}
+        return [steps.LogEvent("flow_outdated", key, fields)]
+
     # Routes and directory.
 
     def on_routes(self, now, routes):
@@ -331,10 +401,14 @@
         return silent
 
     def is_reporting(self, now, address):
-        """Whether the agent at ``address`` has answered recently."""
+        """Whether the agent at ``address`` has answered recently.
+
+        Silence counts only while this balancer runs.
+        """
         agent = self._agents_by_address.get(address)
         return agent is not None and (
-            now - agent.load_received_at < defaults.AGENT_HEARD_MAX_AGE_S
+            now - max(agent.load_received_at, self._resumed_at)
+            < defaults.AGENT_HEARD_MAX_AGE_S
         )
 
     # Segments of callers.
@@ -417,6 +491,19 @@
                 steps.LogEvent("routes_unknown", key, {"copy": segment.ack})
             ]
         route = self.routes.routes_by_address.get(segments.service_of(key))
+        if self._has_caller_given_up(now, flow):
+            return self._drop_outdated(key)
+        if route is None and self._are_routes_outdated(now):
+            return [
+                steps.LogEvent(
+                    "routes_outdated",
+                    key,
+                    {
+                        "resumed_s": round(now - self._resumed_at, 3),
+                        "routes": self.routes.version,
+                    },
+                )
+            ]
         if route is None:
             return self._refuse(segment, "no_route")
         if flow.busy_count >= defaults.MAX_BUSY_TRIES:
@@ -453,6 +540,8 @@
         """
         if poll.kept_agent is not None:
             return self._on_copy_polled(now, poll)
+        if self._has_caller_given_up(now, poll.flow):
+            return self._drop_outdated(poll.segment.key)
         result = []
         while True:
             if not poll.is_complete(now):
@@ -687,9 +776,10 @@
         if agent is None or load.service != agent.entry.service_id:
             return []
         known = agent.load
-        if not agent.on_load(now, load):
+        if not agent.on_load(now, load, self._is_catching_up):
             return []
-        self._agents_heard_at = now
+        if not self._is_catching_up:
+            self._agents_heard_at = now
         result = []
         if (
             known is None
@@ -702,6 +792,8 @@
                 "incarnation": load.incarnation,
             }
             result.append(steps.LogEvent("agent_state", fields=fields))
+        if self._is_catching_up:
+            return result
         for poll in self._polls.on_load(now, address):
             result += self._advance(now, poll)
         return result
@@ -775,9 +867,13 @@
             if declined.reason not in _PER_FLOW_REASONS:
                 agent.load = attrs.evolve(agent.load, accepting=False)
         flow = self.flows_by_key.get(segment.key)
+        if flow is None and declined.reason == "paused":
+            # It is not known how old the segment is, nor what became of its
+            # flow since.
+            return self._drop_outdated(segment.key)
         if flow is None:
             flow = _Flow(address, now)
-        elif flow.address != address:
+        elif flow.address != address or flow.is_open:
             return []
         log_event = steps.LogEvent(
             "flow_declined",
--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -1,7 +1,6 @@
 """Task that keeps the entry of this process in the store."""
 
-import time
-
+from limpetlift import clock
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
@@ -52,7 +51,7 @@
         Further calls are ignored until other processes have had time to read
         the new entry.
         """
-        now = time.monotonic()
+        now = clock.now()
         if not self._is_written or now < self._ignore_missing_until:
             return
         self._ignore_missing_until = now + defaults.LAPSED_ENTRY_GRACE_S
@@ -89,7 +88,7 @@
 
     async def _update(self):
         if self._lease_s:
-            await self._keep_lease(time.monotonic())
+            await self._keep_lease(clock.now())
         if not self._is_written:
             await self._write()
 
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -2,6 +2,7 @@
 
 import time
 
+from limpetlift import clock
 from limpetlift.coordination import directory as directories
 from limpetlift import defaults
 from limpetlift import exceptions
@@ -58,7 +59,7 @@
             self.rng,
         )
         self._is_announcing = False
-        self.call_every(defaults.HOSTING_TICK_S, self._tick)
+        self.call_every(defaults.HOSTING_TICK_S, self.tick)
 
     # Messages, segments and reports.
 
@@ -84,11 +85,11 @@
         age_s = float("inf")
         if report.started_ms:
             age_s = time.time() - report.started_ms / 1000
-        self.perform(self.decisions.on_report(time.monotonic(), report, age_s))
+        self.perform(self.decisions.on_report(self.observe(), report, age_s))
 
     def on_leave(self, server_id):
         """Handle the backend server's notice that it shuts down now."""
-        self.perform(self.decisions.on_leave(time.monotonic(), server_id))
+        self.perform(self.decisions.on_leave(clock.now(), server_id))
 
     def perform(self, next_steps):
         """Carry out the steps of a decision."""
@@ -132,7 +133,7 @@
             steps.LogEvent("server_probed", fields={"outcome": outcome})
         )
         if outcome == probing.REFUSED:
-            self.perform(self.decisions.on_server_absent(time.monotonic()))
+            self.perform(self.decisions.on_server_absent(clock.now()))
 
     def _send_caller(self, key, data):
         ip, _ = segments.caller_of(key)
@@ -146,9 +147,6 @@
             step.key, self.deployment.encode_reset(step.key, step.ack)
         )
 
-    def _tick(self):
-        self.perform(self.decisions.tick(time.monotonic()))
-
     def is_ready(self):
         """Whether this agent serves balancers; False once it stops."""
         return not self.is_stopping
@@ -165,19 +163,19 @@
 
         The entry is removed only when the server has ended too.
         """
-        now = time.monotonic()
+        now = clock.now()
         latest = now + defaults.STOP_MAX_S
         self.perform(self.decisions.stop(now))
         # Flows that balancers place by an earlier answer are still declined.
         await self.reactor.sleep(defaults.STOP_NOTICE_S)
-        while time.monotonic() < latest and self._has_work():
+        while clock.now() < latest and self._has_work():
             await self.reactor.sleep(defaults.HOSTING_TICK_S)
-        if self.decisions.has_server_ended(time.monotonic()):
+        if self.decisions.has_server_ended(clock.now()):
             self.perform(self.decisions.leave())
             await self._announcer.withdraw()
         # Otherwise the entry stays: the agent is started again for the same
         # server.
 
     def _has_work(self):
-        has_ended = self.decisions.has_server_ended(time.monotonic())
+        has_ended = self.decisions.has_server_ended(clock.now())
         return has_ended is None or not (has_ended or self.decisions.is_idle)
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -1,7 +1,6 @@
 """The balancer process: forwards segments of callers to agents."""
 
-import time
-
+from limpetlift import clock
 from limpetlift.coordination import directory as directories
 from limpetlift.coordination import entries
 from limpetlift import defaults
@@ -34,7 +33,7 @@
         self._is_reading = False
         self._is_read_requested = False
         self._is_flush_scheduled = False
-        self._last_segment_at = time.monotonic()
+        self._last_segment_at = clock.now()
         self.decisions = steering.FlowSteering(
             address, settings.data_centre, self.decode_caller, self.rng
         )
@@ -69,7 +68,7 @@
             self._on_entry_changes,
             self._directory.on_unreachable,
         )
-        self.call_every(defaults.STEERING_TICK_S, self._tick)
+        self.call_every(defaults.STEERING_TICK_S, self.tick)
         self.call_every(defaults.HELLO_INTERVAL_S, self._check_directory)
         self.call_every(
             defaults.SILENT_AGENT_CHECK_INTERVAL_S, self._start_removing_silent
@@ -108,7 +107,7 @@
             return
         self._is_flush_scheduled = True
         self.reactor.call_at(
-            time.monotonic() + defaults.SEARCH_BATCH_DELAY_S,
+            clock.now() + defaults.SEARCH_BATCH_DELAY_S,
             self._flush_queries,
         )
 
@@ -164,17 +163,17 @@
                 "routes_unreadable", revision=entry.mod_revision, error=error
             )
             return
-        self.perform(self.decisions.on_routes(time.monotonic(), routes))
+        self.perform(self.decisions.on_routes(clock.now(), routes))
 
     def _on_entries(self, snapshot):
         self._directory.on_snapshot(
-            time.monotonic(), [_strip_prefix(entry) for entry in snapshot]
+            clock.now(), [_strip_prefix(entry) for entry in snapshot]
         )
         self._on_directory()
 
     def _on_entry_changes(self, changes):
         self._directory.on_changes(
-            time.monotonic(),
+            clock.now(),
             [
                 entries.Change(
                     change.key.removeprefix(segmentprocess.KEY_PREFIX),
@@ -196,7 +195,7 @@
             LOG.warning("entry_unreadable", key=key, error=error)
         self.perform(
             self.decisions.on_entries(
-                time.monotonic(),
+                clock.now(),
                 self._directory.agents(),
                 self._directory.balancers(),
                 self._directory.unlisted(),
@@ -217,15 +216,13 @@
         try:
             while self._is_read_requested:
                 self._is_read_requested = False
-                started_at = time.monotonic()
+                started_at = clock.now()
                 snapshot, _ = await self.store.get_prefix(
                     segmentprocess.KEY_PREFIX
                 )
                 self._on_entries(snapshot)
                 self.perform(
-                    self.decisions.on_directory_read(
-                        time.monotonic(), started_at
-                    )
+                    self.decisions.on_directory_read(clock.now(), started_at)
                 )
                 # The next read serves all searches that request one during
                 # this pause.
@@ -238,7 +235,7 @@
 
     async def _remove_silent(self):
         """Remove the entries of agents that have been silent for too long."""
-        for entry in self.decisions.silent_agents(time.monotonic()):
+        for entry in self.decisions.silent_agents(self.observe()):
             key = directories.AGENTS_PREFIX + entry.process_id
             revision = self._directory.revision(key)
             if not revision:
@@ -252,7 +249,7 @@
                 LOG.warning("remove_failed", key=key, error=error)
 
     def _check_directory(self):
-        now = time.monotonic()
+        now = self.observe()
         if self._directory.expire(
             now, lambda entry: self.decisions.is_reporting(now, entry.address)
         ):
@@ -265,16 +262,13 @@
     def _start_removing_silent(self):
         self.reactor.spawn(self._remove_silent())
 
-    def _tick(self):
-        self.perform(self.decisions.tick(time.monotonic()))
-
     def is_ready(self):
         """Whether this balancer can serve callers."""
         return (
             not self.is_stopping
             and self.decisions.routes.version > 0
             and self._has_directory
-            and self.decisions.is_connected(time.monotonic())
+            and self.decisions.is_connected(clock.now())
         )
 
     def gauges(self):
@@ -292,12 +286,12 @@
         The network fabric goes on sending segments until its probes of this
         process have failed.
         """
-        now = time.monotonic()
+        now = clock.now()
         earliest = now + defaults.STOP_MIN_S
         latest = now + defaults.STOP_MAX_S
         while now < latest:
             await self.reactor.sleep(defaults.STEERING_TICK_S)
-            now = time.monotonic()
+            now = clock.now()
             if now > max(
                 earliest, self._last_segment_at + defaults.STOP_QUIET_S
             ):
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -9,11 +9,13 @@
 import attrs
 
 from limpetlift import boundedlog
+from limpetlift import clock
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
+from limpetlift.state import pauses
 from limpetlift.state import segmentsettings
 from limpetlift import tallies
 from limpetlift.transport import datagram
@@ -57,7 +59,8 @@
 
     A subclass sets ``decisions``, an object that decides what to do with
     segments and messages. Its ``on_message`` returns the steps for a message
-    of another process.
+    of another process; ``on_pause`` those after a pause of this process, and
+    ``on_caught_up`` is called when all datagrams of the pause were read.
 
     :param settings_path: path of the settings file.
     :param deployment: the :class:`Deployment`.
@@ -78,6 +81,7 @@
         self.counts_by_event = collections.Counter()
         self._durations_by_name = collections.defaultdict(tallies.Durations)
         self.is_stopping = False
+        self._pauses = pauses.PauseDetector(clock.now())
         self._log_handler = boundedlog.configure(self.settings.id)
 
     def run(self):
@@ -140,10 +144,41 @@
 
     def open_socket(self, address, on_datagram):
         """Return a UDP socket that is closed when the process stops."""
-        socket = datagram.DatagramSocket(self.reactor, address, on_datagram)
+        socket = datagram.DatagramSocket(
+            self.reactor, address, on_datagram, self._on_socket_empty
+        )
         self.stack.callback(socket.close)
+        self._pauses.sources.append(socket)
         return socket
 
+    def observe(self):
+        """Detect a pause that has just ended; return the current time.
+
+        It is called before each event is handled. A freeze between this call
+        and the end of the handler is not detected before the next event.
+        """
+        now = clock.now()
+        pause_s = self._pauses.on_event(now)
+        if pause_s:
+            self.count("paused")
+            LOG.warning("paused", seconds=round(pause_s, 3))
+            self.perform(self.decisions.on_pause(now, pause_s))
+        return now
+
+    def _on_socket_empty(self, socket):
+        if self._pauses.on_read(socket):
+            self.decisions.on_caught_up()
+
+    def tick(self):
+        """Run the timers of the decisions.
+
+        After a pause, sockets without datagrams count as read too.
+        """
+        now = self.observe()
+        for socket in self._pauses.unread:
+            socket.read()
+        self.perform(self.decisions.tick(now))
+
     def send(self, socket, data, address):
         """Send a datagram; count and log it if the kernel refuses it.
 
@@ -187,7 +222,7 @@
             steps, or raises :class:`~limpetlift.exceptions.ProtocolError`.
         """
         try:
-            next_steps = decision(time.monotonic())
+            next_steps = decision(self.observe())
         except exceptions.ProtocolError as error:
             self.count("segment_malformed")
             LOG.warning("segment_malformed", error=error)
--- a/src/limpetlift/transport/datagram.py
+++ b/src/limpetlift/transport/datagram.py
@@ -38,23 +38,25 @@
     :param on_datagram: called with ``(data, (ip, port))`` for each datagram.
     :param on_error: called without arguments after an ICMP error, which ends
         the batch; without it such errors are ignored.
+    :returns: whether the socket was read until it was empty.
     """
     recvfrom = udp_socket.recvfrom
     for _ in range(defaults.UDP_BATCH_DATAGRAMS):
         try:
             data, address = recvfrom(65535)
         except BlockingIOError:
-            return
+            return True
         except OSError:
             # An ICMP error caused by a datagram sent before. It is reported
             # once, so the next read works again.
             if on_error is not None:
                 on_error()
-                return
+                return False
             continue
         on_datagram(data, address)
         if udp_socket.fileno() < 0:
-            return
+            return False
+    return False
 
 
 class DatagramSocket:
@@ -63,20 +65,27 @@
     :param reactor: the event loop.
     :param address: ``(ip, port)``; port 0 picks a free one.
     :param on_datagram: called with ``(data, (ip, port))`` for each datagram.
+    :param on_empty: called with this socket when it was read until it was
+        empty.
     :raises TransportError: when the address cannot be bound.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, reactor, address, on_datagram):
+    def __init__(
+        self, reactor, address, on_datagram, on_empty=lambda _socket: None
+    ):
         self._reactor = reactor
         self._on_datagram = on_datagram
+        self._on_empty = on_empty
         self._socket = bind(address)
         self.address = self._socket.getsockname()
-        reactor.watch(self._socket, self._on_readable)
+        reactor.watch(self._socket, self.read)
 
-    def _on_readable(self):
-        receive_batch(self._socket, self._on_datagram)
+    def read(self):
+        """Read one batch of the datagrams that have arrived."""
+        if receive_batch(self._socket, self._on_datagram):
+            self._on_empty(self)
 
     def send(self, data, address):
         """Send one datagram.
--- a/src/limpetlift/transport/http1.py
+++ b/src/limpetlift/transport/http1.py
@@ -6,10 +6,10 @@
 
 import errno
 import socket
-import time
 
 import attrs
 
+from limpetlift import clock
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
@@ -152,7 +152,7 @@
         if code not in (0, errno.EINPROGRESS):
             self._fail(NotConnected(errno.errorcode.get(code, str(code))))
             return
-        connect_by = time.monotonic() + defaults.HTTP_CONNECT_TIMEOUT_S
+        connect_by = clock.now() + defaults.HTTP_CONNECT_TIMEOUT_S
         self._connect_timer = reactor.call_at(
             connect_by, self._on_connect_timeout
         )
@@ -246,7 +246,7 @@
             len(body)
         )
     data = head.encode("ascii") + b"\r\n" + (body or b"")
-    deadline = time.monotonic() + timeout_s
+    deadline = clock.now() + timeout_s
     return await _ClientRequest(reactor, address, data, deadline).response
 
 
@@ -354,7 +354,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._reactor.call_at(
-            time.monotonic() + defaults.HTTP_IDLE_TIMEOUT_S, self.close
+            clock.now() + defaults.HTTP_IDLE_TIMEOUT_S, self.close
         )
         self._reactor.watch(self._socket, self._on_readable)
 
--- a/src/limpetlift/transport/probing.py
+++ b/src/limpetlift/transport/probing.py
@@ -2,8 +2,8 @@
 
 import errno
 import socket
-import time
 
+from limpetlift import clock
 from limpetlift import defaults
 
 REFUSED = errno.errorcode[errno.ECONNREFUSED]
@@ -30,7 +30,7 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setblocking(False)
         self._timer = reactor.call_at(
-            time.monotonic() + defaults.SERVER_PROBE_TIMEOUT_S,
+            clock.now() + defaults.SERVER_PROBE_TIMEOUT_S,
             self._on_timeout,
         )
         code = self._socket.connect_ex(address)
--- a/src/limpetlift/transport/reactor.py
+++ b/src/limpetlift/transport/reactor.py
@@ -11,8 +11,8 @@
 import os
 import selectors
 import signal
-import time
 
+from limpetlift import clock
 from limpetlift import logs
 
 LOG = logs.EventLogger("reactor")
@@ -168,10 +168,10 @@
         timers = []
 
         def run():
-            timers[:] = [self.call_at(time.monotonic() + interval_s, run)]
+            timers[:] = [self.call_at(clock.now() + interval_s, run)]
             callback()
 
-        timers.append(self.call_at(time.monotonic() + interval_s, run))
+        timers.append(self.call_at(clock.now() + interval_s, run))
         return lambda: timers[0].cancel()
 
     def on_signal(self, number, callback):
@@ -188,7 +188,7 @@
     async def sleep(self, seconds):
         """Wait for ``seconds``."""
         future = Future()
-        self.call_at(time.monotonic() + seconds, future.set_value)
+        self.call_at(clock.now() + seconds, future.set_value)
         await future
 
     def run(self):
@@ -220,10 +220,10 @@
             heapq.heappop(self._timers)
         if not self._timers:
             return None
-        return max(self._timers[0][0] - time.monotonic(), 0.0)
+        return max(self._timers[0][0] - clock.now(), 0.0)
 
     def _run_timers(self):
-        now = time.monotonic()
+        now = clock.now()
         while self._timers and self._timers[0][0] <= now:
             _, _, timer = heapq.heappop(self._timers)
             if timer.callback is not None:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,7 @@
 """A randomized soak of the real programs on one machine.
 
     python tests/soak.py [--seed N] [--seconds S] [--runs N]
-        [--without PROTECTION] [--keep FOLDER]
+        [--without PROTECTION] [--keep FOLDER] [--freezes]
 
 Balancers and agents run as processes; callers, backend servers, the fabric
 and the store are stand-ins in this process. Faults follow each other and
@@ -30,16 +30,18 @@
 import shutil
 import signal
 import tempfile
-import time
 
 import fire
 import platformstandin
 import soakstandins
 
+from limpetlift import clock
 from limpetlift import registry
 from limpetlift.transport import reactor as reactors
 
 faults_by_name = {}
+# Faults in which several processes stand still; used with ``freezes``.
+freezes_by_name = {}
 
 _BALANCER_COUNT = 2
 _SERVER_COUNT = 4
@@ -61,10 +63,14 @@
     :param folder: for settings and logs of the programs.
     :param disabled_protection: name of a protection in :mod:`unprotected` that
         all programs run without, or an empty string.
+    :param freezes: whether every second fault is a freeze of several programs.
     """
 
-    def __init__(self, seed, seconds, folder, disabled_protection=""):
+    def __init__(
+        self, seed, seconds, folder, disabled_protection="", freezes=False
+    ):
         self.disabled_protection = disabled_protection
+        self.freezes = freezes
         # Faults have a generator of their own: how often traffic draws numbers
         # depends on the speed of the machine and must not change the faults.
         self.traffic_rng = random.Random(seed)
@@ -91,7 +97,7 @@
         ]
         self.agents = [self._create_agent(server) for server in self.servers]
         self.callers = []
-        self._started_at = time.monotonic()
+        self._started_at = clock.now()
         self.write_config()
 
     @staticmethod
@@ -152,7 +158,7 @@
 
     def add_violation(self, text):
         """Add a violation of a promise, with the time since the start."""
-        at = time.monotonic() - self._started_at
+        at = clock.now() - self._started_at
         self.violations.append("%.2f s: %s" % (at, text))
 
     def on_request_executed(self, request):
@@ -220,7 +226,7 @@
             )
             self.reactor.call_every(_PROBE_INTERVAL_S, self._probe_balancers)
             self.reactor.call_every(0.3, self._restart_programs)
-            self.reactor.call_at(time.monotonic() + 2.0, self._open_callers)
+            self.reactor.call_at(clock.now() + 2.0, self._open_callers)
             self.reactor.spawn(self._inject_faults())
             self.reactor.run()
         return self.violations
@@ -278,20 +284,24 @@
 
     async def _inject_faults(self):
         await self.reactor.sleep(4.0)
-        injection_ends_at = time.monotonic() + self.seconds
-        while time.monotonic() < injection_ends_at:
-            name = self.fault_rng.choice(sorted(faults_by_name))
+        injection_ends_at = clock.now() + self.seconds
+        while clock.now() < injection_ends_at:
+            faults = faults_by_name
+            if self.freezes and self.fault_rng.random() < 0.5:
+                faults = freezes_by_name
+            name = self.fault_rng.choice(sorted(faults))
             if self.first_faults:
                 name = self.first_faults.pop(0)
+                faults = {**faults_by_name, **freezes_by_name}
             duration_s = self.fault_rng.uniform(0.3, 3.0)
             self.injected_faults.append((name, round(duration_s, 1)))
-            self.reactor.spawn(faults_by_name[name](self, duration_s))
+            self.reactor.spawn(faults[name](self, duration_s))
             await self.reactor.sleep(self.fault_rng.uniform(0.3, 2.0))
         await self.reactor.sleep(_RECOVERY_S)
         self.route_ports.remove(soakstandins.REMOVED_ROUTE_ADDRESS[1])
         self.write_config()
         await self.reactor.sleep(_CONFIG_DELAY_S)
-        check_started_at = time.monotonic()
+        check_started_at = clock.now()
         for caller in self.callers:
             caller.open_removed_route()
         await self.reactor.sleep(2.0)
@@ -338,6 +348,65 @@
     program.send_signal(signal.SIGCONT)
 
 
+async def _freeze(soak_run, programs, duration_s):
+    """Let programs stand still at the same time."""
+    for program in programs:
+        program.send_signal(signal.SIGSTOP)
+    await soak_run.reactor.sleep(duration_s)
+    for program in programs:
+        program.send_signal(signal.SIGCONT)
+
+
+@registry.register(freezes_by_name, "freeze_agents")
+async def _freeze_agents(soak_run, duration_s):
+    await _freeze(
+        soak_run, soak_run.fault_rng.sample(soak_run.agents, 2), duration_s
+    )
+
+
+@registry.register(freezes_by_name, "freeze_balancer_and_agent")
+async def _freeze_balancer_and_agent(soak_run, duration_s):
+    programs = [
+        soak_run.fault_rng.choice(soak_run.balancers),
+        soak_run.fault_rng.choice(soak_run.agents),
+    ]
+    await _freeze(soak_run, programs, duration_s)
+
+
+@registry.register(freezes_by_name, "freeze_twice")
+async def _freeze_twice(soak_run, duration_s):
+    """Freeze a program again before it has caught up."""
+    programs = [
+        soak_run.fault_rng.choice(soak_run.balancers + soak_run.agents)
+    ]
+    await _freeze(soak_run, programs, duration_s)
+    await soak_run.reactor.sleep(0.01)
+    await _freeze(soak_run, programs, duration_s)
+
+
+@registry.register(freezes_by_name, "freeze_while_draining")
+async def _freeze_while_draining(soak_run, duration_s):
+    number = soak_run.fault_rng.randrange(len(soak_run.servers))
+    soak_run.reactor.spawn(
+        _freeze(soak_run, [soak_run.agents[number]], duration_s)
+    )
+    await soak_run.reactor.sleep(0.1)
+    await _drain_and_restart(soak_run, soak_run.servers[number], duration_s)
+
+
+@registry.register(freezes_by_name, "freeze_while_configured")
+async def _freeze_while_configured(soak_run, duration_s):
+    soak_run.reactor.spawn(
+        _freeze(
+            soak_run,
+            [soak_run.fault_rng.choice(soak_run.balancers)],
+            duration_s,
+        )
+    )
+    await soak_run.reactor.sleep(0.1)
+    soak_run.write_config()
+
+
 @registry.register(faults_by_name, "server_crash")
 async def _crash_server(soak_run, duration_s):
     server = soak_run.fault_rng.choice(soak_run.servers)
@@ -349,6 +418,10 @@
 @registry.register(faults_by_name, "server_drain")
 async def _drain_server(soak_run, duration_s):
     server = soak_run.fault_rng.choice(soak_run.servers)
+    await _drain_and_restart(soak_run, server, duration_s)
+
+
+async def _drain_and_restart(soak_run, server, duration_s):
     server.drain()
     await soak_run.reactor.sleep(soakstandins.DRAIN_GRACE_S + duration_s)
     if server.state == "draining":
@@ -407,16 +480,16 @@
     soak_run.loss_probability = 0.0
 
 
-def run_once(seed, seconds, folder, disabled_protection=""):
+def run_once(seed, seconds, folder, disabled_protection="", freezes=False):
     """Run the soak once; return its :class:`SoakRun`."""
     soak_run = SoakRun(
-        seed, seconds, pathlib.Path(folder), disabled_protection
+        seed, seconds, pathlib.Path(folder), disabled_protection, freezes
     )
     soak_run.run()
     return soak_run
 
 
-def main(seed=None, seconds=20.0, runs=1, keep="", without=""):
+def main(seed=None, seconds=20.0, runs=1, keep="", without="", freezes=False):
     """Run the soak, print violations and exit with 1 if there are any.
 
     :param seed: of the first run; random when left out.
@@ -424,12 +497,13 @@
     :param runs: number of runs, with consecutive seeds.
     :param without: name of a protection to switch off.
     :param keep: folder for settings and logs of runs with violations.
+    :param freezes: whether every second fault is a freeze of several programs.
     """
     first_seed = random.randrange(1 << 30) if seed is None else seed
     failed_runs = 0
     for run_seed in range(first_seed, first_seed + runs):
         with tempfile.TemporaryDirectory() as folder:
-            soak_run = run_once(run_seed, seconds, folder, without)
+            soak_run = run_once(run_seed, seconds, folder, without, freezes)
             requests_answered = sum(
                 caller.requests_answered for caller in soak_run.callers
             )
--- a/tests/soakstandins.py
+++ b/tests/soakstandins.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from limpetlift import clock
 from limpetlift.platform import packet
 from limpetlift.protocol import segment as segments
 from limpetlift.transport import datagram
@@ -240,7 +241,7 @@
             self._is_reporting = False
         if answer.status == 200 and state == "draining":
             if self.drain_acknowledged_at is None and server_id == self.id:
-                self.drain_acknowledged_at = time.monotonic()
+                self.drain_acknowledged_at = clock.now()
 
     def _on_packet(self, data, _address):
         segment = packet.decode(data, True)
@@ -307,7 +308,7 @@
 
     def _check_not_drained(self, key):
         if self.drain_acknowledged_at is not None:
-            elapsed_s = time.monotonic() - self.drain_acknowledged_at
+            elapsed_s = clock.now() - self.drain_acknowledged_at
             if elapsed_s > DRAIN_GRACE_S:
                 self.soak_run.add_violation(
                     "new flow %s at server %s, %.1f s after its drain was "
@@ -355,7 +356,7 @@
         self._server_sequence = None
         self._pending_request = None
         self._opened_at = self._last_sent_at = self._request_started_at = (
-            time.monotonic()
+            clock.now()
         )
         self._syn_copies = 0
         self._is_finished = False
@@ -398,7 +399,7 @@
                 # Another copy of the answer to an earlier request.
                 return
             self.requests_answered += 1
-            self.last_answered_at = time.monotonic()
+            self.last_answered_at = clock.now()
             self._pending_request = None
             if self.opens_flow_per_request:
                 self._send(_ACK | _FIN, self._server_sequence + 1)
@@ -435,7 +436,7 @@
 
     def tick(self):
         """Do what is due: open a flow, send a request, or send it again."""
-        now = time.monotonic()
+        now = clock.now()
         if self._is_finished:
             self._open_flow()
             return
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1,5 +1,6 @@
 """Hosting: an agent's decisions about the flows of its backend server."""
 
+import pytest
 import segmentkit as kit
 
 from limpetlift import defaults
@@ -337,11 +338,120 @@
     """
     agent = _agent()
     agent.tick(0.0)
+    agent.on_pause(5.0, 5.0)
     agent.tick(5.0)
     agent.stop(5.0)
     assert agent.has_server_ended(5.6) is None
 
 
+def test_a_first_segment_from_a_pause_is_handed_back():
+    """A first segment that waited in a paused agent must not open its flow.
+
+    Its caller has sent copies, and another server may have run the request
+    (soak, seed 201: a request ran at two servers).
+    """
+    agent = _agent()
+    agent.on_pause(5.0, 3.0)
+    result = _forward(agent, 5.0, 1, kit.SYN)
+    assert [
+        message.reason for _, message in kit.messages(result, tunnel.Declined)
+    ] == ["paused"]
+    assert steps.SendToServer not in kit.step_types(result)
+    agent.on_caught_up()
+    result = _forward(agent, 5.1, 2, kit.SYN)
+    assert steps.SendToServer in kit.step_types(result)
+
+
+@pytest.mark.parametrize("pauses", [1, 2])
+def test_a_request_for_another_server_does_not_run_here(pauses):
+    """A request must not reach a server that the caller has not heard.
+
+    An agent was paused with the first segment and the request in its socket,
+    also twice in a row. The copy of the first segment opened the flow at
+    another server, which ran the request. The paused agent's server got both,
+    too, and accepts an acknowledgement near its own number by chance.
+    """
+    agent = _agent()
+    _forward(agent, 0.0, 1, kit.SYN)
+    for number in range(pauses):
+        agent.on_pause(3.0 + number, 2.5)
+    result = _forward(agent, 4.0, 1, kit.ACK, ack=501, payload=b"book")
+    assert steps.SendToServer not in kit.step_types(result)
+    assert kit.messages(result, tunnel.UnknownFlow)
+    # The same holds once this server has answered the first segment.
+    agent.on_server_segment(
+        4.1, kit.server_segment(1, kit.SYN | kit.ACK, sequence=499_000)
+    )
+    result = _forward(agent, 4.2, 1, kit.ACK, ack=501, payload=b"book")
+    assert steps.SendToServer not in kit.step_types(result)
+    ack = 499_001
+    result = _forward(agent, 4.3, 1, kit.ACK, ack=ack, payload=b"book")
+    assert steps.SendToServer in kit.step_types(result)
+
+
+def test_everything_that_the_server_sent_may_be_acknowledged():
+    """Segments of an open flow must reach their server, in any order.
+
+    Acknowledgements of earlier bytes come late, and numbers wrap.
+    """
+    agent = _agent()
+    first = (1 << 32) - 3
+    _open_flow(agent, 0.0, 1, sequence=first)
+    for offset in (1, 7, 3):
+        agent.on_server_segment(
+            0.1,
+            kit.server_segment(
+                1,
+                kit.ACK,
+                sequence=first + offset & 0xFFFFFFFF,
+                payload=b"answer",
+            ),
+        )
+    for offset in (13, 1, 7):
+        result = _forward(
+            agent, 0.2, 1, kit.ACK, ack=first + offset & 0xFFFFFFFF
+        )
+        assert steps.SendToServer in kit.step_types(result)
+
+
+def test_a_flow_taken_by_a_restarted_server_continues():
+    """A copy of a first segment may open the flow at a server's next start.
+
+    Its number differs from the one that the server gave before.
+    """
+    agent = _agent()
+    _open_flow(agent, 0.0, 1, sequence=500)
+    _forward(agent, 0.2, 1, kit.SYN, ack=1)
+    agent.on_server_segment(
+        0.2, kit.server_segment(1, kit.SYN | kit.ACK, sequence=90_000)
+    )
+    result = _forward(agent, 0.3, 1, kit.ACK, ack=90_001, payload=b"book")
+    assert steps.SendToServer in kit.step_types(result)
+
+
+def test_a_flow_known_late_is_not_judged_by_its_numbers():
+    """An agent that restarted has not seen all that its server sent.
+
+    Acknowledgements of segments before its start must reach the server.
+    """
+    agent = _agent(knows_all_flows=False, report=False)
+    agent.on_report(0.0, _report(number=5))
+    _open_flow(agent, 0.0, 1, sequence=500)
+    result = _forward(agent, 0.1, 1, kit.ACK, ack=60_000)
+    assert steps.SendToServer in kit.step_types(result)
+
+
+def test_a_pause_gives_the_server_time_to_answer():
+    """An answer that waits in the paused agent's socket must count.
+
+    The first segment was handed back, and two servers held the flow.
+    """
+    agent = _agent()
+    _forward(agent, 0.0, 1, kit.SYN)
+    agent.on_pause(2.0, 2.0)
+    assert not kit.messages(agent.tick(2.0), tunnel.Declined)
+
+
 def test_an_agent_stays_listed_beside_a_running_server():
     """An agent that restarts beside a running server must not leave.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,7 +4,6 @@
 import pathlib
 import random
 import re
-import time
 
 import hypothesis
 from hypothesis import strategies
@@ -12,6 +11,7 @@
 import pytest
 import segmentkit as kit
 
+from limpetlift import clock
 from limpetlift import exceptions
 from limpetlift.platform import deployment
 from limpetlift.platform import documents
@@ -236,7 +236,7 @@
 def _run_for(reactor, timeout_s, is_done):
     """Run the reactor until ``is_done`` returns true or the time is over."""
     cancel = reactor.call_every(0.01, lambda: is_done() and reactor.stop())
-    limit = reactor.call_at(time.monotonic() + timeout_s, reactor.stop)
+    limit = reactor.call_at(clock.now() + timeout_s, reactor.stop)
     if not is_done():
         reactor.run()
     limit.cancel()
--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -2,12 +2,12 @@
 
 import signal
 import socket
-import time
 
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from limpetlift import clock
 from limpetlift.transport import datagram
 from limpetlift.transport import http1
 from limpetlift.transport import probing
@@ -23,7 +23,7 @@
 
 def _run_until(reactor, is_done, timeout_s=5.0):
     cancel = reactor.call_every(0.005, lambda: is_done() and reactor.stop())
-    limit = reactor.call_at(time.monotonic() + timeout_s, reactor.stop)
+    limit = reactor.call_at(clock.now() + timeout_s, reactor.stop)
     reactor.run()
     cancel()
     limit.cancel()
@@ -51,7 +51,7 @@
 def test_timers_run_in_order_unless_cancelled(reactor):
     """Guards against a timeout that fires although it was cancelled."""
     seen = []
-    now = time.monotonic()
+    now = clock.now()
     reactor.call_at(now + 0.02, lambda: seen.append("late"))
     reactor.call_at(now + 0.01, lambda: seen.append("early"))
     reactor.call_at(now + 0.01, lambda: seen.append("no")).cancel()
@@ -65,7 +65,7 @@
     The loop must log it and go on with the other callbacks.
     """
     seen = []
-    now = time.monotonic()
+    now = clock.now()
     reactor.call_at(now, lambda: 1 / 0)
     reactor.call_at(now + 0.01, lambda: seen.append(1))
     _run_until(reactor, lambda: seen)
@@ -91,7 +91,7 @@
     try:
         reactor.on_signal(signal.SIGHUP, lambda: seen.append(1))
         reactor.call_at(
-            time.monotonic(), lambda: signal.raise_signal(signal.SIGHUP)
+            clock.now(), lambda: signal.raise_signal(signal.SIGHUP)
         )
         _run_until(reactor, lambda: seen)
     finally:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,17 @@
     assert not soak_run.violations
 
 
+def test_no_promise_breaks_when_programs_freeze(tmp_path):
+    """A request must run at one server at most when programs stand still.
+
+    Half of the faults are freezes of several programs at once, twice in a
+    row, during a drain, and during a change of the configuration.
+    """
+    soak_run = soak.run_once(7, 12.0, tmp_path, freezes=True)
+    assert soak_run.injected_faults
+    assert not soak_run.violations
+
+
 @pytest.mark.parametrize("protection", ["drain", "proof", "routes", "search"])
 def test_soak_detects_disabled_protection(protection, tmp_path):
     """A soak that passes without a protection does not test it.
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 
+import pytest
 import segmentkit as kit
 
 from limpetlift import defaults
@@ -671,6 +672,108 @@
     assert not kit.resets(result)
 
 
+def test_a_first_segment_from_a_long_pause_is_dropped():
+    """A balancer must not place a flow whose caller has given up.
+
+    It would open a connection that nobody uses.
+    """
+    balancer = _balancer()
+    balancer.on_pause(5.0, 3.0)
+    result = balancer.on_segment(5.0, kit.caller_segment(1, kit.SYN))
+    assert not kit.step_types(result)
+    balancer.on_caught_up()
+    result = balancer.on_segment(5.0, kit.caller_segment(2, kit.SYN))
+    assert _asked(result)
+
+
+def test_a_first_segment_from_a_short_pause_is_placed_by_new_answers():
+    """Loads that waited through a pause must not decide where a flow goes."""
+    balancer = _balancer()
+    addresses = [kit.agent(1).address, kit.agent(2).address]
+    balancer.on_pause(5.0, 0.5)
+    result = balancer.on_segment(5.0, kit.caller_segment(1, kit.SYN))
+    assert _asked(result)
+    assert not _forwards(_answer(balancer, 5.0, addresses))
+    balancer.on_caught_up()
+    assert _forwards(_answer(balancer, 5.01, addresses))
+
+
+def test_a_flow_placed_during_a_pause_is_not_placed_again():
+    """The record of a peer must be used before a first segment is placed.
+
+    The balancer was paused with the first segment in its socket; its copy
+    opened the flow through another balancer.
+    """
+    balancer = _balancer()
+    balancer.on_pause(5.0, 1.0)
+    asked = _asked(balancer.on_segment(5.0, kit.caller_segment(1, kit.SYN)))
+    placed = kit.agent(1).address
+    record = tunnel.FlowRecord(kit.key_of(1), placed, True)
+    result = balancer.on_message(
+        5.0, kit.balancer(2).address, tunnel.FlowRecords([record])
+    )
+    assert [to for to, _ in _forwards(result)] == [placed]
+    balancer.on_caught_up()
+    assert not _forwards(_answer(balancer, 5.01, asked))
+
+
+def test_a_flow_is_placed_again_when_its_agent_was_paused():
+    """A first segment that was handed back must be placed elsewhere."""
+    balancer = _balancer()
+    result = balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    ((first, forward),) = _forwards(result)
+    declined = tunnel.Declined("paused", forward.data)
+    result = balancer.on_message(0.5, first, declined)
+    (other,) = {kit.agent(1).address, kit.agent(2).address} - {first}
+    result = _answer(balancer, 0.5, _asked(result))
+    assert [to for to, _ in _forwards(result)] == [other]
+
+
+@pytest.mark.parametrize("is_open", [True, False])
+def test_a_segment_from_a_pause_does_not_move_a_flow(is_open):
+    """A first segment that was handed back late must not be placed again.
+
+    Its flow was opened elsewhere since, or nothing is known of it any more.
+    """
+    balancer = _balancer()
+    result = balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    ((first, forward),) = _forwards(result)
+    if is_open:
+        balancer.on_segment(0.3, kit.caller_segment(1, kit.ACK, ack=5))
+    else:
+        balancer.flows_by_key.clear()
+    result = balancer.on_message(
+        0.5, first, tunnel.Declined("paused", forward.data)
+    )
+    assert not kit.step_types(result)
+
+
+def test_nothing_is_refused_by_routes_from_before_a_pause():
+    """A route that was added during the pause must not be refused."""
+    balancer = _balancer()
+    balancer.routes.routes_by_address.clear()
+    balancer.on_pause(9.0, 5.0)
+    balancer.on_caught_up()
+    segment = kit.caller_segment(1, kit.SYN)
+    assert not kit.resets(balancer.on_segment(9.1, segment))
+    late = 9.1 + defaults.FOLLOW_LONG_POLL_S + defaults.FOLLOW_PAUSE_S
+    assert kit.resets(balancer.on_segment(late, segment))
+
+
+def test_a_pause_does_not_make_agents_silent():
+    """Agents must not be removed because this balancer was paused.
+
+    An agent that is missing in the directory is left out of searches, and
+    the flows of its server would be reset.
+    """
+    balancer = _balancer(agents=4)
+    now = defaults.SILENT_AGENT_REMOVE_AFTER_S + 1.0
+    balancer.on_pause(now, now)
+    assert balancer.is_reporting(now + 0.1, kit.agent(1).address)
+    _answer(balancer, now, [kit.agent(n).address for n in (2, 3, 4)])
+    assert not balancer.silent_agents(now + 0.1)
+
+
 def test_silent_agents_are_returned_unless_most_are_silent():
     """A balancer with broken links must not remove the entries of agents."""
     balancer = _balancer(agents=3)
