Refuse malformed values in every decoder

Cause: some bytes from outside made a decoder raise an exception that nobody handles. The HTTP parser took "²" for a digit and accepted signed chunk sizes; a configuration whose version is a text would have ended the task that follows it; an entry with an invalid address, a report with a negative number of slots and deeply nested JSON raised errors where the result was used. A write to the store that was answered with another 5xx than 503, or with a 200 without a revision, counted as "no effect", although it may have been done.

Change: the decoders check values and raise their layer's own error. Such writes have an unknown outcome.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -14,6 +14,7 @@
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift.protocol import hashing
+from limpetlift.protocol import segment as segments
 
 AGENTS_PREFIX = "agents/"
 BALANCERS_PREFIX = "balancers/"
@@ -65,17 +66,25 @@
     try:
         fields = json.loads(value)
         ip, _, port = fields["address"].rpartition(":")
-        entry = ProcessEntry(
+        segments.check_address(ip, int(port))
+        if not isinstance(fields["data_centre"], str):
+            raise ValueError("the data centre is not a text")
+        return ProcessEntry(
             process_id,
             (ip, int(port)),
             fields["data_centre"],
             fields["service"],
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+    ) as error:
         raise exceptions.MalformedMessage(
             "invalid directory entry: %r" % error
         ) from None
-    return entry
 
 
 @attrs.define
--- a/src/limpetlift/platform/documents.py
+++ b/src/limpetlift/platform/documents.py
@@ -3,6 +3,7 @@
 import json
 
 from limpetlift import exceptions
+from limpetlift.protocol import segment as segments
 from limpetlift.state import reports
 from limpetlift.state import routing
 
@@ -11,21 +12,34 @@
 _STATE_BY_NAME = {"ready": reports.READY, "draining": reports.DRAINING}
 
 
+# Errors of ``json.loads`` and of the checks of decoded values.
+_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 def decode_routes(value):
     """Return the :class:`~limpetlift.state.routing.RouteTable` of a document.
 
     :param value: the operator's configuration, as JSON bytes.
-    :raises MalformedMessage: when it cannot be decoded.
+    :raises MalformedMessage: when it cannot be decoded, or a field is missing
+        or has another type.
     """
     try:
         document = json.loads(value)
         routes = [_route(fields) for fields in document["routes"]]
+        idle_timeout_ms = _number(document["limits"], "idle_timeout_ms")
         return routing.RouteTable(
-            document["version"],
+            _typed_field(document, "version", int),
             {route.address: route for route in routes},
-            document["limits"]["idle_timeout_ms"] / 1000,
+            idle_timeout_ms / 1000,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except _ERRORS as error:
         raise exceptions.MalformedMessage(
             "cannot decode the operator's configuration: %r" % error
         ) from None
@@ -34,20 +48,26 @@
 def _route(fields):
     # The host is the IP address that callers send to, and the prefix is the
     # port between slashes, such as "/443/".
-    address = (fields["host"], int(fields["prefix"].strip("/")))
+    address = (
+        _typed_field(fields, "host", str),
+        int(fields["prefix"].strip("/")),
+    )
+    segments.check_address(*address)
     # A route to a single service names it instead of listing its backends.
     backends = fields.get("backends") or [
         {"service": fields["service"], "weight": 1}
     ]
     weighted_services = tuple(
-        routing.WeightedService(backend["service"], float(backend["weight"]))
+        routing.WeightedService(
+            _typed_field(backend, "service", str), _number(backend, "weight")
+        )
         for backend in backends
     )
     return routing.Route(
-        fields["name"],
+        _typed_field(fields, "name", str),
         address,
         weighted_services,
-        fields.get("aim_ms", 0) / 1000,
+        _number(fields, "aim_ms", 0) / 1000,
     )
 
 
@@ -69,10 +89,10 @@
             _typed_field(fields, "born", int, 0),
             _typed_field(fields, "sequence", int),
             _STATE_BY_NAME[_typed_field(fields, "state", str)],
-            _typed_field(fields, "max_concurrency", int),
-            _typed_field(fields, "warmup_left_ms", int, 0) / 1000,
+            int(_number(fields, "max_concurrency", kind=int)),
+            _number(fields, "warmup_left_ms", 0, int) / 1000,
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except _ERRORS as error:
         raise exceptions.MalformedMessage(
             "cannot decode the report of a backend server: %r" % error
         ) from None
@@ -84,3 +104,11 @@
     if not isinstance(value, kind) or isinstance(value, bool):
         raise ValueError("field %s has the invalid value %r" % (name, value))
     return value
+
+
+def _number(fields, name, default=None, kind=(int, float)):
+    """Return a finite number that is not negative, as a float."""
+    value = float(_typed_field(fields, name, kind, default))
+    if not 0 <= value < float("inf"):
+        raise ValueError("field %s has the invalid value %r" % (name, value))
+    return value
--- a/src/limpetlift/platform/store.py
+++ b/src/limpetlift/platform/store.py
@@ -23,6 +23,9 @@
 _COMPACTED_STATUS = 410
 _LEASE_ENDED_STATUS = 404
 _CONFLICT_STATUS = 412
+# The store did nothing. With any other status from 500 on, a write may have
+# taken effect.
+_REFUSED_STATUS = 503
 
 
 class PlatformStore:
@@ -155,7 +158,7 @@
                 "key %s has been changed by another write" % key,
                 {entry.key: entry for entry in found if entry.mod_revision},
             )
-        return _typed_field(response, "revision", int)
+        return _acknowledged_field(response, "revision")
 
     async def grant(self, ttl_s):
         """Return the id of a new lease that expires after ``ttl_s`` seconds.
@@ -165,7 +168,7 @@
         """
         body = {"ttl_ms": int(ttl_s * 1000)}
         _, response = await self._write("POST", "kv-lease", body)
-        return _typed_field(response, "lease", int)
+        return _acknowledged_field(response, "lease")
 
     async def keep_alive(self, lease):
         """Renew a lease.
@@ -180,7 +183,7 @@
         )
         if status == _LEASE_ENDED_STATUS:
             return 0
-        return _typed_field(response, "ttl_ms", int) / 1000
+        return _acknowledged_field(response, "ttl_ms") / 1000
 
     async def revoke(self, lease):
         """End a lease, which deletes the keys that are attached to it.
@@ -198,7 +201,11 @@
             return await self._call(
                 "GET", path, None, expected_statuses, timeout_s
             )
-        except (exceptions.TransportError, ValueError) as error:
+        except (
+            exceptions.TransportError,
+            exceptions.StoreOutcomeUnknown,
+            ValueError,
+        ) as error:
             raise exceptions.StoreUnavailable(str(error)) from error
 
     async def _write(self, method, path, body, expected_statuses=()):
@@ -216,7 +223,8 @@
         """Return ``(status, decoded body)`` of one call.
 
         :param expected_statuses: statuses besides 200 that the caller handles.
-        :raises StoreUnavailable: when the response has any other status.
+        :raises StoreUnavailable: when the store refused the call.
+        :raises StoreOutcomeUnknown: when it failed in another way.
         """
         started_at = clock.now()
         response = await http1.call(
@@ -231,9 +239,10 @@
             self._measure("store_call", clock.now() - started_at)
         status = response.status
         if status != 200 and status not in expected_statuses:
-            raise exceptions.StoreUnavailable(
-                "the store answered with status %d" % status
-            )
+            error = "the store answered with status %d" % status
+            if status >= 500 and status != _REFUSED_STATUS:
+                raise exceptions.StoreOutcomeUnknown(error)
+            raise exceptions.StoreUnavailable(error)
         fields = json.loads(response.body) if response.body else {}
         if not isinstance(fields, dict):
             raise ValueError("the response of the store is not a JSON object")
@@ -253,6 +262,17 @@
     return value
 
 
+def _acknowledged_field(response, name):
+    """Return a number from the response to a write that took effect.
+
+    :raises StoreOutcomeUnknown: when it is missing or not a number.
+    """
+    try:
+        return _typed_field(response, name, int)
+    except exceptions.StoreUnavailable as error:
+        raise exceptions.StoreOutcomeUnknown(str(error)) from None
+
+
 def _encode(value):
     return base64.b64encode(value).decode("ascii")
 
--- a/src/limpetlift/protocol/segment.py
+++ b/src/limpetlift/protocol/segment.py
@@ -16,6 +16,7 @@
 # is further ahead belongs to a flow at another backend server.
 SEQUENCE_WINDOW_BYTES = 1 << 26
 _SEQUENCE_MASK = 0xFFFFFFFF
+_MAX_PORT = 0xFFFF
 
 
 @attrs.define
@@ -64,6 +65,21 @@
     return (ack - sequence) & _SEQUENCE_MASK < SEQUENCE_WINDOW_BYTES
 
 
+def check_address(ip, port):
+    """Check that a segment can be sent to an address.
+
+    :param ip: dotted IPv4 address.
+    :param port: port number.
+    :raises ValueError: when either is invalid.
+    """
+    try:
+        socket.inet_pton(socket.AF_INET, ip)
+    except OSError:
+        raise ValueError("invalid IPv4 address %r" % ip) from None
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError("port %d is out of range" % port)
+
+
 def pack_key(caller_ip, caller_port, service_ip, service_port):
     """Return the flow key of two packed 4-byte IP addresses and two ports."""
     return _KEY.pack(caller_ip, caller_port, service_ip, service_port)
--- a/src/limpetlift/state/segmentsettings.py
+++ b/src/limpetlift/state/segmentsettings.py
@@ -90,6 +90,17 @@
     )
 
 
+def decode(data):
+    """Return the :class:`Settings` in the bytes of a TOML file.
+
+    :raises SettingsError: when they are invalid.
+    """
+    try:
+        return Settings(**tomllib.loads(data.decode("utf-8")))
+    except (ValueError, TypeError, RecursionError) as error:
+        raise exceptions.SettingsError([str(error)]) from error
+
+
 def load(path):
     """Return the :class:`Settings` of the TOML file at ``path``.
 
@@ -98,7 +109,6 @@
     """
     try:
         with open(path, "rb") as file:
-            values = tomllib.load(file)
-        return Settings(**values)
-    except (OSError, ValueError, TypeError) as error:
+            return decode(file.read())
+    except (OSError, exceptions.SettingsError) as error:
         raise exceptions.SettingsError(["%s: %s" % (path, error)]) from error
--- a/src/limpetlift/transport/http1.py
+++ b/src/limpetlift/transport/http1.py
@@ -19,6 +19,9 @@
 
 _READ_BYTES = 64 * 1024
 _END_OF_HEAD = b"\r\n\r\n"
+_HEX_DIGITS = b"0123456789abcdefABCDEF"
+# More than the lengths have that this module accepts.
+_MAX_NUMBER_DIGITS = 16
 _REASONS_BY_STATUS = {
     200: "OK",
     400: "Bad Request",
@@ -86,7 +89,7 @@
     if len(start_line) < 2 or "HTTP/1." not in lines[0]:
         raise BadMessage("not a start line of HTTP/1: %.40r" % lines[0])
     is_response = lines[0].startswith("HTTP/")
-    if is_response and not start_line[1].isdigit():
+    if is_response and not _is_number(start_line[1]):
         raise BadMessage("no status code in the status line: %.40r" % lines[0])
     headers_by_name = {}
     for line in lines[1:]:
@@ -104,7 +107,7 @@
             message.body = rest
             return (message, b"") if is_closed else (None, data)
         return message, rest
-    if not length.isdigit() or int(length) > defaults.MAX_HTTP_BODY_BYTES:
+    if not _is_number(length) or int(length) > defaults.MAX_HTTP_BODY_BYTES:
         raise BadMessage("invalid or too large Content-Length: %.40r" % length)
     size = int(length)
     if len(rest) < size:
@@ -113,6 +116,17 @@
     return message, rest[size:]
 
 
+def _is_number(text):
+    """Whether a text consists of a few of the digits 0 to 9.
+
+    Other digits of Unicode, such as superscripts, are not allowed, and very
+    long numbers cannot be converted.
+    """
+    return (
+        len(text) <= _MAX_NUMBER_DIGITS and text.isascii() and text.isdigit()
+    )
+
+
 def _has_no_body(message):
     return message.status in (204, 304)
 
@@ -123,10 +137,16 @@
         line, separator, rest = rest.partition(b"\r\n")
         if not separator:
             return None, data
-        try:
-            size = int(line.partition(b";")[0], 16)
-        except ValueError:
-            raise BadMessage("malformed chunk size: %.40r" % line) from None
+        digits = line.partition(b";")[0].strip()
+        if (
+            len(digits) > _MAX_NUMBER_DIGITS
+            or not digits
+            or digits.strip(_HEX_DIGITS)
+        ):
+            raise BadMessage("malformed chunk size: %.40r" % line)
+        size = int(digits, 16)
+        if size > defaults.MAX_HTTP_BODY_BYTES:
+            raise BadMessage("too large chunk: %d bytes" % size)
         if len(rest) < size + 2:
             return None, data
         parts.append(rest[:size])
