Log another server with the same start, count lines lost to a closed pipe

FlowHosting.on_report compared the start times of two reports, not the ids of their servers, so that server_state was not logged when a server with the same start time, or none, took over. BoundedHandler took a line for written whose pipe was closed. 'limpetlift explain' took a whole flow id for ambiguous when a longer id begins with it.

Change: is_same_incarnation decides in on_report; a failed write leaves the line unwritten, whatever the error; a whole id matches itself.

Tests: one for each, which failed before: test_hosting another_server_with_the_same_start_is_logged, test_boundedlog lines_lost_to_a_closed_reader_are_counted, test_explaining an_id_that_begins_another_is_found.

--- a/src/limpetlift/boundedlog.py
+++ b/src/limpetlift/boundedlog.py
@@ -86,11 +86,9 @@
         """Write the rest of a line; return whether all of it was written."""
         try:
             written = os.write(self._descriptor, self._unwritten)
-        except BlockingIOError:
-            return False
         except OSError:
-            # The reader is gone; the process goes on without logs.
-            self._unwritten = b""
+            # The pipe is full, or the reader is gone. In both cases the
+            # process goes on without logs.
             return False
         self._unwritten = self._unwritten[written:]
         return not self._unwritten
--- a/src/limpetlift/explaining.py
+++ b/src/limpetlift/explaining.py
@@ -152,7 +152,11 @@
     """
     lines, skipped = parse(texts)
     matching = {line.flow for line in lines if flow and flow in line.flow}
-    exact = {flow_id for flow_id in matching if flow_id.startswith(flow + ">")}
+    exact = {
+        flow_id
+        for flow_id in matching
+        if flow_id == flow or flow_id.startswith(flow + ">")
+    }
     if len(exact) == 1:
         matching = exact
     if len(matching) != 1:
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -205,9 +205,11 @@
                 )
             ]
         result = []
-        if known_report is not None and not reports.is_same_incarnation(
-            report, known_report
-        ):
+        is_restarted = (
+            known_report is not None
+            and not reports.is_same_incarnation(report, known_report)
+        )
+        if is_restarted:
             result += self._resend_last_segments()
             self.knows_all_flows = True
         if known_report is None:
@@ -228,8 +230,8 @@
         )
         if (
             known_report is None
+            or is_restarted
             or known_report.state != report.state
-            or known_report.started_ms != report.started_ms
         ):
             result.append(
                 steps.LogEvent(
--- a/tests/test_boundedlog.py
+++ b/tests/test_boundedlog.py
@@ -86,3 +86,17 @@
     os.close(reader)
     _emit(handler, "started")
     os.close(writer)
+
+
+def test_lines_lost_to_a_closed_reader_are_counted():
+    """A line that nobody can read must not count as written.
+
+    The metric of dropped lines is then the only sign of the loss.
+    """
+    reader, writer = os.pipe()
+    handler = boundedlog.BoundedHandler(writer, clock=_Clock())
+    os.close(reader)
+    _emit(handler, "started")
+    _emit(handler, "stopped")
+    assert handler.dropped == 2
+    os.close(writer)
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -65,3 +65,14 @@
     ]
     with pytest.raises(exceptions.StateError):
         explaining.explain(texts, flow)
+
+
+def test_an_id_that_begins_another_is_found():
+    """A whole id is not ambiguous, even if a longer id begins with it."""
+    longer = _FLOW + "0"
+    texts = [
+        _line(2.0, "edge-1", "flow_placed", flow=name)
+        for name in (_FLOW, longer)
+    ]
+    assert _FLOW + "," in explaining.explain(texts, _FLOW)[0]
+    assert longer + "," in explaining.explain(texts, longer)[0]
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -108,6 +108,22 @@
     assert agent.decline_reason(_SERVICE_ID) == "draining"
 
 
+def test_another_server_with_the_same_start_is_logged():
+    """Two servers may tell the same start time, or none at all.
+
+    The log must show since when the agent has gone by the second one.
+    """
+    agent = _agent()
+    later = 1.0 + _INTERVAL_S * defaults.SERVER_SILENT_INTERVALS
+    agent.on_report(later, _report(1, server_id="s-2"))
+    logged = [
+        step.fields["server"]
+        for step in agent.on_report(later, _report(2, server_id="s-2"))
+        if isinstance(step, steps.LogEvent) and step.event == "server_state"
+    ]
+    assert logged == ["s-2"]
+
+
 def test_a_start_that_looks_older_is_accepted_when_it_keeps_reporting():
     """A restarted server looks older after its clock was set back.
 
