Let two of up to 64 balancers wait at the store and tell the others

Cause: every balancer waited at the store for the configuration and for the directory, and each change of an entry woke all of them.

Messages carry the revisions between which they have all changes; a balancer that misses one, or has heard no confirmation for 2.5 s, reads the store itself. Answers and messages that waited through a pause confirm nothing; the time is taken through the pause detector, since the answer may be the first event after a freeze. A read that is older than an entry does not remove it.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -126,18 +126,22 @@
     # those that it has logged.
     unreadable_by_key: dict = attrs.field(factory=dict)
 
-    def on_snapshot(self, now, snapshot):
+    def on_snapshot(self, now, snapshot, revision):
         """Update the directory from a read of all entries.
 
+        An entry that was written after the read is kept.
+
         :param snapshot: list of all
             :class:`~limpetlift.coordination.entries.Entry` in the store.
+        :param revision: the store's revision of the read.
         """
         self.on_reachable(now)
         present_keys = {entry.key for entry in snapshot}
         for entry in snapshot:
             self._put(entry)
         for key in set(self._tracked_by_key) - present_keys:
-            self._remove(now, key)
+            if self._tracked_by_key[key].revision <= revision:
+                self._remove(now, key)
 
     def on_changes(self, now, changes):
         """Update the directory from changes that a watch reported.
--- a/src/limpetlift/coordination/monitoring.py
+++ b/src/limpetlift/coordination/monitoring.py
@@ -6,22 +6,9 @@
 """
 
 import bisect
-import functools
-import hashlib
 
 from limpetlift import defaults
-
-_HASH_BYTES = 8
-
-
-# One entry for each process of a deployment of the design size.
-@functools.lru_cache(maxsize=16_384)
-def _position(address):
-    """Return the position of a process on the ring of hashes."""
-    data = ("%s:%d" % address).encode("ascii")
-    return int.from_bytes(
-        hashlib.blake2b(data, digest_size=_HASH_BYTES).digest(), "big"
-    )
+from limpetlift.protocol import hashing
 
 
 def monitored(own, balancers, agents):
@@ -35,16 +22,17 @@
     :param balancers: addresses of the balancers, with or without ``own``.
     :param agents: addresses of the agents.
     """
-    ring = sorted(set(balancers) | {own}, key=_position)
-    positions = [_position(address) for address in ring]
+    ring = sorted(set(balancers) | {own}, key=hashing.ring_position)
+    positions = [hashing.ring_position(address) for address in ring]
     result = {
         agent
         for agent in agents
-        if own in _successors(ring, positions, _position(agent))
+        if own in _successors(ring, positions, hashing.ring_position(agent))
     }
-    ring = sorted(agents, key=_position)
-    positions = [_position(address) for address in ring]
-    return result | set(_successors(ring, positions, _position(own)))
+    ring = sorted(agents, key=hashing.ring_position)
+    positions = [hashing.ring_position(address) for address in ring]
+    position = hashing.ring_position(own)
+    return result | set(_successors(ring, positions, position))
 
 
 def _successors(ring, positions, position):
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -413,11 +413,22 @@
 # After a failed call; doubled up to the maximum, with jitter.
 ANNOUNCE_RETRY_S = 0.2
 ANNOUNCE_RETRY_MAX_S = 1.0
-# A connection that becomes silent is detected soon after this time, so that a
-# change of the routes is in force within 3 s of its acknowledgement.
-FOLLOW_LONG_POLL_S = 2.5
-# Changes in quick succession are read together.
+# How long a watch waits for changes. Its answer confirms what is known.
+FOLLOW_LONG_POLL_S = 2.0
+# Between the starts of two calls, so that changes in quick succession are read
+# together.
 FOLLOW_PAUSE_S = 0.5
+# A balancer that does not watch reads the store itself when nobody has
+# confirmed its knowledge for this long. It is longer than FOLLOW_LONG_POLL_S,
+# so that one watcher is enough, and short enough that a change of the routes
+# is in force within 3 s of its acknowledgement when all watchers fail.
+SHARED_WATCH_MAX_AGE_S = 2.5
+# Balancers of a group that watch the store for it, so that one may fail.
+WATCHERS_PER_GROUP = 2
+# Balancers that share their watches. Two messages of 48 bytes with headers to
+# each of them every FOLLOW_LONG_POLL_S take 3 KB/s of a watcher's 14 KB/s for
+# control.
+WATCH_GROUP_SIZE = 64
 
 # Stopping.
 
--- a/src/limpetlift/protocol/hashing.py
+++ b/src/limpetlift/protocol/hashing.py
@@ -1,5 +1,6 @@
 """Hashes that are the same in every process."""
 
+import functools
 import hashlib
 
 _SERVICE_ID_BYTES = 8
@@ -18,3 +19,16 @@
     return int.from_bytes(
         hashlib.blake2b(key, digest_size=_HASH_BYTES).digest(), "big"
     )
+
+
+# One entry for each process of a deployment of the design size.
+@functools.lru_cache(maxsize=16_384)
+def ring_position(address):
+    """Return the 64-bit position of a process on the ring of hashes.
+
+    :param address: ``(ip, port)`` of the process.
+    """
+    data = ("%s:%d" % address).encode("ascii")
+    return int.from_bytes(
+        hashlib.blake2b(data, digest_size=_HASH_BYTES).digest(), "big"
+    )
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -33,6 +33,7 @@
 AGENT_LEFT = 11
 LOCATE_REPLY = 12
 TENTATIVE_FORWARD = 13
+STORE_CHANGES = 14
 
 # Verdicts of an agent on a flow that a balancer searches for: whether its
 # backend server holds the flow.
@@ -67,9 +68,16 @@
 _RECORD = struct.Struct("!12s4sHB")
 _QUERY = struct.Struct("!12sI")
 _VERDICT = struct.Struct("!12sB")
+_STORE_CHANGES = struct.Struct("!BBQQ")
+# Revision, length of the key and length of the value.
+_CHANGE = struct.Struct("!QBH")
+# In place of the length of a value: the key was removed.
+_REMOVED = 0xFFFF
 # So many records or queries fit in one datagram of 1,400 bytes.
 RECORDS_PER_MESSAGE = 70
 QUERIES_PER_MESSAGE = 80
+# The same for changes of the store; see :attr:`KeyChange.size`.
+MAX_CHANGES_BYTES = 1_300
 
 
 @attrs.frozen
@@ -339,6 +347,68 @@
         return _HEADER.pack(_VERSION, AGENT_LEFT)
 
 
+@attrs.frozen
+class KeyChange:
+    """A change of one key of the store.
+
+    :param key: the key.
+    :param value: its new value as bytes, or None when it was removed.
+    :param revision: the store's revision of the change.
+    """
+
+    key: str
+    value: object
+    revision: int
+
+    @property
+    def size(self):
+        """Number of bytes that it takes in :class:`StoreChanges`."""
+        return (
+            _CHANGE.size
+            + len(self.key.encode("utf-8"))
+            + len(self.value or b"")
+        )
+
+    def encode(self):
+        """Return the bytes of this change."""
+        key = self.key.encode("utf-8")
+        value = b"" if self.value is None else self.value
+        length = _REMOVED if self.value is None else len(value)
+        return _CHANGE.pack(self.revision, len(key), length) + key + value
+
+
+@attrs.frozen
+class StoreChanges:
+    """Changes of the store that a balancer has read for others.
+
+    All changes under the topic's prefix after ``after`` and up to
+    ``revision`` are in ``changes``.
+
+    :param topic: number of the prefix; balancers of one version agree on it.
+    :param was_unreachable: whether the sender could not reach the store at
+        some time since its last message.
+    :param after: a revision of the store.
+    :param revision: a later or the same revision of the store.
+    :param changes: list of :class:`KeyChange`, the oldest first.
+    """
+
+    topic: int
+    was_unreachable: bool
+    after: int
+    revision: int
+    changes: list
+
+    def encode(self):
+        """Return the datagram."""
+        return (
+            _HEADER.pack(_VERSION, STORE_CHANGES)
+            + _STORE_CHANGES.pack(
+                self.topic, self.was_unreachable, self.after, self.revision
+            )
+            + b"".join(change.encode() for change in self.changes)
+        )
+
+
 def in_batches(items, size):
     """Return the items split into lists of at most ``size`` items."""
     return [
@@ -452,6 +522,37 @@
     return FlowRecordsRequest()
 
 
+@registry.register(decoders_by_kind, STORE_CHANGES)
+def _decode_store_changes(body):
+    topic, was_unreachable, after, revision = _STORE_CHANGES.unpack_from(body)
+    changes = []
+    position = _STORE_CHANGES.size
+    while position < len(body):
+        changed_at, key_length, length = _CHANGE.unpack_from(body, position)
+        position += _CHANGE.size
+        key = _slice(body, position, key_length)
+        position += key_length
+        try:
+            key = key.decode("utf-8")
+        except UnicodeDecodeError as error:
+            raise exceptions.MalformedMessage(str(error)) from None
+        value = None
+        if length != _REMOVED:
+            value = _slice(body, position, length)
+            position += length
+        changes.append(KeyChange(key, value, changed_at))
+    return StoreChanges(topic, bool(was_unreachable), after, revision, changes)
+
+
+def _slice(body, start, length):
+    """Return ``length`` bytes of a message's body, which must have them."""
+    if start + length > len(body):
+        raise exceptions.MalformedMessage(
+            "message ends %d bytes early" % (start + length - len(body))
+        )
+    return body[start : start + length]
+
+
 @registry.register(decoders_by_kind, AGENT_LEFT)
 def _decode_agent_left(_body):
     return AgentLeft()
--- a/src/limpetlift/tasks/following.py
+++ b/src/limpetlift/tasks/following.py
@@ -1,27 +1,39 @@
 """Task that follows the changes of keys under a prefix in the store."""
 
+from limpetlift import clock
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift.tasks import backoff
+from limpetlift.transport import reactor as reactors
 
 LOG = logs.EventLogger("following")
 
 
 class Follower:
-    """Reads the entries under a prefix and then watches them for changes.
+    """Reads the entries under a prefix and then learns of their changes.
+
+    It waits at the store for them, or gets them from another balancer that
+    does so.
 
     :param reactor: the event loop.
     :param store: client of the store, with the methods ``get_prefix`` and
         ``changes`` of :class:`limpetlift.platform.store.PlatformStore`.
     :param prefix: prefix of the keys.
+    :param watch: the :class:`~limpetlift.coordination.watching.Watch`, which
+        decides when to call the store.
     :param rng: a :class:`random.Random`, for the jitter of the backoff.
     :param on_snapshot: called with a list of all
-        :class:`limpetlift.coordination.entries.Entry`, at the start and
-        whenever the store has compacted changes that were not read yet.
+        :class:`limpetlift.coordination.entries.Entry` and the store's
+        revision, at the start and whenever the store has compacted changes
+        that were not read yet.
     :param on_changes: called with a list of
         :class:`limpetlift.coordination.entries.Change`.
     :param on_unreachable: called without arguments after a failed call.
+    :param send: called with the messages for the balancers that get the
+        changes from this one, and with their addresses.
+    :param observe: returns the current time in seconds (monotonic), after it
+        has told ``watch`` of a pause of this process that has just ended.
 
     .. versionadded:: 0.2
     """
@@ -31,47 +43,93 @@
         reactor,
         store,
         prefix,
+        watch,
         rng,
         on_snapshot,
         on_changes,
         on_unreachable,
+        send,
+        observe,
     ):
         self._reactor = reactor
         self._store = store
         self._prefix = prefix
+        self.watch = watch
         self._backoff = backoff.Backoff(reactor, rng)
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self._on_unreachable = on_unreachable
-        self._revision = None
+        self._send = send
+        self._observe = observe
         self._is_reachable = True
+        self._wakeup = reactors.Future()
 
     async def run(self):
         """Follow until the process ends."""
         while True:
+            await self._wait()
+            next_call_at = clock.now() + defaults.FOLLOW_PAUSE_S
             try:
                 await self._update()
             except exceptions.CoordinationError as error:
+                self.watch.on_failed()
                 self._log_transition(False, error)
                 if error.code == "compacted":
-                    self._revision = None
+                    self.watch.on_compacted()
                 await self._backoff.wait()
-            else:
-                self._log_transition(True, "")
-                self._backoff.reset()
-                await self._reactor.sleep(defaults.FOLLOW_PAUSE_S)
+                continue
+            self._log_transition(True, "")
+            self._backoff.reset()
+            await self._reactor.sleep(next_call_at - clock.now())
+
+    def wake(self):
+        """Check again whether the store has to be called now."""
+        self._wakeup.set_value()
+
+    async def _wait(self):
+        """Wait until the store has to be called."""
+        while self.watch.call_at > clock.now():
+            self._wakeup = reactors.Future()
+            timer = self._reactor.call_at(
+                self.watch.call_at, self._wakeup.set_value
+            )
+            await self._wakeup
+            timer.cancel()
 
     async def _update(self):
-        if self._revision is None:
+        """Call the store and handle its answer."""
+        after = self.watch.revision
+        began_at = clock.now()
+        if after is None:
             entries, revision = await self._store.get_prefix(self._prefix)
-            self._revision = revision
-            self._on_snapshot(entries)
+            _, messages = self.watch.on_read(
+                self._observe(), began_at, None, revision
+            )
+            self._on_snapshot(entries, revision)
+            self._send(messages, self.watch.role.receivers)
             return
         changes, revision = await self._store.changes(
-            self._prefix, self._revision, defaults.FOLLOW_LONG_POLL_S
+            self._prefix, after, self.watch.wait_s
+        )
+        new_changes, messages = self.watch.on_read(
+            self._observe(), began_at, after, revision, changes
+        )
+        self._on_changes(new_changes)
+        self._send(messages, self.watch.role.receivers)
+
+    def on_message(self, message, is_outdated):
+        """Handle changes that another balancer has read.
+
+        :param message: a :class:`~limpetlift.protocol.tunnel.StoreChanges`.
+        :param is_outdated: whether it waited through a pause of this process.
+        """
+        if message.was_unreachable and not is_outdated:
+            self._on_unreachable()
+        self._on_changes(
+            self.watch.on_message(clock.now(), message, is_outdated)
         )
-        self._revision = max(revision, self._revision)
-        self._on_changes(changes)
+        if self.watch.call_at <= clock.now():
+            self.wake()
 
     def _log_transition(self, is_reachable, error):
         if error:
@@ -85,7 +143,7 @@
             LOG.warning(
                 "store_lost",
                 prefix=self._prefix,
-                revision=self._revision,
+                revision=self.watch.revision,
                 code=error.code,
                 error=error,
             )
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -3,10 +3,12 @@
 from limpetlift import clock
 from limpetlift.coordination import directory as directories
 from limpetlift.coordination import entries
+from limpetlift.coordination import watching
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift.protocol import segment as segments
+from limpetlift.protocol import tunnel
 from limpetlift.state import steering
 from limpetlift.state import steps
 from limpetlift.tasks import announcing
@@ -15,6 +17,10 @@
 
 LOG = logs.EventLogger("balancer")
 
+# Numbers of the followed prefixes in messages between balancers.
+_ROUTES_TOPIC = 1
+_DIRECTORY_TOPIC = 2
+
 
 class SegmentBalancer(segmentprocess.SegmentProcess):
     """Forwards the segments that the network delivers to this instance.
@@ -56,13 +62,16 @@
             defaults.ENTRY_LEASE_S,
         )
         self.reactor.spawn(self._announcer.run())
+        self._followers_by_topic = {}
         self._follow(
+            _ROUTES_TOPIC,
             self.deployment.routes_key,
             self._on_route_entries,
             self._on_route_changes,
             lambda: None,
         )
         self._follow(
+            _DIRECTORY_TOPIC,
             segmentprocess.KEY_PREFIX,
             self._on_entries,
             self._on_entry_changes,
@@ -74,18 +83,37 @@
             defaults.SILENT_AGENT_CHECK_INTERVAL_S, self._start_removing_silent
         )
 
-    def _follow(self, prefix, on_snapshot, on_changes, on_unreachable):
+    def _follow(self, topic, prefix, on_snapshot, on_changes, on_unreachable):
         follower = following.Follower(
             self.reactor,
             self.store,
             prefix,
+            watching.Watch(
+                topic, self.decisions.address, self.settings.data_centre
+            ),
             self.rng,
             on_snapshot,
             on_changes,
             on_unreachable,
+            self._send_all,
+            self.observe,
         )
+        self._followers_by_topic[topic] = follower
         self.reactor.spawn(follower.run())
 
+    def _send_all(self, messages, addresses):
+        for message in messages:
+            data = message.encode()
+            for address in addresses:
+                self.send(self._peer_socket, data, address)
+
+    def on_pause(self, now, pause_s):
+        """Handle the end of a pause of this process."""
+        super().on_pause(now, pause_s)
+        for follower in self._followers_by_topic.values():
+            follower.watch.on_pause(now)
+            follower.wake()
+
     # Segments and messages.
 
     def _on_segment(self, data, _address):
@@ -96,6 +124,20 @@
 
         self.decide(decision)
 
+    def on_message(self, address, message):
+        """Handle a message from an agent or another balancer."""
+        if not isinstance(message, tunnel.StoreChanges):
+            super().on_message(address, message)
+            return
+        self.observe()
+        follower = self._followers_by_topic.get(message.topic)
+        if follower is None:
+            self.count("topic_unknown")
+            LOG.warning("topic_unknown", topic=message.topic)
+            return
+        self.count("store_changes_received")
+        follower.on_message(message, self.is_catching_up)
+
     def decide(self, decision):
         """Make a decision, carry out its steps and schedule its queries.
 
@@ -142,7 +184,7 @@
 
     # Routes and directory.
 
-    def _on_route_entries(self, route_entries):
+    def _on_route_entries(self, route_entries, _revision=0):
         for entry in route_entries:
             if entry.key == self.deployment.routes_key:
                 self._on_routes(entry)
@@ -165,9 +207,9 @@
             return
         self.perform(self.decisions.on_routes(clock.now(), routes))
 
-    def _on_entries(self, snapshot):
+    def _on_entries(self, snapshot, revision):
         self._directory.on_snapshot(
-            clock.now(), [_strip_prefix(entry) for entry in snapshot]
+            clock.now(), [_strip_prefix(entry) for entry in snapshot], revision
         )
         self._on_directory()
 
@@ -201,6 +243,13 @@
                 self._directory.unlisted(),
             )
         )
+        data_centres_by_address = {
+            entry.address: entry.data_centre
+            for entry in self._directory.balancers()
+        }
+        for follower in self._followers_by_topic.values():
+            if follower.watch.on_balancers(data_centres_by_address):
+                follower.wake()
 
     def _request_directory(self):
         """Read all entries from the store.
@@ -217,10 +266,10 @@
             while self._is_read_requested:
                 self._is_read_requested = False
                 started_at = clock.now()
-                snapshot, _ = await self.store.get_prefix(
+                snapshot, revision = await self.store.get_prefix(
                     segmentprocess.KEY_PREFIX
                 )
-                self._on_entries(snapshot)
+                self._on_entries(snapshot, revision)
                 self.perform(
                     self.decisions.on_directory_read(clock.now(), started_at)
                 )
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -162,9 +162,21 @@
         if pause_s:
             self.count("paused")
             LOG.warning("paused", seconds=round(pause_s, 3))
-            self.perform(self.decisions.on_pause(now, pause_s))
+            self.on_pause(now, pause_s)
         return now
 
+    def on_pause(self, now, pause_s):
+        """Handle the end of a pause of this process.
+
+        :param pause_s: its length in seconds.
+        """
+        self.perform(self.decisions.on_pause(now, pause_s))
+
+    @property
+    def is_catching_up(self):
+        """Whether datagrams may be unread that waited through a pause."""
+        return bool(self._pauses.unread)
+
     def _on_socket_empty(self, socket):
         if self._pauses.on_read(socket):
             self.decisions.on_caught_up()
@@ -209,6 +221,10 @@
                 "message_malformed", sender="%s:%d" % address, error=error
             )
             return
+        self.on_message(address, message)
+
+    def on_message(self, address, message):
+        """Handle a decoded message from another process."""
         self.decide(
             lambda now: self.decisions.on_message(now, address, message)
         )
--- a/tests/decoderfuzz.py
+++ b/tests/decoderfuzz.py
@@ -90,6 +90,16 @@
         tunnel.FlowRecords([tunnel.FlowRecord(_KEY, _ADDRESS)] * 2),
         tunnel.FlowRecordsRequest(),
         tunnel.AgentLeft(),
+        tunnel.StoreChanges(
+            1,
+            False,
+            5,
+            8,
+            [
+                tunnel.KeyChange("x/1", b"value", 7),
+                tunnel.KeyChange("x/2", None, 8),
+            ],
+        ),
     ]
     routes = {
         "version": 7,
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -37,7 +37,7 @@
 def test_entries_are_followed():
     """An agent that registers after the snapshot must be listed too."""
     agents_directory = directory.Directory()
-    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)])
+    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)], 5)
     added = _store_entry(2, 6)
     agents_directory.on_changes(1.0, [entries.Change(added.key, added, 6)])
     assert _agent_ids(agents_directory) == ["agent-1", "agent-2"]
@@ -51,6 +51,7 @@
         0.0,
         [entries.Entry(_key(2), b"\xff{", 6), _store_entry(1, 5)]
         + [entries.Entry(_key(3), b'{"address": 7}', 7)],
+        7,
     )
     assert _agent_ids(agents_directory) == ["agent-1"]
     assert set(agents_directory.unreadable_by_key) == {_key(2), _key(3)}
@@ -67,7 +68,21 @@
         0.0, [entries.Change(_key(1), _store_entry(1, 9), 9)]
     )
     agents_directory.on_changes(0.1, [_removed(1, 10)])
-    agents_directory.on_snapshot(0.2, [_store_entry(1, 9)])
+    agents_directory.on_snapshot(0.2, [_store_entry(1, 9)], 9)
+    assert not agents_directory.is_listed(_key(1))
+
+
+def test_an_older_read_does_not_remove_a_newer_entry():
+    """An agent must stay listed that registered after a read of the store.
+
+    Its entry would not come back, because the agent does not write it again.
+    """
+    agents_directory = directory.Directory()
+    added = _store_entry(1, 9)
+    agents_directory.on_changes(0.0, [entries.Change(added.key, added, 9)])
+    agents_directory.on_snapshot(0.1, [], 8)
+    assert agents_directory.is_listed(_key(1))
+    agents_directory.on_snapshot(0.2, [], 9)
     assert not agents_directory.is_listed(_key(1))
 
 
@@ -77,7 +92,7 @@
     A process that is alive needs up to 2 s to register again.
     """
     agents_directory = directory.Directory()
-    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)])
+    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)], 5)
     later = 10.0
     agents_directory.on_changes(later, [_removed(1, 6)])
     assert not agents_directory.expire(later + 1.9, _never_reporting)
@@ -91,7 +106,7 @@
 def test_an_entry_that_is_registered_again_stays():
     """An entry must not expire after its process has registered again."""
     agents_directory = directory.Directory()
-    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)])
+    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)], 5)
     agents_directory.on_changes(10.0, [_removed(1, 6)])
     agents_directory.on_changes(
         11.0, [entries.Change(_key(1), _store_entry(1, 7), 7)]
@@ -106,7 +121,7 @@
     The store may delete its entry and refuse to register it again.
     """
     agents_directory = directory.Directory()
-    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)])
+    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)], 5)
     agents_directory.on_changes(10.0, [_removed(1, 6)])
     assert not agents_directory.expire(20.0, _always_reporting)
     assert agents_directory.unlisted() == {"agent-1"}
@@ -118,9 +133,9 @@
     It must expire even though the process reports.
     """
     agents_directory = directory.Directory()
-    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)])
+    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)], 5)
     agents_directory.on_unreachable()
-    agents_directory.on_snapshot(10.0, [])
+    agents_directory.on_snapshot(10.0, [], 10)
     assert not agents_directory.expire(11.9, _always_reporting)
     assert agents_directory.expire(
         10.0 + defaults.LAPSED_ENTRY_GRACE_S, _always_reporting
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 import segmentkit as kit
 
 from limpetlift import clock
+from limpetlift.coordination import watching
 from limpetlift import exceptions
 from limpetlift.platform import deployment
 from limpetlift.platform import documents
@@ -496,7 +497,7 @@
     found = {}
     client = store.PlatformStore(reactor, standin.address)
 
-    def on_snapshot(entries):
+    def on_snapshot(entries, _revision):
         found.clear()
         found.update((entry.key, entry.value) for entry in entries)
 
@@ -504,10 +505,13 @@
         reactor,
         client,
         "x/",
+        watching.Watch(1, ("127.0.0.1", 1)),
         random.Random(1),
         on_snapshot,
         lambda changes: None,
         lambda: None,
+        lambda messages, addresses: None,
+        clock.now,
     )
     standin.put("x/1", b"one")
     reactor.spawn(follower.run())
@@ -518,6 +522,55 @@
     assert found == {"x/1": b"two"}
 
 
+class _PausedStore:
+    """A store whose answer is read right after a pause of the process."""
+
+    def __init__(self, reactor):
+        self._reactor = reactor
+        self.calls = 0
+
+    async def get_prefix(self, _prefix):
+        return [], 5
+
+    async def changes(self, _prefix, revision, _wait_s):
+        self.calls += 1
+        await self._reactor.sleep(0.01 if self.calls == 1 else 60.0)
+        return [], revision
+
+
+def test_an_answer_read_first_after_a_pause_is_not_passed_on(reactor):
+    """The answer of the store may be the first event after a freeze.
+
+    Passed on as recent, it would keep other balancers from reading a change
+    that was made during the freeze.
+    """
+    watch = watching.Watch(1, ("127.0.0.1", 1))
+    watch.role = watching.Role(True, (("127.0.0.2", 1),))
+    paused_store = _PausedStore(reactor)
+    sent = []
+
+    def observe():
+        if paused_store.calls == 1:
+            watch.on_pause(clock.now())
+        return clock.now()
+
+    follower = following.Follower(
+        reactor,
+        paused_store,
+        "x/",
+        watch,
+        random.Random(1),
+        lambda entries, revision: None,
+        lambda changes: None,
+        lambda: None,
+        lambda messages, addresses: sent.extend(messages),
+        observe,
+    )
+    reactor.spawn(follower.run())
+    _run_for(reactor, 5.0, lambda: paused_store.calls == 2)
+    assert len(sent) == 1 and paused_store.calls == 2
+
+
 # Settings and the boundary.
 
 
