Repeat the removal of a leaving agent's entry during an outage

Searches waited for 32 agents whose servers had left while the store was down (31.0 to 35.8 s): each tried to remove its entry once and ended, and who had heard of its leave lost that with the power.

Ruled out: telling callers without the answer of such an agent (it may be frozen or cut off and hold the flow); leases of drained agents (a cut lasts as long as a lease could).

An entry that is being withdrawn is not written again.

--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -36,10 +36,12 @@
         self._key = key
         self._value = value
         self._backoff = backoff.Backoff(reactor, rng)
+        self._withdraw_backoff = backoff.Backoff(reactor, rng)
         self._lease_s = lease_s
         self._lease = 0
         self._revision = 0
         self._is_written = False
+        self._is_withdrawing = False
         self._renew_at = 0.0
         self._wakeup = reactors.Future()
         self._ignore_missing_until = float("-inf")
@@ -52,7 +54,11 @@
         the new entry.
         """
         now = clock.now()
-        if not self._is_written or now < self._ignore_missing_until:
+        if (
+            not self._is_written
+            or self._is_withdrawing
+            or now < self._ignore_missing_until
+        ):
             return
         self._ignore_missing_until = now + defaults.LAPSED_ENTRY_GRACE_S
         LOG.warning("entry_missing", key=self._key, lease=self._lease)
@@ -60,8 +66,8 @@
         self._wakeup.set_value()
 
     async def run(self):
-        """Keep the entry in the store until the process ends."""
-        while True:
+        """Keep the entry in the store until it is withdrawn."""
+        while not self._is_withdrawing:
             try:
                 await self._update()
             except exceptions.CoordinationError as error:
@@ -140,19 +146,34 @@
                 error=error,
             )
 
-    async def withdraw(self):
-        """Remove the entry, including one written before a restart."""
-        try:
-            if self._lease:
-                await self._store.revoke(self._lease)
+    async def withdraw(self, give_up_at=float("-inf")):
+        """Remove the entry, including one written before a restart.
+
+        :param give_up_at: until then a failed call is repeated. An entry that
+            stays is dealt with: a lease expires, and balancers remove the
+            entry of an agent that stays silent.
+        """
+        self._is_withdrawing = True
+        while True:
+            try:
+                await self._remove()
+                return
+            except exceptions.CoordinationError as error:
+                LOG.warning("withdraw_failed", key=self._key, error=error)
+            if clock.now() >= give_up_at:
+                return
+            await self._withdraw_backoff.wait()
+
+    async def _remove(self):
+        if self._lease:
+            await self._store.revoke(self._lease)
+            return
+        # After the first try the revision is read again, because its answer
+        # may have been lost.
+        revision, self._revision = self._revision, 0
+        if not revision:
+            entry = await self._store.get(self._key)
+            if entry is None:
                 return
-            if not self._revision:
-                entry = await self._store.get(self._key)
-                if entry is None:
-                    return
-                self._revision = entry.mod_revision
-            await self._store.remove(self._key, self._revision)
-        except exceptions.CoordinationError as error:
-            # The entry does not stay for ever: a lease expires, and balancers
-            # remove the entry of an agent that stays silent.
-            LOG.warning("withdraw_failed", key=self._key, error=error)
+            revision = entry.mod_revision
+        await self._store.remove(self._key, revision)
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -161,7 +161,9 @@
     async def stop(self):
         """Serve until no caller waits and the server's state is known.
 
-        The entry is removed only when the server has ended too.
+        The entry is removed only when the server has ended too, if need be
+        after an outage of the store. While it stays, balancers cannot tell
+        callers that a flow is lost unless this agent answers them.
         """
         now = clock.now()
         latest = now + defaults.STOP_MAX_S
@@ -172,7 +174,7 @@
             await self.reactor.sleep(defaults.HOSTING_TICK_S)
         if self.decisions.has_server_ended(clock.now()):
             self.perform(self.decisions.leave())
-            await self._announcer.withdraw()
+            await self._announcer.withdraw(latest)
         # Otherwise the entry stays: the agent is started again for the same
         # server.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -489,6 +489,50 @@
     assert "x/1" in standin.items_by_key
 
 
+def test_an_entry_is_withdrawn_after_an_outage(reactor, standin):
+    """A backend server may leave while the store refuses calls.
+
+    The entry of its agent stayed for 15 s, in which no caller of a lost flow
+    could be told (large/tidynest-hq-large, trouble-1: 1,094 stalled boards).
+    """
+    announcer = _announcer(reactor, standin)
+    _run_for(reactor, 5.0, lambda: "x/1" in standin.items_by_key)
+    standin.status = 503
+    reactor.spawn(announcer.withdraw(clock.now() + 5.0))
+    _run_for(reactor, 0.3, lambda: False)
+    assert "x/1" in standin.items_by_key
+    standin.status = None
+    _run_for(reactor, 2.0, lambda: "x/1" not in standin.items_by_key)
+    assert "x/1" not in standin.items_by_key
+
+
+def test_an_entry_is_not_written_again_once_it_is_withdrawn(reactor, standin):
+    """Balancers still tell a leaving agent that its entry is missing.
+
+    An entry that it wrote then would stay after its end.
+    """
+    announcer = _announcer(reactor, standin)
+    _run_for(reactor, 5.0, lambda: "x/1" in standin.items_by_key)
+    reactor.spawn(announcer.withdraw())
+    _run_for(reactor, 2.0, lambda: "x/1" not in standin.items_by_key)
+    announcer.on_entry_missing()
+    _run_for(reactor, 0.5, lambda: "x/1" in standin.items_by_key)
+    assert "x/1" not in standin.items_by_key
+
+
+def test_a_withdrawal_whose_answer_was_lost_is_complete(reactor, standin):
+    """A removal takes effect although its answer is lost.
+
+    The next try finds no entry and must end.
+    """
+    announcer = _announcer(reactor, standin)
+    _run_for(reactor, 5.0, lambda: "x/1" in standin.items_by_key)
+    standin.lost = 1
+    task = reactor.spawn(announcer.withdraw(clock.now() + 5.0))
+    _run_for(reactor, 4.0, lambda: task.is_done)
+    assert task.is_done and "x/1" not in standin.items_by_key
+
+
 def test_a_follower_reads_again_after_lost_history(reactor, standin):
     """Changes that the store has compacted cannot be read by a watch.
 
