Define the classes of balancers and agents without generated comparison

Cause: after a loss of power callers wait for the start of the balancers. A balancer's start is the import of its modules, and of that a fifth is code that attrs generates and compiles for comparison, hash and text of 59 classes.

Ruled out: leaving these methods out (messages and steps are compared in tests, and texts appear in logs); importing fewer modules (attrs, json, logging and tomllib are needed at once).

Change: structs.define and structs.frozen set methods that read the fields when they are called, and let attrs generate the rest.

What is left of a start is the import of attrs itself and of the standard library.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -15,12 +15,13 @@
 from limpetlift import exceptions
 from limpetlift.protocol import hashing
 from limpetlift.protocol import segment as segments
+from limpetlift import structs
 
 AGENTS_PREFIX = "agents/"
 BALANCERS_PREFIX = "balancers/"
 
 
-@attrs.frozen
+@structs.frozen
 class ProcessEntry:
     """An agent or balancer, as registered in the store.
 
@@ -87,7 +88,7 @@
         ) from None
 
 
-@attrs.define
+@structs.define
 class _TrackedEntry:
     """An entry of the directory and its state in the store.
 
@@ -105,7 +106,7 @@
     kept_by_reports: bool = True
 
 
-@attrs.define
+@structs.define
 class Directory:
     """The registered processes, kept up to date with the store.
 
--- a/src/limpetlift/coordination/entries.py
+++ b/src/limpetlift/coordination/entries.py
@@ -1,9 +1,9 @@
 """Entries and changes of a key-value store, common to all store clients."""
 
-import attrs
+from limpetlift import structs
 
 
-@attrs.frozen
+@structs.frozen
 class Entry:
     """A key and its value.
 
@@ -20,7 +20,7 @@
     lease: int = 0
 
 
-@attrs.frozen
+@structs.frozen
 class Change:
     """A change of one key that a watch reports.
 
--- a/src/limpetlift/coordination/placement.py
+++ b/src/limpetlift/coordination/placement.py
@@ -14,12 +14,13 @@
 import attrs
 
 from limpetlift import defaults
+from limpetlift import structs
 
 # Maps a 32-bit draw to the range from 0.0 to 1.0.
 _DRAW_SCALE = 1.0 / (1 << 32)
 
 
-@attrs.frozen
+@structs.frozen
 class Target:
     """An agent that buckets can be assigned to.
 
@@ -50,7 +51,7 @@
     return flow_hash % defaults.PLACEMENT_BUCKETS
 
 
-@attrs.define
+@structs.define
 class Placement:
     """The order of the targets of one service in every bucket.
 
@@ -114,7 +115,7 @@
     return _merge_groups(targets, groups, list(indexes_by_weight))
 
 
-@attrs.frozen
+@structs.frozen
 class _WeightGroup:
     """The owner of each bucket among targets of equal weight.
 
--- a/src/limpetlift/coordination/watching.py
+++ b/src/limpetlift/coordination/watching.py
@@ -15,13 +15,14 @@
 from limpetlift.protocol import hashing
 from limpetlift.protocol import tunnel
 from limpetlift import registry
+from limpetlift import structs
 
 policies_by_name = {}
 
 _POSITION_BITS = 64
 
 
-@attrs.frozen
+@structs.frozen
 class Role:
     """The part of one balancer in the shared watches.
 
@@ -81,7 +82,7 @@
     )
 
 
-@attrs.define
+@structs.define
 class Watch:
     """What one balancer knows of the keys under one prefix.
 
--- a/src/limpetlift/protocol/segment.py
+++ b/src/limpetlift/protocol/segment.py
@@ -8,7 +8,7 @@
 import socket
 import struct
 
-import attrs
+from limpetlift import structs
 
 _KEY = struct.Struct("!4sH4sH")
 
@@ -19,7 +19,7 @@
 _MAX_PORT = 0xFFFF
 
 
-@attrs.define
+@structs.define
 class Segment:
     """One packet of a flow.
 
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -8,10 +8,9 @@
 import socket
 import struct
 
-import attrs
-
 from limpetlift import exceptions
 from limpetlift import registry
+from limpetlift import structs
 
 # First byte of each message; to be raised when the format changes.
 _VERSION = 2
@@ -80,7 +79,7 @@
 MAX_CHANGES_BYTES = 1_300
 
 
-@attrs.frozen
+@structs.frozen
 class Forward:
     """A segment that a balancer forwards to the agent of its flow.
 
@@ -103,7 +102,7 @@
         )
 
 
-@attrs.frozen
+@structs.frozen
 class Query:
     """A flow that a balancer searches for.
 
@@ -115,7 +114,7 @@
     ack: int
 
 
-@attrs.frozen
+@structs.frozen
 class LocateRequest:
     """Request of a balancer that asks an agent whether it has some flows.
 
@@ -131,7 +130,7 @@
         )
 
 
-@attrs.frozen
+@structs.frozen
 class LocateReply:
     """Reply of an agent to a :class:`LocateRequest`.
 
@@ -148,7 +147,7 @@
         )
 
 
-@attrs.frozen
+@structs.frozen
 class TentativeForward:
     """A segment of a flow that the agent's backend server may hold.
 
@@ -165,7 +164,7 @@
         return _HEADER.pack(_VERSION, TENTATIVE_FORWARD) + self.data
 
 
-@attrs.frozen
+@structs.frozen
 class Hello:
     """Question of a balancer for an agent's load.
 
@@ -182,7 +181,7 @@
         return _HEADER.pack(_VERSION, HELLO) + bytes((self.is_listed,))
 
 
-@attrs.frozen
+@structs.frozen
 class LoadReport:
     """Load of an agent, by which balancers place new flows.
 
@@ -224,7 +223,7 @@
         )
 
 
-@attrs.frozen
+@structs.frozen
 class Owned:
     """Message of an agent that its backend server holds a flow.
 
@@ -238,7 +237,7 @@
         return _HEADER.pack(_VERSION, OWNED) + self.key
 
 
-@attrs.frozen
+@structs.frozen
 class NotHeld:
     """Message of an agent that its backend server does not hold a flow.
 
@@ -255,7 +254,7 @@
         return _HEADER.pack(_VERSION, NOT_HELD) + self.key
 
 
-@attrs.frozen
+@structs.frozen
 class Declined:
     """The first segment of a new flow that an agent declines.
 
@@ -274,7 +273,7 @@
         return _HEADER.pack(_VERSION, DECLINED) + bytes((code,)) + self.data
 
 
-@attrs.frozen
+@structs.frozen
 class UnknownFlow:
     """A segment that an agent returns because it does not know the flow.
 
@@ -288,7 +287,7 @@
         return _HEADER.pack(_VERSION, UNKNOWN_FLOW) + self.data
 
 
-@attrs.frozen
+@structs.frozen
 class FlowRecord:
     """Location of a flow.
 
@@ -304,7 +303,7 @@
     is_placed: bool = False
 
 
-@attrs.frozen
+@structs.frozen
 class FlowRecords:
     """Locations of flows, sent to the other balancers of the data centre.
 
@@ -326,7 +325,7 @@
         )
 
 
-@attrs.frozen
+@structs.frozen
 class FlowRecordsRequest:
     """Request of a balancer that has just started for all flow records."""
 
@@ -335,7 +334,7 @@
         return _HEADER.pack(_VERSION, FLOW_RECORDS_REQUEST)
 
 
-@attrs.frozen
+@structs.frozen
 class AgentLeft:
     """Message of an agent that stops after its backend server has ended.
 
@@ -347,7 +346,7 @@
         return _HEADER.pack(_VERSION, AGENT_LEFT)
 
 
-@attrs.frozen
+@structs.frozen
 class KeyChange:
     """A change of one key of the store.
 
@@ -377,7 +376,7 @@
         return _CHANGE.pack(self.revision, len(key), length) + key + value
 
 
-@attrs.frozen
+@structs.frozen
 class StoreChanges:
     """Changes of the store that a balancer has read for others.
 
--- a/src/limpetlift/state/admitting.py
+++ b/src/limpetlift/state/admitting.py
@@ -14,11 +14,12 @@
 
 from limpetlift import defaults
 from limpetlift import registry
+from limpetlift import structs
 
 policies_by_name = {}
 
 
-@attrs.frozen
+@structs.frozen
 class Queue:
     """The queue of requests at a backend server.
 
--- a/src/limpetlift/state/hostedflows.py
+++ b/src/limpetlift/state/hostedflows.py
@@ -11,6 +11,7 @@
 
 from limpetlift import defaults
 from limpetlift.protocol import segment as segments
+from limpetlift import structs
 
 _SEQUENCE_MASK = 0xFFFFFFFF
 # Beyond the payload, the first and the last segment have a number each.
@@ -24,7 +25,7 @@
     return 0 < (sequence - other) & _SEQUENCE_MASK < 1 << 31
 
 
-@attrs.define(eq=False)
+@structs.define
 class Flow:
     """A flow of the backend server.
 
@@ -183,7 +184,7 @@
             self.is_awaiting_answer = False
 
 
-@attrs.define
+@structs.define
 class FlowTable:
     """The flows of one backend server and their counts.
 
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -16,6 +16,7 @@
 from limpetlift.state import hostedflows
 from limpetlift.state import reports
 from limpetlift.state import steps
+from limpetlift import structs
 
 _handlers_by_type = {}
 
@@ -23,7 +24,7 @@
 _MAX_FIRST_REPORT_NUMBER = 1
 
 
-@attrs.define
+@structs.define
 class FlowHosting:
     """Handles the segments, server reports and messages of one agent.
 
--- a/src/limpetlift/state/pauses.py
+++ b/src/limpetlift/state/pauses.py
@@ -17,9 +17,10 @@
 import attrs
 
 from limpetlift import defaults
+from limpetlift import structs
 
 
-@attrs.define
+@structs.define
 class PauseDetector:
     """Detects pauses, and when the datagrams of a pause have been read.
 
--- a/src/limpetlift/state/placing.py
+++ b/src/limpetlift/state/placing.py
@@ -5,15 +5,14 @@
 candidates.
 """
 
-import attrs
-
 from limpetlift import defaults
 from limpetlift import registry
+from limpetlift import structs
 
 policies_by_name = {}
 
 
-@attrs.define
+@structs.define
 class Candidate:
     """An agent that may take a new flow, with its load.
 
--- a/src/limpetlift/state/polling.py
+++ b/src/limpetlift/state/polling.py
@@ -12,6 +12,7 @@
 
 from limpetlift.coordination import placement
 from limpetlift import defaults
+from limpetlift import structs
 
 
 def in_order(agents, flow_hash, data_centre):
@@ -39,7 +40,7 @@
     ]
 
 
-@attrs.define
+@structs.define
 class Poll:
     """A new flow and the agents that are asked for their loads.
 
@@ -142,7 +143,7 @@
         ]
 
 
-@attrs.define
+@structs.define
 class LoadPolls:
     """The polls of one balancer that wait for answers.
 
--- a/src/limpetlift/state/reports.py
+++ b/src/limpetlift/state/reports.py
@@ -4,7 +4,7 @@
 import it through the platform adapter, and should not load those at startup.
 """
 
-import attrs
+from limpetlift import structs
 
 READY = "ready"
 DRAINING = "draining"
@@ -12,7 +12,7 @@
 GONE = "gone"
 
 
-@attrs.frozen
+@structs.frozen
 class Report:
     """A status report of a backend server.
 
--- a/src/limpetlift/state/routing.py
+++ b/src/limpetlift/state/routing.py
@@ -2,8 +2,10 @@
 
 import attrs
 
+from limpetlift import structs
 
-@attrs.frozen
+
+@structs.frozen
 class WeightedService:
     """A service and its share of a route's new flows.
 
@@ -15,7 +17,7 @@
     weight: float
 
 
-@attrs.frozen
+@structs.frozen
 class Route:
     """The services that take the new flows to one address.
 
@@ -58,7 +60,7 @@
         return [chosen] + [name for name in names if name != chosen]
 
 
-@attrs.frozen
+@structs.frozen
 class RouteTable:
     """All routes of one version of the configuration.
 
--- a/src/limpetlift/state/searching.py
+++ b/src/limpetlift/state/searching.py
@@ -13,9 +13,10 @@
 from limpetlift import defaults
 from limpetlift.protocol import tunnel
 from limpetlift.state import steps
+from limpetlift import structs
 
 
-@attrs.define
+@structs.define
 class _Search:
     """A search for the agent of one flow.
 
@@ -48,7 +49,7 @@
     try_all_at: float = float("inf")
 
 
-@attrs.define
+@structs.define
 class FlowSearches:
     """The searches of one balancer that are in progress.
 
--- a/src/limpetlift/state/segmentsettings.py
+++ b/src/limpetlift/state/segmentsettings.py
@@ -11,6 +11,7 @@
 
 from limpetlift import defaults
 from limpetlift import exceptions
+from limpetlift import structs
 
 _non_empty_text = validators.and_(
     validators.instance_of(str), validators.min_len(1)
@@ -33,7 +34,7 @@
 _is_endpoint = validators.instance_of(tuple)
 
 
-@attrs.frozen
+@structs.frozen
 class Settings:
     """The settings of one process.
 
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -25,6 +25,7 @@
 from limpetlift.state import routing
 from limpetlift.state import searching
 from limpetlift.state import steps
+from limpetlift import structs
 
 _handlers_by_type = {}
 
@@ -45,7 +46,7 @@
 _PER_FLOW_REASONS = frozenset(("server_refused", "busy", "paused"))
 
 
-@attrs.define
+@structs.define
 class _Agent:
     """An agent as a balancer knows it.
 
@@ -129,7 +130,7 @@
         return True
 
 
-@attrs.define
+@structs.define
 class _Flow:
     """A flow and the agent that it is assigned to.
 
@@ -150,7 +151,7 @@
     busy_count: int = 0
 
 
-@attrs.define
+@structs.define
 class _Deferral:
     """A new flow that has not been placed yet.
 
@@ -164,7 +165,7 @@
     copies: set = attrs.field(factory=set)
 
 
-@attrs.define
+@structs.define
 class FlowSteering:
     """Decides how to handle segments of callers and messages of processes.
 
--- a/src/limpetlift/state/steps.py
+++ b/src/limpetlift/state/steps.py
@@ -6,8 +6,10 @@
 
 import attrs
 
+from limpetlift import structs
 
-@attrs.frozen
+
+@structs.frozen
 class SendToPeer:
     """Send a message to another balancer or agent.
 
@@ -19,7 +21,7 @@
     message: object
 
 
-@attrs.frozen
+@structs.frozen
 class SendToServer:
     """Send a segment to the backend server of this agent.
 
@@ -29,7 +31,7 @@
     data: bytes
 
 
-@attrs.frozen
+@structs.frozen
 class SendToCaller:
     """Send a segment to the caller of a flow.
 
@@ -41,7 +43,7 @@
     data: bytes
 
 
-@attrs.frozen
+@structs.frozen
 class Reset:
     """Send a reset to the caller of a flow that has ended or was refused.
 
@@ -56,7 +58,7 @@
     reason: str
 
 
-@attrs.frozen
+@structs.frozen
 class LogEvent:
     """Log and count a decision or a change of state.
 
@@ -71,7 +73,7 @@
     fields: dict = attrs.field(factory=dict)
 
 
-@attrs.frozen
+@structs.frozen
 class Announce:
     """Write this agent's directory entry to the store.
 
@@ -79,17 +81,17 @@
     """
 
 
-@attrs.frozen
+@structs.frozen
 class ProbeServer:
     """Probe whether the port of this agent's backend server has a listener."""
 
 
-@attrs.frozen
+@structs.frozen
 class ReadDirectory:
     """Read all directory entries from the store now."""
 
 
-@attrs.frozen
+@structs.frozen
 class Duration:
     """Add a duration to a histogram of the metrics.
 
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -17,6 +17,7 @@
 from limpetlift.protocol import tunnel
 from limpetlift.state import pauses
 from limpetlift.state import segmentsettings
+from limpetlift import structs
 from limpetlift import tallies
 from limpetlift.transport import datagram
 from limpetlift.transport import reactor as reactors
@@ -28,7 +29,7 @@
 KEY_PREFIX = "limpetlift/"
 
 
-@attrs.frozen
+@structs.frozen
 class Deployment:
     """Functions and names that depend on the platform of a deployment.
 
--- a/src/limpetlift/transport/http1.py
+++ b/src/limpetlift/transport/http1.py
@@ -7,12 +7,11 @@
 import errno
 import socket
 
-import attrs
-
 from limpetlift import clock
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
+from limpetlift import structs
 from limpetlift.transport import reactor as reactors
 
 LOG = logs.EventLogger("http")
@@ -49,7 +48,7 @@
     code = "bad_message"
 
 
-@attrs.define
+@structs.define
 class Message:
     """A request or a response.
 
@@ -270,7 +269,7 @@
     return await _ClientRequest(reactor, address, data, deadline).response
 
 
-@attrs.frozen
+@structs.frozen
 class Response:
     """A response of the server.
 
