Take the store for unreachable by own calls only

Cause: found by reading. Messages of a watcher told whether it had failed to reach the store, and their receivers then took that outage for their own: for 2 s an entry that goes missing counts as that of a process that has ended, even if the process answers. When the store turns a watcher away and then takes keys of other processes away, all balancers of its group would drop agents that are alive, and a search without them could end in a reset of a flow that is held.

Ruled out: a shorter time than 2 s; the users' rule needs it after an outage of the balancer's own.

Change: StoreChanges has no such field. A balancer that cannot reach the store itself sees that by its own calls, which begin 2.5 s after the last confirmation.

Tests: those of test_watching and test_decoding with the shorter message. No test shows the fault, as the field that caused it is gone.

Conclusion: less is sent, and an entry is dropped in fewer cases.

--- a/src/limpetlift/coordination/watching.py
+++ b/src/limpetlift/coordination/watching.py
@@ -112,8 +112,6 @@
     _confirmed_at: float = float("-inf")
     # Whether a watcher knows changes that this balancer does not.
     _is_behind: bool = False
-    # Whether a call has failed since the last message to the receivers.
-    _was_unreachable: bool = False
     _resumed_at: float = float("-inf")
     _choose_role: object = attrs.field(init=False)
 
@@ -163,10 +161,6 @@
             return defaults.FOLLOW_LONG_POLL_S
         return 0.0
 
-    def on_failed(self):
-        """Record that a call to the store failed."""
-        self._was_unreachable = True
-
     def on_compacted(self):
         """Record that the store no longer has the changes to read next."""
         self.revision = None
@@ -195,12 +189,10 @@
         if self.role.receivers:
             messages = _messages(
                 self.topic,
-                self._was_unreachable,
                 revision if after is None else after,
                 revision,
                 changes,
             )
-        self._was_unreachable = False
         return [c for c in changes if c.revision > known], messages
 
     def on_message(self, now, message, is_outdated=False):
@@ -246,7 +238,7 @@
     return tunnel.KeyChange(change.key, value, change.revision)
 
 
-def _messages(topic, was_unreachable, after, revision, changes):
+def _messages(topic, after, revision, changes):
     """Return the messages that carry changes up to a revision.
 
     A change that is too large for a message is left out. The next message
@@ -258,9 +250,7 @@
 
     def flush(until):
         nonlocal after, batch, size
-        result.append(
-            tunnel.StoreChanges(topic, was_unreachable, after, until, batch)
-        )
+        result.append(tunnel.StoreChanges(topic, after, until, batch))
         after, batch, size = until, [], 0
 
     for change in sorted(
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -425,7 +425,7 @@
 SHARED_WATCH_MAX_AGE_S = 2.5
 # Balancers of a group that watch the store for it, so that one may fail.
 WATCHERS_PER_GROUP = 2
-# Balancers that share their watches. Two messages of 48 bytes with headers to
+# Balancers that share their watches. Two messages of 47 bytes with headers to
 # each of them every FOLLOW_LONG_POLL_S take 3 KB/s of a watcher's 14 KB/s for
 # control.
 WATCH_GROUP_SIZE = 64
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -67,7 +67,7 @@
 _RECORD = struct.Struct("!12s4sHB")
 _QUERY = struct.Struct("!12sI")
 _VERDICT = struct.Struct("!12sB")
-_STORE_CHANGES = struct.Struct("!BBQQ")
+_STORE_CHANGES = struct.Struct("!BQQ")
 # Revision, length of the key and length of the value.
 _CHANGE = struct.Struct("!QBH")
 # In place of the length of a value: the key was removed.
@@ -384,15 +384,12 @@
     ``revision`` are in ``changes``.
 
     :param topic: number of the prefix; balancers of one version agree on it.
-    :param was_unreachable: whether the sender could not reach the store at
-        some time since its last message.
     :param after: a revision of the store.
     :param revision: a later or the same revision of the store.
     :param changes: list of :class:`KeyChange`, the oldest first.
     """
 
     topic: int
-    was_unreachable: bool
     after: int
     revision: int
     changes: list
@@ -401,9 +398,7 @@
         """Return the datagram."""
         return (
             _HEADER.pack(_VERSION, STORE_CHANGES)
-            + _STORE_CHANGES.pack(
-                self.topic, self.was_unreachable, self.after, self.revision
-            )
+            + _STORE_CHANGES.pack(self.topic, self.after, self.revision)
             + b"".join(change.encode() for change in self.changes)
         )
 
@@ -523,7 +518,7 @@
 
 @registry.register(decoders_by_kind, STORE_CHANGES)
 def _decode_store_changes(body):
-    topic, was_unreachable, after, revision = _STORE_CHANGES.unpack_from(body)
+    topic, after, revision = _STORE_CHANGES.unpack_from(body)
     changes = []
     position = _STORE_CHANGES.size
     while position < len(body):
@@ -540,7 +535,7 @@
             value = _slice(body, position, length)
             position += length
         changes.append(KeyChange(key, value, changed_at))
-    return StoreChanges(topic, bool(was_unreachable), after, revision, changes)
+    return StoreChanges(topic, after, revision, changes)
 
 
 def _slice(body, start, length):
--- a/src/limpetlift/tasks/following.py
+++ b/src/limpetlift/tasks/following.py
@@ -72,7 +72,6 @@
             try:
                 await self._update()
             except exceptions.CoordinationError as error:
-                self.watch.on_failed()
                 self._log_transition(False, error)
                 if error.code == "compacted":
                     self.watch.on_compacted()
@@ -123,8 +122,6 @@
         :param message: a :class:`~limpetlift.protocol.tunnel.StoreChanges`.
         :param is_outdated: whether it waited through a pause of this process.
         """
-        if message.was_unreachable and not is_outdated:
-            self._on_unreachable()
         self._on_changes(
             self.watch.on_message(clock.now(), message, is_outdated)
         )
