Search flows in placement order, in rounds, within a budget

Cause: a balancer that did not know a flow asked every agent of the fleet, so questions grew with the product of flows and agents. At the design size the loss of a region costs 3.2 GB (docs/CAPACITY.md), and on small instances the questions of all searches go out at once, beside segments and acknowledgements.

Ruled out: only the agents of the flow's route (the route may have named another service when the flow was opened, and a balancer that has just started does not know); a queue of segments instead of questions.

Change: a search asks the 5 agents at which the flow would be placed. When they have answered, or after 30 ms, it asks twice as many others as before, until all have been asked; a reset needs all of them as ever. All searches of a balancer take 250 KB/s with the answers, two fifths of a link of 5 Mbit/s; the first questions are never delayed, and second rounds go before later ones. What is delayed is counted (search_delayed). TokenBucket moves to a module of its own, as coordination/budget.py imports thrift.

In test_steering the_other_servers_are_tried_a_little_later follows the rounds: still all agents, each once, and now before the caller's first retransmission.

--- a/src/limpetlift/coordination/antientropy.py
+++ b/src/limpetlift/coordination/antientropy.py
@@ -15,6 +15,7 @@
 from limpetlift.coordination import budget
 from limpetlift.coordination import digest
 from limpetlift.coordination import records
+from limpetlift.coordination import tokens
 from limpetlift import defaults
 from limpetlift.protocol import messages
 
@@ -41,7 +42,7 @@
 
     view: object
     rng: object
-    token_bucket: budget.TokenBucket
+    token_bucket: tokens.TokenBucket
     synced: bool = False
     _next_comparison_at: float = 0.0
     _next_pull_at: float = 0.0
--- a/src/limpetlift/coordination/budget.py
+++ b/src/limpetlift/coordination/budget.py
@@ -1,6 +1,4 @@
-"""Rate limit for the control messages that a process sends."""
-
-import attrs
+"""Sizes of the control messages that a process sends."""
 
 from limpetlift import defaults
 from limpetlift.protocol import messages
@@ -9,46 +7,3 @@
 def wire_size_bytes(message):
     """Return the size of a message on the wire, headers included."""
     return len(messages.encode(message)) + defaults.MESSAGE_OVERHEAD_BYTES
-
-
-@attrs.define
-class TokenBucket:
-    """Limits the bytes sent per second; the burst is one second of the rate.
-
-    :param rate_bytes_per_s: the rate.
-    :param spent_bytes: bytes taken so far.
-
-    .. versionadded:: 0.1
-    """
-
-    rate_bytes_per_s: float = defaults.CONTROL_BYTES_PER_S
-    spent_bytes: int = 0
-    _tokens: float = attrs.field(init=False)
-    _refilled_at: float = None
-
-    def __attrs_post_init__(self):
-        self._tokens = float(self.rate_bytes_per_s)
-
-    def refill(self, now):
-        """Add the tokens earned since the last call."""
-        if self._refilled_at is not None:
-            gained = (now - self._refilled_at) * self.rate_bytes_per_s
-            self._tokens = min(self.rate_bytes_per_s, self._tokens + gained)
-        self._refilled_at = now
-
-    def take(self, size):
-        """Take ``size`` bytes if available; return whether they were."""
-        if self._tokens < size:
-            return False
-        self.charge(size)
-        return True
-
-    def charge(self, size):
-        """Take ``size`` bytes for a message that must not be delayed.
-
-        The balance may become negative, down to one second of the rate;
-        messages that may be delayed, such as gossip, wait until it recovers.
-        Late heartbeats would cause false suspicions.
-        """
-        self.spent_bytes += size
-        self._tokens = max(self._tokens - size, -self.rate_bytes_per_s)
--- a/src/limpetlift/coordination/dissemination.py
+++ b/src/limpetlift/coordination/dissemination.py
@@ -13,6 +13,7 @@
 from limpetlift.coordination import budget
 from limpetlift.coordination import records
 from limpetlift.coordination import strategies
+from limpetlift.coordination import tokens
 from limpetlift import defaults
 from limpetlift import registry
 
@@ -32,7 +33,7 @@
     :param view: the :class:`limpetlift.coordination.view.View`.
     :param rng: a ``random.Random``.
     :param token_bucket: a
-        :class:`limpetlift.coordination.budget.TokenBucket`.
+        :class:`limpetlift.coordination.tokens.TokenBucket`.
     :param strategy: name of a dissemination strategy, see ``strategies``.
     :param config_revision: revision of the configuration in force.
 
@@ -41,7 +42,7 @@
 
     view: object
     rng: object
-    token_bucket: budget.TokenBucket = attrs.field(factory=budget.TokenBucket)
+    token_bucket: tokens.TokenBucket = attrs.field(factory=tokens.TokenBucket)
     strategy: object = attrs.field(
         default="logdistance",
         converter=attrs.Converter(
--- a/src/limpetlift/coordination/fleet.py
+++ b/src/limpetlift/coordination/fleet.py
@@ -12,6 +12,7 @@
 from limpetlift.coordination import membership
 from limpetlift.coordination import reachability
 from limpetlift.coordination import sponsor
+from limpetlift.coordination import tokens
 from limpetlift import defaults
 from limpetlift.protocol import messages
 
@@ -25,7 +26,7 @@
     """
 
     strategy: str = "logdistance"
-    token_bucket: budget.TokenBucket = attrs.field(factory=budget.TokenBucket)
+    token_bucket: tokens.TokenBucket = attrs.field(factory=tokens.TokenBucket)
     reachability: reachability.Reachability = attrs.field(init=False)
     sponsor: sponsor.Sponsor = attrs.field(init=False)
     dissemination: dissemination.Dissemination = attrs.field(init=False)
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -344,10 +344,27 @@
 # Agents outside of the monitored ones that a balancer asks when it has heard
 # none for an interval of hellos; one of them answers unless its links failed.
 EXTRA_HELLOS = 3
-# Longer than a round trip between data centres plus an event loop iteration of
-# a slow agent; shorter than the time to the caller's first retransmission,
-# 200 ms.
+# After the last round of a search: longer than a round trip between data
+# centres plus an event loop iteration of a slow agent; shorter than the time
+# to the caller's first retransmission, 200 ms.
 SEARCH_TIMEOUT_S = 0.15
+# A flow is sought first at the agents that were asked for their loads to place
+# it.
+SEARCH_FIRST_AGENTS = PLACING_CANDIDATES
+# Each further round queries so many times the agents of all rounds before, so
+# that five rounds reach 400 agents.
+SEARCH_GROWTH = 2
+# Longer than a round trip between data centres and a server's answer; after
+# this time the next agents are queried.
+SEARCH_ROUND_TIMEOUT_S = 0.03
+# A caller that gets no answer gives its flow up after 2 s.
+SEARCH_WIDENING_MAX_S = 2.0
+# Queries and their answers, two fifths of a link of 5 Mbit/s. The rest is for
+# segments, acknowledgements and loads.
+SEARCH_BYTES_PER_S = 250_000
+SEARCH_BURST_S = 0.2
+# IP and UDP headers and the first two bytes of a message.
+MESSAGE_HEADER_BYTES = 30
 # Searches that begin within this time share their messages.
 SEARCH_BATCH_DELAY_S = 0.003
 # An agent that has just started is queried again after SEARCH_RETRY_S, until
@@ -355,9 +372,6 @@
 # arrives.
 SEARCH_RETRY_S = 0.06
 SEARCH_MAX_S = 0.6
-# Longer than a round trip between data centres and a server's answer; after
-# this time the servers that are less likely to hold the flow are tried too.
-SEARCH_LIKELY_TIMEOUT_S = 0.03
 # A caller has at most 16 segments in flight.
 MAX_SEARCH_SEGMENTS = 16
 # A process without an event for this long was paused. A caller sends the
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -72,6 +72,8 @@
 _CHANGE = struct.Struct("!QBH")
 # In place of the length of a value: the key was removed.
 _REMOVED = 0xFFFF
+# Bytes of a query and its verdict.
+QUERY_BYTES = _QUERY.size + _VERDICT.size
 # So many records or queries fit in one datagram of 1,400 bytes.
 RECORDS_PER_MESSAGE = 70
 QUERIES_PER_MESSAGE = 80
--- a/src/limpetlift/state/searching.py
+++ b/src/limpetlift/state/searching.py
@@ -1,15 +1,19 @@
 """Searches for the agents of flows that a balancer does not know.
 
-A balancer queries all agents, in messages that several searches share. An
-agent that cannot tell whether its backend server holds the flow gets a
-segment of it, which the server accepts or returns. A search ends without a
-reset unless every agent has confirmed that its server does not hold the flow.
+A balancer first queries the agents at which it would place the flow, because
+nearly all flows are there, and then more and more of the others. Several
+searches share messages, and a budget bounds what all searches send. An agent
+that cannot tell whether its backend server holds the flow gets a segment of
+it, which the server accepts or returns. A search ends without a reset unless
+every agent has confirmed that its server does not hold the flow.
 """
 
 import collections
+import itertools
 
 import attrs
 
+from limpetlift.coordination import tokens
 from limpetlift import defaults
 from limpetlift.protocol import tunnel
 from limpetlift.state import steps
@@ -23,7 +27,8 @@
     :param began_at: arrival time of the segment that started the search.
     :param expires_at: when the search is abandoned.
     :param ack: acknowledgement number of that segment.
-    :param likely: addresses of the agents whose servers are tried first.
+    :param preferred: addresses of the agents that are queried first, in this
+        order.
     :param waiting: datagrams of the flow that arrived so far, oldest first.
     :param pending: addresses of the agents that have been queried and have
         not given a final answer.
@@ -31,22 +36,59 @@
     :param starting: addresses of the pending agents that have just started
         and cannot answer yet.
     :param retry_at: when the ``starting`` agents are queried again.
-    :param untried: addresses of the unsure agents that are less likely to
-        hold the flow and have not been given a segment yet.
-    :param try_all_at: when the ``untried`` agents are given a segment.
+    :param rounds: number of times that agents were queried.
+    :param widen_at: when more agents are queried; infinite when all have
+        been.
+    :param is_delayed: whether the budget has delayed a round.
     """
 
     began_at: float
     expires_at: float
     ack: int
-    likely: frozenset
+    preferred: list
     waiting: list
     pending: set = attrs.field(factory=set)
     excluded: set = attrs.field(factory=set)
     starting: set = attrs.field(factory=set)
     retry_at: float = float("inf")
-    untried: set = attrs.field(factory=set)
-    try_all_at: float = float("inf")
+    rounds: int = 0
+    widen_at: float = float("-inf")
+    is_delayed: bool = False
+
+    def has_unqueried(self, agents):
+        """Whether one of ``agents`` has not been queried yet."""
+        return any(
+            address not in self.pending and address not in self.excluded
+            for address in agents
+        )
+
+    def take_next(self, agents):
+        """Add the agents of the next round to ``pending``; return them.
+
+        The last round is up to twice as large as it would be otherwise, so
+        that no small round is left.
+
+        :param agents: addresses of the agents that may hold flows.
+        """
+        count = defaults.SEARCH_FIRST_AGENTS
+        if self.rounds:
+            queried = len(self.pending) + len(self.excluded)
+            count = defaults.SEARCH_GROWTH * max(queried, count)
+            if len(agents) - queried <= 2 * count:
+                count = len(agents)
+        self.rounds += 1
+        taken = []
+        for address in itertools.chain(self.preferred, agents):
+            if len(taken) == count:
+                break
+            if (
+                address in agents
+                and address not in self.pending
+                and address not in self.excluded
+            ):
+                self.pending.add(address)
+                taken.append(address)
+        return taken
 
 
 @structs.define
@@ -56,13 +98,25 @@
     Methods take ``now`` in seconds (monotonic). Some of them return steps of
     :mod:`limpetlift.state.steps`. Agents are identified by their addresses.
 
+    :param agents: addresses of the agents that may hold flows, as the keys of
+        a dictionary.
+
     .. versionadded:: 0.2
     """
 
+    agents: dict = attrs.field(factory=dict)
     _searches_by_key: dict = attrs.field(factory=dict)
     _queries_by_address: dict = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
+    _budget: tokens.TokenBucket = attrs.field(
+        factory=lambda: tokens.TokenBucket(
+            defaults.SEARCH_BYTES_PER_S, defaults.SEARCH_BURST_S
+        )
+    )
+    # When further rounds are sent again after the budget was used up. Rounds
+    # that are sent together share messages.
+    _delayed_until: float = float("-inf")
 
     def add_segment(self, segment):
         """Keep a segment until the search for its flow ends.
@@ -79,33 +133,60 @@
             search.waiting.append(segment.data)
         return True
 
-    def begin(self, now, segment, agents, likely, excluded=()):
+    def begin(self, now, segment, preferred, excluded=()):
         """Start a search for the flow of a segment.
 
         :param segment: the segment, of a flow without a search.
-        :param agents: addresses of the agents that may hold the flow.
-        :param likely: addresses of the agents whose servers are tried first;
-            when empty, all are tried at once.
+        :param preferred: addresses of the agents that are queried first, in
+            this order.
         :param excluded: addresses of agents that do not hold the flow.
         :returns: steps.
         """
         key = segment.key
         search = _Search(
             now,
-            now + defaults.SEARCH_TIMEOUT_S,
+            now + defaults.SEARCH_WIDENING_MAX_S,
             segment.ack,
-            likely,
+            preferred,
             [segment.data],
         )
         search.excluded.update(excluded)
         self._searches_by_key[key] = search
-        self._query_new(key, search, agents)
-        return [
+        return self._widen(now, key, search) + [
             steps.LogEvent(
                 "flow_searched", key, {"asked": len(search.pending)}
             )
         ]
 
+    def _widen(self, now, key, search):
+        """Query the next agents of a search, if the budget allows it.
+
+        The first round is never delayed: it is small, and it finds nearly
+        every flow that a server holds.
+
+        :returns: steps.
+        """
+        self._budget.refill(now)
+        if now >= self._delayed_until and not self._budget.has_tokens:
+            self._delayed_until = now + defaults.SEARCH_BURST_S
+        if search.rounds and now < self._delayed_until:
+            search.widen_at = self._delayed_until
+            if search.is_delayed:
+                return []
+            search.is_delayed = True
+            return [
+                steps.LogEvent(
+                    "search_delayed", key, {"asked": len(search.pending)}
+                )
+            ]
+        self._queue_queries(key, search, search.take_next(self.agents))
+        if search.has_unqueried(self.agents):
+            search.widen_at = now + defaults.SEARCH_ROUND_TIMEOUT_S
+        else:
+            search.widen_at = float("inf")
+            search.expires_at = now + defaults.SEARCH_TIMEOUT_S
+        return []
+
     def end(self, key):
         """End the search for a flow that was found.
 
@@ -120,20 +201,14 @@
         search = self._searches_by_key.get(key)
         return search is not None and address in search.pending
 
-    def _query_new(self, key, search, agents):
-        """Query the agents that have not been queried yet.
-
-        :returns: whether there are any.
-        """
-        unqueried = agents - search.excluded - search.pending
-        search.pending |= unqueried
-        self._queue_queries(key, search, unqueried)
-        return bool(unqueried)
-
     def _queue_queries(self, key, search, addresses):
         query = tunnel.Query(key, search.ack)
         for address in addresses:
-            self._queries_by_address[address].append(query)
+            queries = self._queries_by_address[address]
+            if not queries:
+                self._budget.charge(2 * defaults.MESSAGE_HEADER_BYTES)
+            queries.append(query)
+            self._budget.charge(tunnel.QUERY_BYTES)
 
     @property
     def has_queries(self):
@@ -169,10 +244,20 @@
         search.pending.discard(address)
         search.starting.discard(address)
         search.excluded.add(address)
-        if search.pending:
-            return []
+        return self._on_answer(now, key, search)
+
+    def _on_answer(self, now, key, search):
+        """Go on with a search once all agents queried so far have answered.
+
+        :returns: steps.
+        """
+        result = []
+        if not search.pending and search.widen_at < float("inf"):
+            result = self._widen(now, key, search)
+        if search.pending or search.widen_at < float("inf"):
+            return result
         search.expires_at = now + defaults.DIRECTORY_READ_TIMEOUT_S
-        return [steps.ReadDirectory()]
+        return result + [steps.ReadDirectory()]
 
     def on_left(self, now, address):
         """Record that an agent stopped after its server had stopped.
@@ -180,25 +265,19 @@
         :returns: steps.
         """
         result = []
-        for key in list(self._searches_by_key):
-            result += self.on_absent(now, address, key)
+        for key, search in list(self._searches_by_key.items()):
+            if address in search.pending:
+                result += self.on_absent(now, address, key)
+            else:
+                search.excluded.add(address)
         return result
 
-    def on_unsure(self, now, address, key):
+    def on_unsure(self, key, address):
         """Give an unsure agent a segment for its server to accept or return.
 
-        A likely agent gets it at once. The others get it only if the flow is
-        not found within :data:`~limpetlift.defaults.SEARCH_LIKELY_TIMEOUT_S`.
-
         :returns: steps.
         """
         search = self._searches_by_key[key]
-        if search.likely and address not in search.likely:
-            search.untried.add(address)
-            search.try_all_at = min(
-                search.try_all_at, now + defaults.SEARCH_LIKELY_TIMEOUT_S
-            )
-            return []
         return [
             steps.SendToPeer(
                 address, tunnel.TentativeForward(search.waiting[0])
@@ -214,7 +293,7 @@
         search.starting.add(address)
         search.retry_at = min(search.retry_at, now + defaults.SEARCH_RETRY_S)
 
-    def on_directory_read(self, now, began_at, agents):
+    def on_directory_read(self, now, began_at):
         """Complete searches after all entries were read from the store.
 
         An agent registers before it accepts its first flow. If a list of
@@ -225,15 +304,19 @@
         alive.
 
         :param began_at: when the read began.
-        :param agents: addresses of the agents that may hold flows.
         :returns: steps.
         """
         result = []
         for key, search in list(self._searches_by_key.items()):
-            if search.pending or search.began_at > began_at:
+            if (
+                search.pending
+                or search.widen_at < float("inf")
+                or search.began_at > began_at
+            ):
                 continue
-            if self._query_new(key, search, agents):
-                search.expires_at = now + defaults.SEARCH_TIMEOUT_S
+            if search.has_unqueried(self.agents):
+                # Agents have joined since the last round.
+                result += self._widen(now, key, search)
                 continue
             if not search.excluded:
                 continue
@@ -259,6 +342,8 @@
             search.expires_at = max(
                 search.expires_at, now + defaults.SEARCH_TIMEOUT_S
             )
+            if search.widen_at < float("inf"):
+                search.widen_at = now + defaults.SEARCH_ROUND_TIMEOUT_S
 
     def tick(self, now, format_agents):
         """Run the timers.
@@ -268,11 +353,10 @@
         :returns: steps.
         """
         result = []
+        due = []
         for key, search in list(self._searches_by_key.items()):
             if search.retry_at <= now:
                 self._query_starting(now, key, search)
-            if search.try_all_at <= now:
-                result += self._try_all(now, search)
             if search.expires_at <= now:
                 del self._searches_by_key[key]
                 result.append(
@@ -282,9 +366,20 @@
                         {
                             "waited": len(search.waiting),
                             "unanswered": format_agents(search.pending),
+                            "is_complete": search.widen_at == float("inf"),
                         },
                     )
                 )
+            elif search.widen_at <= now:
+                due.append((key, search))
+        # Second rounds are small and find most of the flows that are left.
+        # After them the oldest searches come first, so that some callers get
+        # their proof early.
+        due.sort(key=lambda item: item[1].rounds > 1)
+        for key, search in due:
+            result += self._widen(now, key, search)
+            if not search.pending and search.widen_at == float("inf"):
+                result += self._on_answer(now, key, search)
         return result + self.flush_queries()
 
     def _query_starting(self, now, key, search):
@@ -292,19 +387,8 @@
         self._queue_queries(key, search, search.starting)
         search.starting = set()
         search.retry_at = float("inf")
-        search.expires_at = min(
-            now + defaults.SEARCH_TIMEOUT_S,
-            search.began_at + defaults.SEARCH_MAX_S,
-        )
-
-    @staticmethod
-    def _try_all(now, search):
-        """Return steps that give all untried agents a segment of the flow."""
-        message = tunnel.TentativeForward(search.waiting[0])
-        result = [
-            steps.SendToPeer(address, message) for address in search.untried
-        ]
-        search.untried = set()
-        search.try_all_at = float("inf")
-        search.expires_at = now + defaults.SEARCH_TIMEOUT_S
-        return result
+        if search.widen_at == float("inf"):
+            search.expires_at = min(
+                now + defaults.SEARCH_TIMEOUT_S,
+                search.began_at + defaults.SEARCH_MAX_S,
+            )
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -3,8 +3,8 @@
 A balancer asks a few agents for their loads to place a new flow. It records
 the agent of each flow and shares these records with the other balancers of its
 data centre, because the network fabric may deliver the next segment to any of
-them. If a balancer does not know a flow, it queries all agents; the agent of
-the backend server that holds the flow has the authoritative answer.
+them. If a balancer does not know a flow, it queries agents; the agent of the
+backend server that holds the flow has the authoritative answer.
 """
 
 import math
@@ -327,6 +327,7 @@
         result += [
             _agent_event("agent_gone", agent.entry) for agent in known.values()
         ]
+        self._update_searchable()
         peers = [
             entry.address
             for entry in balancers
@@ -636,23 +637,26 @@
             (chosen, max_wait_s) if queue.is_wait_within(max_wait_s) else None
         )
 
-    def _likely_addresses(self, key):
-        """Return the addresses of the agents that most likely hold a flow."""
+    def _search_order(self, key):
+        """Return the agents of a flow's route as addresses.
+
+        The agents at which the flow would be placed come first.
+        """
         route = self.routes.routes_by_address.get(segments.service_of(key))
         if route is None:
-            return frozenset()
+            return []
         services = {weighted.service for weighted in route.weighted_services}
         agents = [
             agent
             for agent in self._agents_by_address.values()
             if agent.entry.service in services
         ]
-        return frozenset(
+        return [
             agent.entry.address
             for agent in polling.in_order(
                 agents, hashing.flow_hash(key), self.data_centre
-            )[: defaults.PLACING_CANDIDATES]
-        )
+            )
+        ]
 
     def _candidate(self, agent):
         """Return an agent as a placing policy sees it."""
@@ -735,17 +739,13 @@
         if self.searches.add_segment(segment):
             return []
         return self.searches.begin(
-            now,
-            segment,
-            self._searchable_addresses(),
-            self._likely_addresses(segment.key),
-            excluded,
+            now, segment, self._search_order(segment.key), excluded
         )
 
-    def _searchable_addresses(self):
-        """Return the addresses of the agents that may hold flows."""
-        return {
-            address
+    def _update_searchable(self):
+        """Tell the searches which agents may hold flows."""
+        self.searches.agents = {
+            address: agent
             for address, agent in self._agents_by_address.items()
             if not agent.has_left
         }
@@ -755,9 +755,7 @@
 
         :param began_at: when the read began.
         """
-        return self.searches.on_directory_read(
-            now, began_at, self._searchable_addresses()
-        )
+        return self.searches.on_directory_read(now, began_at)
 
     # Messages.
 
@@ -776,8 +774,11 @@
         if agent is None or load.service != agent.entry.service_id:
             return []
         known = agent.load
+        had_left = agent.has_left
         if not agent.on_load(now, load, self._is_catching_up):
             return []
+        if had_left and not agent.has_left:
+            self._update_searchable()
         if not self._is_catching_up:
             self._agents_heard_at = now
         result = []
@@ -839,7 +840,7 @@
             elif verdict == tunnel.ABSENT:
                 result += searches.on_absent(now, address, key)
             elif verdict == tunnel.UNSURE:
-                result += searches.on_unsure(now, address, key)
+                result += searches.on_unsure(key, address)
             else:
                 searches.on_starting(now, address, key)
         return result
@@ -854,6 +855,7 @@
         if agent is None:
             return []
         agent.has_left = True
+        self._update_searchable()
         self._delete_flows_at(address)
         return [
             _agent_event("agent_left", agent.entry)
--- a/src/limpetlift/testing/gossiplab.py
+++ b/src/limpetlift/testing/gossiplab.py
@@ -22,6 +22,7 @@
 from limpetlift.coordination import member
 from limpetlift.coordination import sponsor
 from limpetlift.coordination import strategies
+from limpetlift.coordination import tokens
 from limpetlift.coordination import view
 from limpetlift import defaults
 from limpetlift.protocol import messages
@@ -163,7 +164,7 @@
                 record,
                 random.Random(record.agent_id),
                 strategy=self.strategy,
-                token_bucket=budget.TokenBucket(rate),
+                token_bucket=tokens.TokenBucket(rate),
             )
             membership.view.load(settled_view)
             if not self.detects_silent_data_centres:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -413,17 +413,26 @@
     balancer = _balancer(agents=agents)
     balancer.on_segment(1.0, kit.caller_segment(1, kit.ACK, ack=5))
     verdicts = [(kit.key_of(1), tunnel.UNSURE)]
+    now = 1.0
     tried = []
-    for number in range(1, agents + 1):
-        result = balancer.on_message(
-            1.0, kit.agent(number).address, tunnel.LocateReply(verdicts)
-        )
+    queried = _queried(balancer)
+    while queried:
+        result = []
+        for address in queried:
+            result += balancer.on_message(
+                now, address, tunnel.LocateReply(verdicts)
+            )
         tried += [
             to for to, _ in kit.messages(result, tunnel.TentativeForward)
         ]
-    result = balancer.tick(1.0 + defaults.SEARCH_LIKELY_TIMEOUT_S)
-    tried += [to for to, _ in kit.messages(result, tunnel.TentativeForward)]
+        now += defaults.SEARCH_ROUND_TIMEOUT_S
+        queried = [
+            to
+            for to, _ in kit.messages(balancer.tick(now), tunnel.LocateRequest)
+        ]
     assert len(tried) == len(set(tried)) == agents
+    # Before the caller's first retransmission.
+    assert now < 1.2
 
 
 def test_more_agents_are_asked_when_the_preferred_ones_are_full():
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -8,10 +8,10 @@
 import pytest
 
 from limpetlift.coordination import antientropy
-from limpetlift.coordination import budget
 from limpetlift.coordination import digest
 from limpetlift.coordination import member
 from limpetlift.coordination import records
+from limpetlift.coordination import tokens
 from limpetlift.coordination import view
 from limpetlift import defaults
 from limpetlift import exceptions
@@ -241,7 +241,7 @@
         for record in member_records:
             member_view.merge(0.0, record)
         rng = random.Random(1)
-        bucket = budget.TokenBucket()
+        bucket = tokens.TokenBucket()
         sides.append(antientropy.AntiEntropy(member_view, rng, bucket))
     for puller, answerer in (sides, sides[::-1]):
         hashes = answerer.view.digest.packed_buckets()
