Count a reused load until the poll of a flow ends

A load that was heard up to 20 ms before a new flow counts for it, but its age was taken again whenever another agent answered. It then was too old, although nobody had been asked for a newer one: the flow waited for the time-out of 20 ms and went to another agent.

Change: whether a load is recent is decided by the start of the poll.

Test: test_steering a_reused_load_counts_until_the_poll_ends, which fails on the code before.

--- a/src/limpetlift/state/polling.py
+++ b/src/limpetlift/state/polling.py
@@ -106,13 +106,14 @@
             added.append(agent)
             responsive += not agent.is_silent(now)
         self.window += added
-        return [agent for agent in added if not self.is_answered(agent, now)]
+        return [agent for agent in added if not self.is_answered(agent)]
 
-    def is_answered(self, agent, now):
-        """Whether the agent's load is recent enough to place this flow."""
-        return agent.load_received_at >= min(
-            self.began_at, now - defaults.LOAD_REUSE_S
-        )
+    def is_answered(self, agent):
+        """Whether the agent's load is recent enough to place this flow.
+
+        A load that was recent when the poll began stays so until it ends.
+        """
+        return agent.load_received_at >= self.began_at - defaults.LOAD_REUSE_S
 
     def is_complete(self, now):
         """Whether no answer is worth waiting for.
@@ -121,25 +122,23 @@
         """
         if self.decide_at <= now:
             return True
-        unanswered = self.unanswered(now)
+        unanswered = self.unanswered()
         return not unanswered or (
             len(unanswered) < len(self.window)
             and all(agent.is_silent(now) for agent in unanswered)
         )
 
-    def available(self, now):
+    def available(self):
         """Return the agents of the window that accept new flows."""
         return [
             agent
             for agent in self.window
-            if self.is_answered(agent, now) and agent.load.accepting
+            if self.is_answered(agent) and agent.load.accepting
         ]
 
-    def unanswered(self, now):
+    def unanswered(self):
         """Return the agents of the window that did not answer."""
-        return [
-            agent for agent in self.window if not self.is_answered(agent, now)
-        ]
+        return [agent for agent in self.window if not self.is_answered(agent)]
 
 
 @structs.define
@@ -155,11 +154,11 @@
         factory=lambda: collections.defaultdict(set)
     )
 
-    def add(self, now, poll):
+    def add(self, poll):
         """Add a poll that waits for answers."""
         key = poll.segment.key
         self._polls_by_key[key] = poll
-        for agent in poll.unanswered(now):
+        for agent in poll.unanswered():
             self._keys_by_address[agent.entry.address].add(key)
 
     def add_copy(self, segment):
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -465,7 +465,7 @@
         poll = polling.Poll(segment, flow, now, kept_agent=agent)
         asked = poll.widen(now)
         if asked:
-            self._polls.add(now, poll)
+            self._polls.add(poll)
         return [self._forward(flow.address, segment.data)] + [
             agent.ask(now) for agent in asked
         ]
@@ -478,7 +478,7 @@
             flow.is_open
             or flow.address != address
             or self.flows_by_key.get(poll.segment.key) is not flow
-            or not poll.unanswered(now)
+            or not poll.unanswered()
         ):
             return []
         flow.tried.add(address)
@@ -546,16 +546,16 @@
         result = []
         while True:
             if not poll.is_complete(now):
-                self._polls.add(now, poll)
+                self._polls.add(poll)
                 return result
-            available = poll.available(now)
+            available = poll.available()
             admitted = self._choose_admitted(available, poll)
             if admitted is None and poll.can_widen():
                 asked = poll.widen(now)
                 result += [agent.ask(now) for agent in asked]
                 continue
             if admitted is None and not available:
-                available = poll.unanswered(now)
+                available = poll.unanswered()
                 admitted = self._choose_admitted(available, poll)
             if admitted is not None:
                 return result + self._assign(now, poll, *admitted)
@@ -600,7 +600,7 @@
                     "copy": poll.segment.ack,
                     "declined": len(poll.flow.tried),
                     "asked": len(poll.window),
-                    "unanswered": len(poll.unanswered(now)),
+                    "unanswered": len(poll.unanswered()),
                     "busy": load.busy if load else "unknown",
                     "age_s": round(now - agent.load_received_at, 3),
                     "routes": self.routes.version,
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -207,6 +207,22 @@
     assert _asked(result) and not _forwards(result)
 
 
+def test_a_reused_load_counts_until_the_poll_ends():
+    """A flow must not wait for an agent that has not been asked for it.
+
+    A load that was recent when the flow came grew too old while others were
+    asked. The flow then waited for the time-out and went to the others.
+    """
+    balancer = _balancer(is_fresh=False)
+    idle, busy = kit.agent(1).address, kit.agent(2).address
+    _answer(balancer, 0.5, [busy])
+    _answer(balancer, 0.985, [idle])
+    result = balancer.on_segment(1.0, kit.caller_segment(1, kit.SYN))
+    assert _asked(result) == [busy]
+    result = _answer(balancer, 1.01, [busy], busy=1)
+    assert [to for to, _ in _forwards(result)] == [idle]
+
+
 def test_questions_do_not_grow_with_the_fleet():
     """The cost of a new flow must not depend on the number of agents.
 
