Keep the record of a flow at two balancers of the data centre

Cause: each new flow was told to every balancer of the data centre, because the fabric may deliver its next segment to any of them.

Ruled out: no records (a copy of a first segment at another balancer would be placed again, and a search needs an agent that answers, which a frozen one does not); three keepers (bytes for a case that the search covers); the keeper forwards the segment itself (a second copy of every segment while the other keeper does the same).

Change: state/keeping.py chooses two keepers by the flow's hash (policy few; baseline all). A balancer that does not know a flow asks them beside the first agents; an agent's answer goes before a record. A copy of a first segment whose earlier copies may have gone elsewhere is placed after 20 ms, unless a keeper knows its flow. A balancer that starts asks for the records that it has to keep, also before the others find it in the directory.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -383,6 +383,13 @@
 # Caller and balancer measure the idle time from different segments.
 FLOW_IDLE_MARGIN_S = 2.0
 STEERING_TICK_S = 0.02
+# Balancers that keep the record of a flow beside the one that placed it. With
+# two, the loss of one of them loses no record.
+RECORD_KEEPERS = 2
+# Longer than a round trip in a data centre and an event loop iteration of a
+# slow balancer. Until then a copy of a first segment is not placed, because
+# another balancer may have placed its flow.
+RECORD_QUERY_TIMEOUT_S = 0.02
 
 # Hosting of flows.
 
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -33,6 +33,8 @@
 LOCATE_REPLY = 12
 TENTATIVE_FORWARD = 13
 STORE_CHANGES = 14
+RECORDS_QUERY = 15
+KEPT_RECORDS = 16
 
 # Verdicts of an agent on a flow that a balancer searches for: whether its
 # backend server holds the flow.
@@ -65,6 +67,7 @@
 _FORWARD_BODY = struct.Struct("!H8s")
 _LOAD_REPORT = struct.Struct("!QIBBHHHH8s")
 _RECORD = struct.Struct("!12s4sHB")
+_KEY = struct.Struct("!12s")
 _QUERY = struct.Struct("!12sI")
 _VERDICT = struct.Struct("!12sB")
 _STORE_CHANGES = struct.Struct("!BQQ")
@@ -307,7 +310,7 @@
 
 @structs.frozen
 class FlowRecords:
-    """Locations of flows, sent to the other balancers of the data centre.
+    """Locations of flows, sent to the balancers that keep them.
 
     :param records: at most :data:`RECORDS_PER_MESSAGE` :class:`FlowRecord`.
     """
@@ -316,20 +319,47 @@
 
     def encode(self):
         """Return the datagram."""
-        return _HEADER.pack(_VERSION, FLOW_RECORDS) + b"".join(
-            _RECORD.pack(
-                record.key,
-                socket.inet_aton(record.address[0]),
-                record.address[1],
-                record.is_placed,
-            )
-            for record in self.records
-        )
+        return _encode_records(FLOW_RECORDS, self.records)
+
+
+@structs.frozen
+class RecordsQuery:
+    """Query of a balancer for flows that it does not know.
+
+    The receiver answers with the :class:`KeptRecords` that it has, if any.
+
+    :param keys: flow keys.
+    """
+
+    keys: list
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEADER.pack(_VERSION, RECORDS_QUERY) + b"".join(self.keys)
+
+
+@structs.frozen
+class KeptRecords:
+    """Answer to a :class:`RecordsQuery`.
+
+    It may be older than what the asking balancer has learned meanwhile.
+
+    :param records: at most :data:`RECORDS_PER_MESSAGE` :class:`FlowRecord`.
+    """
+
+    records: list
+
+    def encode(self):
+        """Return the datagram."""
+        return _encode_records(KEPT_RECORDS, self.records)
 
 
 @structs.frozen
 class FlowRecordsRequest:
-    """Request of a balancer that has just started for all flow records."""
+    """Request of a balancer for the flow records that it has to keep.
+
+    It sends the request to each balancer that it has not known before.
+    """
 
     def encode(self):
         """Return the datagram."""
@@ -405,6 +435,19 @@
         )
 
 
+def _encode_records(kind, records):
+    """Return the datagram of a message that consists of flow records."""
+    return _HEADER.pack(_VERSION, kind) + b"".join(
+        _RECORD.pack(
+            record.key,
+            socket.inet_aton(record.address[0]),
+            record.address[1],
+            record.is_placed,
+        )
+        for record in records
+    )
+
+
 def in_batches(items, size):
     """Return the items split into lists of at most ``size`` items."""
     return [
@@ -505,12 +548,24 @@
 
 @registry.register(decoders_by_kind, FLOW_RECORDS)
 def _decode_flow_records(body):
-    return FlowRecords(
-        [
-            FlowRecord(key, (socket.inet_ntoa(ip), port), bool(is_placed))
-            for key, ip, port, is_placed in _RECORD.iter_unpack(body)
-        ]
-    )
+    return FlowRecords(_decode_records(body))
+
+
+@registry.register(decoders_by_kind, KEPT_RECORDS)
+def _decode_kept_records(body):
+    return KeptRecords(_decode_records(body))
+
+
+def _decode_records(body):
+    return [
+        FlowRecord(key, (socket.inet_ntoa(ip), port), bool(is_placed))
+        for key, ip, port, is_placed in _RECORD.iter_unpack(body)
+    ]
+
+
+@registry.register(decoders_by_kind, RECORDS_QUERY)
+def _decode_records_query(body):
+    return RecordsQuery([key for (key,) in _KEY.iter_unpack(body)])
 
 
 @registry.register(decoders_by_kind, FLOW_RECORDS_REQUEST)
--- a/src/limpetlift/state/polling.py
+++ b/src/limpetlift/state/polling.py
@@ -51,6 +51,8 @@
         preferred one first; the first of them is being asked.
     :param kept_agent: the agent that has the flow already and is asked only
         whether it is alive; None for a flow that has to be placed.
+    :param placeable_at: the flow is not placed before this time, because
+        another balancer has been asked whether the flow is placed already.
     :param decide_at: when the flow is placed by the answers received so far.
     :param remaining: agents of the service that have not been asked, in the
         order of :func:`in_order`.
@@ -64,6 +66,7 @@
     route: object = None
     services: list = attrs.field(factory=list)
     kept_agent: object = None
+    placeable_at: float = float("-inf")
     decide_at: float = float("-inf")
     remaining: list = attrs.field(factory=list)
     window: list = attrs.field(factory=list)
@@ -120,6 +123,8 @@
 
         Silent agents are not waited for, unless no other one has answered.
         """
+        if now < self.placeable_at:
+            return False
         if self.decide_at <= now:
             return True
         unanswered = self.unanswered()
@@ -195,7 +200,7 @@
         due = [
             poll
             for poll in self._polls_by_key.values()
-            if poll.decide_at <= now
+            if max(poll.decide_at, poll.placeable_at) <= now
         ]
         for poll in due:
             del self._polls_by_key[poll.segment.key]
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -1,10 +1,11 @@
 """Steering of segments at a balancer: the choice of the agent for each one.
 
 A balancer asks a few agents for their loads to place a new flow. It records
-the agent of each flow and shares these records with the other balancers of its
-data centre, because the network fabric may deliver the next segment to any of
-them. If a balancer does not know a flow, it queries agents; the agent of the
-backend server that holds the flow has the authoritative answer.
+the agent of each flow and sends the record to a few balancers of its data
+centre that keep it, because the network fabric may deliver the next segment to
+any of them. If a balancer does not know a flow, it asks these and queries
+agents; the agent of the backend server that holds the flow has the
+authoritative answer.
 """
 
 import math
@@ -19,6 +20,7 @@
 from limpetlift.protocol import tunnel
 from limpetlift import registry
 from limpetlift.state import admitting
+from limpetlift.state import keeping
 from limpetlift.state import placing
 from limpetlift.state import polling
 from limpetlift.state import routing
@@ -180,6 +182,8 @@
         :mod:`limpetlift.state.placing`.
     :param admission_policy: name of a policy of
         :mod:`limpetlift.state.admitting`.
+    :param record_policy: name of a policy of
+        :mod:`limpetlift.state.keeping`.
     :param routes: the :class:`~limpetlift.state.routing.RouteTable` in force.
     :param flows_by_key: the known flows.
     :param searches: the searches for unknown flows.
@@ -194,6 +198,7 @@
     rng: random.Random = attrs.field(factory=random.Random)
     placing_policy: str = "least"
     admission_policy: str = "timely"
+    record_policy: str = "few"
     routes: routing.RouteTable = attrs.field(factory=routing.RouteTable)
     flows_by_key: dict = attrs.field(factory=dict)
     _agents_by_address: dict = attrs.field(factory=dict)
@@ -202,8 +207,8 @@
     )
     _polls: polling.LoadPolls = attrs.field(factory=polling.LoadPolls)
     _deferrals_by_key: dict = attrs.field(factory=dict)
-    _peers: list = attrs.field(factory=list)
-    # Records that have not been sent to the peers yet.
+    _keepers: keeping.Keepers = attrs.field(init=False)
+    # Records that have not been sent to their keepers yet.
     _unsent_records: list = attrs.field(factory=list)
     _hello_sent_at: float = float("-inf")
     # Time of the last answer of any agent.
@@ -226,6 +231,7 @@
             self.admission_policy,
             "admission policy",
         )
+        self._keepers = self._keepers_among(())
 
     # Pauses.
 
@@ -328,19 +334,36 @@
             _agent_event("agent_gone", agent.entry) for agent in known.values()
         ]
         self._update_searchable()
-        peers = [
+        result += self._update_keepers(
             entry.address
             for entry in balancers
             if entry.data_centre == self.data_centre
-            and entry.address != self.address
-        ]
-        for address in set(peers) - set(self._peers):
-            result.append(
-                steps.SendToPeer(address, tunnel.FlowRecordsRequest())
-            )
-        self._peers = peers
+        )
         return result + self._update_monitored(now, balancers)
 
+    def _keepers_among(self, addresses):
+        """Return the keepers among this balancer and some others."""
+        return keeping.Keepers(
+            frozenset(addresses) | {self.address}, self.record_policy
+        )
+
+    def _update_keepers(self, addresses):
+        """Choose the keepers of flows anew when balancers come or go.
+
+        New balancers are asked for the records that this one has to keep.
+
+        :param addresses: addresses of the balancers of this data centre.
+        """
+        known = self._keepers.addresses
+        keepers = self._keepers_among(addresses)
+        if keepers.addresses == known:
+            return []
+        self._keepers = keepers
+        return [
+            steps.SendToPeer(address, tunnel.FlowRecordsRequest())
+            for address in keepers.addresses - known
+        ]
+
     def _update_monitored(self, now, balancers):
         """Choose the agents to monitor; say hello to the new ones."""
         addresses = monitoring.monitored(
@@ -421,7 +444,7 @@
             if segment.opens_flow:
                 if self._polls.add_copy(segment):
                     return []
-                return self._place(now, segment, _Flow((), now))
+                return self._place_unknown(now, segment)
             if segment.is_reset:
                 # The caller abandoned a flow that is not known here.
                 self._polls.end(segment.key)
@@ -484,8 +507,39 @@
         flow.tried.add(address)
         return self._place(now, poll.segment, flow)
 
-    def _place(self, now, segment, flow):
-        """Place a new flow once the loads of some agents are known."""
+    def _place_unknown(self, now, segment):
+        """Place a flow that this balancer does not know.
+
+        Another balancer may have placed it when an earlier copy of its first
+        segment went there. So the keepers are asked first, unless all earlier
+        copies came here.
+        """
+        deferral = self._deferrals_by_key.get(segment.key)
+        copies = len(deferral.copies) if deferral else 0
+        queries = []
+        placeable_at = -math.inf
+        if segment.ack > copies:
+            queries = self._query_keepers(segment.key)
+        if queries:
+            placeable_at = now + defaults.RECORD_QUERY_TIMEOUT_S
+        return queries + self._place(
+            now, segment, _Flow((), now), placeable_at
+        )
+
+    def _query_keepers(self, key):
+        """Return steps that ask the keepers of a flow where it is."""
+        message = tunnel.RecordsQuery([key])
+        return [
+            steps.SendToPeer(address, message)
+            for address in self._keepers.of(key)
+            if address != self.address
+        ]
+
+    def _place(self, now, segment, flow, placeable_at=-math.inf):
+        """Place a new flow once the loads of some agents are known.
+
+        :param placeable_at: the flow is not placed before this time.
+        """
         key = segment.key
         if not self.routes.version:
             return [
@@ -516,6 +570,7 @@
             now,
             route,
             route.services_for(flow_hash / (1 << 64)),
+            placeable_at=placeable_at,
         )
         poll.start_service(self._candidates_in_order(poll))
         return self._advance(now, poll)
@@ -738,9 +793,13 @@
         """
         if self.searches.add_segment(segment):
             return []
-        return self.searches.begin(
+        result = self.searches.begin(
             now, segment, self._search_order(segment.key), excluded
         )
+        if not excluded:
+            # The keepers may know a flow whose agent does not answer.
+            result += self._query_keepers(segment.key)
+        return result
 
     def _update_searchable(self):
         """Tell the searches which agents may hold flows."""
@@ -811,13 +870,20 @@
         :param delivered_count: number of waiting segments, oldest first, that
             the agent's server has received already.
         """
-        search = self.searches.end(key)
         known = self.flows_by_key.get(key)
         if known is not None and known.address == address:
             known.is_open = True
         else:
             self.flows_by_key[key] = _Flow(address, now, True)
             self._unsent_records.append(tunnel.FlowRecord(key, address))
+        return self._end_search(now, key, address, delivered_count, "agent")
+
+    def _end_search(self, now, key, address, delivered_count, by):
+        """Forward what waited for the search for a flow that was found.
+
+        :param by: what told where the flow is, for the log.
+        """
+        search = self.searches.end(key)
         if search is None:
             return []
         waiting, began_at = search
@@ -825,7 +891,9 @@
             self._forward(address, data) for data in waiting[delivered_count:]
         ] + [
             steps.Duration("search", now - began_at),
-            steps.LogEvent("flow_found", key, {"agent": "%s:%d" % address}),
+            steps.LogEvent(
+                "flow_found", key, {"agent": "%s:%d" % address, "by": by}
+            ),
         ]
 
     @registry.register(_handlers_by_type, tunnel.LocateReply)
@@ -903,46 +971,86 @@
         for record in message.records:
             known = self.flows_by_key.get(record.key)
             if known is None:
-                poll = self._polls.end(record.key)
-                if poll is not None:
-                    # Another balancer has placed the flow in the meantime.
-                    result.append(
-                        self._forward(record.address, poll.segment.data)
-                    )
-                self.flows_by_key[record.key] = _Flow(
-                    record.address, now, not record.is_placed
-                )
+                result += self._learn(now, record)
             elif not (record.is_placed and known.is_open):
                 known.address = record.address
         return result
 
-    @registry.register(_handlers_by_type, tunnel.FlowRecordsRequest)
-    def _on_flow_records_request(self, _now, address, _message):
+    def _learn(self, now, record):
+        """Add a flow from its record; forward what waited for it here."""
+        key = record.key
+        self.flows_by_key[key] = _Flow(
+            record.address, now, not record.is_placed
+        )
+        result = []
+        poll = self._polls.end(key)
+        if poll is not None:
+            # Another balancer has placed the flow in the meantime.
+            result.append(self._forward(record.address, poll.segment.data))
+        return result + self._end_search(
+            now, key, record.address, delivered_count=0, by="balancer"
+        )
+
+    @registry.register(_handlers_by_type, tunnel.KeptRecords)
+    def _on_kept_records(self, now, _address, message):
+        result = []
+        for record in message.records:
+            agent = self._agents_by_address.get(record.address)
+            if record.key not in self.flows_by_key and not (
+                agent is not None and agent.has_left
+            ):
+                result += self._learn(now, record)
+        return result
+
+    @registry.register(_handlers_by_type, tunnel.RecordsQuery)
+    def _on_records_query(self, _now, address, query):
         records = [
-            tunnel.FlowRecord(key, flow.address, not flow.is_open)
-            for key, flow in self.flows_by_key.items()
+            self._record(key) for key in query.keys if key in self.flows_by_key
         ]
+        if not records:
+            return []
+        return [steps.SendToPeer(address, tunnel.KeptRecords(records))]
+
+    @registry.register(_handlers_by_type, tunnel.FlowRecordsRequest)
+    def _on_flow_records_request(self, _now, address, _message):
+        # The directory here may not have the entry of that balancer yet.
+        keepers = self._keepers
+        if address not in keepers.addresses:
+            keepers = self._keepers_among(keepers.addresses | {address})
         return [
             steps.SendToPeer(address, message)
-            for message in _record_messages(records)
+            for message in _record_messages(
+                [
+                    self._record(key)
+                    for key in self.flows_by_key
+                    if address in keepers.of(key)
+                ]
+            )
         ]
 
+    def _record(self, key):
+        """Return the record of a known flow."""
+        flow = self.flows_by_key[key]
+        return tunnel.FlowRecord(key, flow.address, not flow.is_open)
+
     # Timers.
 
     def tick(self, now):
         """Run the timers.
 
-        They send flow records to the other balancers and hellos to the
-        agents, advance the searches and delete idle flows.
+        They send flow records to their keepers and hellos to the agents,
+        advance the searches and delete idle flows.
         """
         result = []
-        if self._unsent_records:
-            for message in _record_messages(self._unsent_records):
-                result += [
-                    steps.SendToPeer(address, message)
-                    for address in self._peers
-                ]
-            self._unsent_records = []
+        records_by_address = self._keepers.group(
+            self._unsent_records, self.address
+        )
+        self._unsent_records = []
+        for address, records in records_by_address.items():
+            result += [
+                steps.SendToPeer(address, message)
+                for message in _record_messages(records)
+            ]
         if now - self._hello_sent_at >= defaults.HELLO_INTERVAL_S:
             result += self._say_hello(now)
         for poll in self._polls.pop_due(now):
--- a/tests/decoderfuzz.py
+++ b/tests/decoderfuzz.py
@@ -89,6 +89,8 @@
         tunnel.UnknownFlow(segment),
         tunnel.FlowRecords([tunnel.FlowRecord(_KEY, _ADDRESS)] * 2),
         tunnel.FlowRecordsRequest(),
+        tunnel.RecordsQuery([_KEY] * 3),
+        tunnel.KeptRecords([tunnel.FlowRecord(_KEY, _ADDRESS)] * 2),
         tunnel.AgentLeft(),
         tunnel.StoreChanges(
             1,
