--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -13,7 +13,6 @@
 
 import attrs
 
-from limpetlift.coordination import monitoring
 from limpetlift import defaults
 from limpetlift.protocol import hashing
 from limpetlift.protocol import segment as segments
@@ -21,6 +20,7 @@
 from limpetlift import registry
 from limpetlift.state import admitting
 from limpetlift.state import keeping
+from limpetlift.state import knownagents
 from limpetlift.state import placing
 from limpetlift.state import polling
 from limpetlift.state import routing
@@ -47,90 +47,6 @@
 _PER_FLOW_REASONS = frozenset(("server_refused", "busy", "paused"))
 
 
-@structs.define
-class _Agent:
-    """An agent as a balancer knows it.
-
-    :param entry: its :class:`~limpetlift.coordination.directory.ProcessEntry`.
-    :param load: its last :class:`~limpetlift.protocol.tunnel.LoadReport`, or
-        None.
-    :param load_received_at: when ``load`` arrived.
-    :param asked_at: when it was asked for its load and has not answered yet;
-        None when no question is open.
-    :param monitored_since: when this balancer began to monitor it, or None
-        when it does not.
-    :param is_listed: whether the store has its entry.
-    :param has_left: whether it announced that it stops, after its backend
-        server had stopped.
-    :param placement_times: when this balancer placed flows there that
-        ``load`` may not include.
-    """
-
-    entry: object
-    load: object = None
-    load_received_at: float = float("-inf")
-    asked_at: object = None
-    monitored_since: object = None
-    is_listed: bool = True
-    has_left: bool = False
-    placement_times: list = attrs.field(factory=list)
-    # Hash of its id, for the order in which flows are offered to agents.
-    id_hash: int = attrs.field(init=False)
-
-    def __attrs_post_init__(self):
-        self.id_hash = hashing.id_hash(self.entry.process_id)
-
-    def is_silent(self, now):
-        """Whether it has left a question unanswered for too long."""
-        return (
-            self.asked_at is not None
-            and now - self.asked_at > defaults.POLL_TIMEOUT_S
-        )
-
-    def ask(self, now):
-        """Return the step that asks the agent for its load."""
-        if self.asked_at is None:
-            self.asked_at = now
-        return steps.SendToPeer(
-            self.entry.address, tunnel.Hello(self.is_listed)
-        )
-
-    def on_load(self, now, load, is_outdated):
-        """Store a load report.
-
-        :param is_outdated: whether the report waited through a pause of this
-            balancer. It then does not show that the agent is alive.
-
-        Incarnations are checked for equality but not for their order, because
-        the clock of an instance may be set back before its agent restarts.
-
-        :returns: whether the report is newer than the stored one.
-        """
-        known = self.load
-        if (
-            known is not None
-            and load.incarnation == known.incarnation
-            and load.number <= known.number
-        ):
-            return False
-        if known is None or load.incarnation != known.incarnation:
-            self.has_left = False
-        self.load = load
-        if is_outdated:
-            return True
-        self.load_received_at = now
-        self.asked_at = None
-        # The report may not include flows that were placed while it was on
-        # its way.
-        oldest_kept = now - defaults.LOAD_REPORT_LAG_S
-        self.placement_times = [
-            placed_at
-            for placed_at in self.placement_times
-            if placed_at > oldest_kept
-        ]
-        return True
-
-
 @structs.define
 class _Flow:
     """A flow and the agent that it is assigned to.
@@ -186,6 +102,7 @@
         :mod:`limpetlift.state.keeping`.
     :param routes: the :class:`~limpetlift.state.routing.RouteTable` in force.
     :param flows_by_key: the known flows.
+    :param agents: the known agents.
     :param searches: the searches for unknown flows.
     :raises StateError: when a policy does not exist.
 
@@ -201,18 +118,15 @@
     record_policy: str = "few"
     routes: routing.RouteTable = attrs.field(factory=routing.RouteTable)
     flows_by_key: dict = attrs.field(factory=dict)
-    _agents_by_address: dict = attrs.field(factory=dict)
     searches: searching.FlowSearches = attrs.field(
         factory=searching.FlowSearches
     )
     _polls: polling.LoadPolls = attrs.field(factory=polling.LoadPolls)
     _deferrals_by_key: dict = attrs.field(factory=dict)
+    agents: knownagents.KnownAgents = attrs.field(init=False)
     _keepers: keeping.Keepers = attrs.field(init=False)
     # Records that have not been sent to their keepers yet.
     _unsent_records: list = attrs.field(factory=list)
-    _hello_sent_at: float = float("-inf")
-    # Time of the last answer of any agent.
-    _agents_heard_at: float = float("-inf")
     # End of the last pause of this balancer, its length, and whether messages
     # that waited through it are being handled.
     _resumed_at: float = float("-inf")
@@ -231,6 +145,7 @@
             self.admission_policy,
             "admission policy",
         )
+        self.agents = knownagents.KnownAgents(self.address, self.rng)
         self._keepers = self._keepers_among(())
 
     # Pauses.
@@ -243,12 +158,7 @@
         self._resumed_at = now
         self._pause_s = pause_s
         self._is_catching_up = True
-        # Hellos are sent at once, and only silence from now on counts.
-        self._hello_sent_at = float("-inf")
-        for agent in self._agents_by_address.values():
-            agent.asked_at = None
-            if agent.monitored_since is not None:
-                agent.monitored_since = now
+        self.agents.on_pause(now)
         self._polls.on_pause(now)
         self.searches.on_pause(now)
         return []
@@ -319,27 +229,14 @@
         :param unlisted: ids of the agents whose entries the store does not
             have any more.
         """
-        result = []
-        known = self._agents_by_address
-        self._agents_by_address = {}
-        for entry in agents:
-            agent = known.pop(entry.address, None)
-            if agent is None or agent.entry.service != entry.service:
-                agent = _Agent(entry)
-                result.append(_agent_event("agent_joined", entry))
-            agent.entry = entry
-            agent.is_listed = entry.process_id not in unlisted
-            self._agents_by_address[entry.address] = agent
-        result += [
-            _agent_event("agent_gone", agent.entry) for agent in known.values()
-        ]
-        self._update_searchable()
+        result = self.agents.on_entries(agents, unlisted)
+        self.searches.agents = self.agents.searchable()
         result += self._update_keepers(
             entry.address
             for entry in balancers
             if entry.data_centre == self.data_centre
         )
-        return result + self._update_monitored(now, balancers)
+        return result + self.agents.update_monitored(now, balancers)
 
     def _keepers_among(self, addresses):
         """Return the keepers among this balancer and some others."""
@@ -364,22 +261,6 @@
             for address in keepers.addresses - known
         ]
 
-    def _update_monitored(self, now, balancers):
-        """Choose the agents to monitor; say hello to the new ones."""
-        addresses = monitoring.monitored(
-            self.address,
-            [entry.address for entry in balancers],
-            list(self._agents_by_address),
-        )
-        result = []
-        for address, agent in self._agents_by_address.items():
-            if address not in addresses:
-                agent.monitored_since = None
-            elif agent.monitored_since is None:
-                agent.monitored_since = now
-                result.append(agent.ask(now))
-        return result
-
     def _is_near(self, agent):
         return agent.entry.data_centre == self.data_centre
 
@@ -394,47 +275,6 @@
             if flow.address == address:
                 del self.flows_by_key[key]
 
-    def is_connected(self, now):
-        """Whether any agent answered recently, or no agent is known."""
-        return (
-            not self._agents_by_address
-            or now - self._agents_heard_at < defaults.AGENTS_SILENT_AFTER_S
-        )
-
-    def silent_agents(self, now):
-        """Return the monitored agents that most likely will not come back.
-
-        If half of the monitored agents or more are silent, a fault of this
-        balancer's own links is more likely, and the result is empty.
-
-        :returns: their entries.
-        """
-        monitored = [
-            agent
-            for agent in self._agents_by_address.values()
-            if agent.monitored_since is not None
-        ]
-        silent = [
-            agent.entry
-            for agent in monitored
-            if now - max(agent.load_received_at, agent.monitored_since)
-            > defaults.SILENT_AGENT_REMOVE_AFTER_S
-        ]
-        if 2 * len(silent) >= len(monitored):
-            return []
-        return silent
-
-    def is_reporting(self, now, address):
-        """Whether the agent at ``address`` has answered recently.
-
-        Silence counts only while this balancer runs.
-        """
-        agent = self._agents_by_address.get(address)
-        return agent is not None and (
-            now - max(agent.load_received_at, self._resumed_at)
-            < defaults.AGENT_HEARD_MAX_AGE_S
-        )
-
     # Segments of callers.
 
     def on_segment(self, now, segment):
@@ -464,7 +304,7 @@
         :param max_wait_s: for a first segment, the longest time that the
             flow's request may wait at the agent's server.
         """
-        agent = self._agents_by_address.get(address)
+        agent = self.agents.by_address.get(address)
         service_id = agent.entry.service_id if agent else b"\0" * 8
         max_wait_ms = (
             0 if max_wait_s == math.inf else max(round(max_wait_s * 1000), 1)
@@ -481,7 +321,7 @@
         """
         if flow.is_open:
             return [self._forward(flow.address, segment.data)]
-        agent = self._agents_by_address.get(flow.address)
+        agent = self.agents.by_address.get(flow.address)
         if agent is None or agent.is_silent(now):
             flow.tried.add(flow.address)
             return self._place(now, segment, flow)
@@ -579,9 +419,8 @@
         """Return the agents of the poll's service that may take the flow."""
         agents = [
             agent
-            for address, agent in self._agents_by_address.items()
-            if agent.entry.service == poll.services[0]
-            and address not in poll.flow.tried
+            for agent in self.agents.of_services(poll.services[:1])
+            if agent.entry.address not in poll.flow.tried
             and not agent.has_left
         ]
         flow_hash = hashing.flow_hash(poll.segment.key)
@@ -638,7 +477,7 @@
         """
         key = poll.segment.key
         address = chosen.agent_key
-        agent = self._agents_by_address[address]
+        agent = self.agents.by_address[address]
         agent.placement_times.append(now)
         poll.flow.address = address
         self.flows_by_key[key] = poll.flow
@@ -674,7 +513,7 @@
         candidates = [
             self._candidate(agent)
             for agent in agents
-            if agent.entry.address in self._agents_by_address
+            if agent.entry.address in self.agents.by_address
         ]
         if not candidates:
             return None
@@ -701,15 +540,12 @@
         if route is None:
             return []
         services = {weighted.service for weighted in route.weighted_services}
-        agents = [
-            agent
-            for agent in self._agents_by_address.values()
-            if agent.entry.service in services
-        ]
         return [
             agent.entry.address
             for agent in polling.in_order(
-                agents, hashing.flow_hash(key), self.data_centre
+                self.agents.of_services(services),
+                hashing.flow_hash(key),
+                self.data_centre,
             )
         ]
 
@@ -801,14 +637,6 @@
             result += self._query_keepers(segment.key)
         return result
 
-    def _update_searchable(self):
-        """Tell the searches which agents may hold flows."""
-        self.searches.agents = {
-            address: agent
-            for address, agent in self._agents_by_address.items()
-            if not agent.has_left
-        }
-
     def on_directory_read(self, now, began_at):
         """Complete searches after all entries were read from the store.
 
@@ -829,7 +657,7 @@
 
     @registry.register(_handlers_by_type, tunnel.LoadReport)
     def _on_load_report(self, now, address, load):
-        agent = self._agents_by_address.get(address)
+        agent = self.agents.by_address.get(address)
         if agent is None or load.service != agent.entry.service_id:
             return []
         known = agent.load
@@ -837,9 +665,9 @@
         if not agent.on_load(now, load, self._is_catching_up):
             return []
         if had_left and not agent.has_left:
-            self._update_searchable()
+            self.searches.agents = self.agents.searchable()
         if not self._is_catching_up:
-            self._agents_heard_at = now
+            self.agents.heard_at = now
         result = []
         if (
             known is None
@@ -919,20 +747,20 @@
 
     @registry.register(_handlers_by_type, tunnel.AgentLeft)
     def _on_agent_left(self, now, address, _left):
-        agent = self._agents_by_address.get(address)
+        agent = self.agents.by_address.get(address)
         if agent is None:
             return []
         agent.has_left = True
-        self._update_searchable()
+        self.searches.agents = self.agents.searchable()
         self._delete_flows_at(address)
-        return [
-            _agent_event("agent_left", agent.entry)
-        ] + self.searches.on_left(now, address)
+        return [agent.event("agent_left")] + self.searches.on_left(
+            now, address
+        )
 
     @registry.register(_handlers_by_type, tunnel.Declined)
     def _on_declined(self, now, address, declined):
         segment = self.decode(declined.data)
-        agent = self._agents_by_address.get(address)
+        agent = self.agents.by_address.get(address)
         if agent is not None and agent.load is not None:
             if declined.reason not in _PER_FLOW_REASONS:
                 agent.load = attrs.evolve(agent.load, accepting=False)
@@ -995,7 +823,7 @@
     def _on_kept_records(self, now, _address, message):
         result = []
         for record in message.records:
-            agent = self._agents_by_address.get(record.address)
+            agent = self.agents.by_address.get(record.address)
             if record.key not in self.flows_by_key and not (
                 agent is not None and agent.has_left
             ):
@@ -1051,45 +879,15 @@
                 steps.SendToPeer(address, message)
                 for message in _record_messages(records)
             ]
-        if now - self._hello_sent_at >= defaults.HELLO_INTERVAL_S:
-            result += self._say_hello(now)
+        result += self.agents.say_hello(now)
         for poll in self._polls.pop_due(now):
             result += self._advance(now, poll)
-        result += self.searches.tick(now, self._format_agents)
+        result += self.searches.tick(now, self.agents.format_ids)
         if now - self._swept_at >= defaults.SWEEP_INTERVAL_S:
             self._swept_at = now
             self._delete_idle(now)
         return result
 
-    def _say_hello(self, now):
-        """Return the hellos that show which agents are alive.
-
-        Agents whose entries the store does not have get one from every
-        balancer, which keeps them in the directory while they answer.
-        """
-        agents = [
-            agent
-            for agent in self._agents_by_address.values()
-            if agent.monitored_since is not None or not agent.is_listed
-        ]
-        if now - self._agents_heard_at > defaults.HELLO_INTERVAL_S:
-            others = list(self._agents_by_address.values())
-            agents += self.rng.sample(
-                others, min(defaults.EXTRA_HELLOS, len(others))
-            )
-        self._hello_sent_at = now
-        return [agent.ask(now) for agent in agents]
-
-    def _format_agents(self, addresses):
-        """Return the ids of the first few agents as text for a log line."""
-        known = self._agents_by_address
-        agent_ids = sorted(
-            known[address].entry.process_id
-            for address in addresses
-            if address in known
-        )
-        return ",".join(agent_ids[: defaults.MAX_LOGGED_AGENT_IDS])
-
     def _delete_idle(self, now):
         """Delete idle flows, and deferrals that have expired."""
         idle_since = (
@@ -1109,14 +907,3 @@
         tunnel.FlowRecords(batch)
         for batch in tunnel.in_batches(records, tunnel.RECORDS_PER_MESSAGE)
     ]
-
-
-def _agent_event(event, entry):
-    return steps.LogEvent(
-        event,
-        fields={
-            "agent": entry.process_id,
-            "address": "%s:%d" % entry.address,
-            "service": entry.service,
-        },
-    )
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -284,7 +284,7 @@
 
     async def _remove_silent(self):
         """Remove the entries of agents that have been silent for too long."""
-        for entry in self.decisions.silent_agents(self.observe()):
+        for entry in self.decisions.agents.silent(self.observe()):
             key = directories.AGENTS_PREFIX + entry.process_id
             revision = self._directory.revision(key)
             if not revision:
@@ -300,7 +300,10 @@
     def _check_directory(self):
         now = self.observe()
         if self._directory.expire(
-            now, lambda entry: self.decisions.is_reporting(now, entry.address)
+            now,
+            lambda entry: self.decisions.agents.is_reporting(
+                now, entry.address
+            ),
         ):
             self._on_directory()
         if self._has_directory and not self._directory.is_listed(
@@ -317,7 +320,7 @@
             not self.is_stopping
             and self.decisions.routes.version > 0
             and self._has_directory
-            and self.decisions.is_connected(clock.now())
+            and self.decisions.agents.is_connected(clock.now())
         )
 
     def gauges(self):
--- a/tests/test_polling.py
+++ b/tests/test_polling.py
@@ -10,8 +10,8 @@
 
 from limpetlift import defaults
 from limpetlift.protocol import hashing
+from limpetlift.state import knownagents
 from limpetlift.state import polling
-from limpetlift.state import steering
 
 # A deployment of many servers with one slot each, as at a job desk: mean run
 # time of 25 ms and answers expected within 0.43 s.
@@ -119,6 +119,6 @@
     A table of draws for each of them took 224 MB.
     """
     entry = types.SimpleNamespace(process_id="agent-1")
-    agent = steering._Agent(entry)
+    agent = knownagents.KnownAgent(entry)
     assert sys.getsizeof(agent.id_hash) < 100
     assert sys.getsizeof(agent) + sys.getsizeof(agent.placement_times) < 1000
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -794,19 +794,19 @@
     balancer = _balancer(agents=4)
     now = defaults.SILENT_AGENT_REMOVE_AFTER_S + 1.0
     balancer.on_pause(now, now)
-    assert balancer.is_reporting(now + 0.1, kit.agent(1).address)
+    assert balancer.agents.is_reporting(now + 0.1, kit.agent(1).address)
     _answer(balancer, now, [kit.agent(n).address for n in (2, 3, 4)])
-    assert not balancer.silent_agents(now + 0.1)
+    assert not balancer.agents.silent(now + 0.1)
 
 
 def test_silent_agents_are_returned_unless_most_are_silent():
     """A balancer with broken links must not remove the entries of agents."""
     balancer = _balancer(agents=3)
     later = defaults.SILENT_AGENT_REMOVE_AFTER_S + 1.0
-    assert not balancer.silent_agents(later)
+    assert not balancer.agents.silent(later)
     for number in (2, 3):
         balancer.on_message(later, kit.agent(number).address, kit.load(2))
-    assert [entry.process_id for entry in balancer.silent_agents(later)] == [
+    assert [entry.process_id for entry in balancer.agents.silent(later)] == [
         "agent-1"
     ]
 
@@ -821,7 +821,7 @@
     balancer.on_message(1.0, address, kit.load(9, incarnation=9000))
     later = 5.0
     balancer.on_message(later, address, kit.load(1, incarnation=7000))
-    assert balancer.is_reporting(later, address)
+    assert balancer.agents.is_reporting(later, address)
     # A report that arrives after a later one is ignored.
     balancer.on_message(later, address, kit.load(3, incarnation=7000, busy=2))
     balancer.on_message(later, address, kit.load(2, incarnation=7000, busy=0))
