--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,7 @@
 """A randomized soak of the real programs on one machine.
 
     python tests/soak.py [--seed N] [--seconds S] [--runs N]
-        [--without PROTECTION] [--keep FOLDER] [--freezes]
+        [--without PROTECTION] [--keep FOLDER] [--freezes] [--keepers]
 
 Balancers and agents run as processes; callers, backend servers, the fabric
 and the store are stand-ins in this process. Faults follow each other and
@@ -36,14 +36,20 @@
 import soakstandins
 
 from limpetlift import clock
+from limpetlift.coordination import watching
 from limpetlift import registry
+from limpetlift.state import keeping
 from limpetlift.transport import reactor as reactors
 
 faults_by_name = {}
 # Faults in which several processes stand still; used with ``freezes``.
 freezes_by_name = {}
+# Faults of the balancers on which the others rely; used with ``keepers``.
+keeper_faults_by_name = {}
 
 _BALANCER_COUNT = 2
+# With more balancers than keepers, most of them do not know a flow.
+_BALANCER_COUNT_WITH_KEEPERS = 6
 _SERVER_COUNT = 4
 _CALLER_COUNT = 12
 _CALLER_TICK_S = 0.05
@@ -64,13 +70,25 @@
     :param disabled_protection: name of a protection in :mod:`unprotected` that
         all programs run without, or an empty string.
     :param freezes: whether every second fault is a freeze of several programs.
+    :param keepers: whether there are more balancers, and every second fault
+        hits those that keep the record of a flow or wait at the store.
     """
 
     def __init__(
-        self, seed, seconds, folder, disabled_protection="", freezes=False
+        self,
+        seed,
+        seconds,
+        folder,
+        disabled_protection="",
+        freezes=False,
+        keepers=False,
     ):
         self.disabled_protection = disabled_protection
-        self.freezes = freezes
+        # Every second fault is one of these, if there are any.
+        self._preferred_faults = {
+            **(freezes_by_name if freezes else {}),
+            **(keeper_faults_by_name if keepers else {}),
+        }
         # Faults have a generator of their own: how often traffic draws numbers
         # depends on the speed of the machine and must not change the faults.
         self.traffic_rng = random.Random(seed)
@@ -92,8 +110,11 @@
             soakstandins.Server(self, number + 1)
             for number in range(_SERVER_COUNT)
         ]
+        balancer_count = _BALANCER_COUNT
+        if keepers:
+            balancer_count = _BALANCER_COUNT_WITH_KEEPERS
         self.balancers = [
-            self._create_balancer(n + 1) for n in range(_BALANCER_COUNT)
+            self._create_balancer(n + 1) for n in range(balancer_count)
         ]
         self.agents = [self._create_agent(server) for server in self.servers]
         self.callers = []
@@ -287,12 +308,12 @@
         injection_ends_at = clock.now() + self.seconds
         while clock.now() < injection_ends_at:
             faults = faults_by_name
-            if self.freezes and self.fault_rng.random() < 0.5:
-                faults = freezes_by_name
+            if self._preferred_faults and self.fault_rng.random() < 0.5:
+                faults = self._preferred_faults
             name = self.fault_rng.choice(sorted(faults))
             if self.first_faults:
                 name = self.first_faults.pop(0)
-                faults = {**faults_by_name, **freezes_by_name}
+                faults = {**faults_by_name, **self._preferred_faults}
             duration_s = self.fault_rng.uniform(0.3, 3.0)
             self.injected_faults.append((name, round(duration_s, 1)))
             self.reactor.spawn(faults[name](self, duration_s))
@@ -407,6 +428,71 @@
     soak_run.write_config()
 
 
+def _keepers_of_a_flow(soak_run):
+    """Return the balancers that keep the record of a flow of some caller."""
+    programs_by_address = _balancers_by_address(soak_run)
+    keepers = keeping.Keepers(frozenset(programs_by_address))
+    key = soak_run.fault_rng.choice(soak_run.callers).key
+    return [programs_by_address[address] for address in keepers.of(key)]
+
+
+def _watchers(soak_run):
+    """Return the balancers that wait at the store for the others."""
+    programs_by_address = _balancers_by_address(soak_run)
+    data_centres_by_address = {
+        address: program.settings["data_centre"]
+        for address, program in programs_by_address.items()
+    }
+    return [
+        program
+        for address, program in programs_by_address.items()
+        if watching.watch_few(address, data_centres_by_address).is_watcher
+    ]
+
+
+def _balancers_by_address(soak_run):
+    return {
+        (program.settings["ip"], program.settings["peer_port"]): program
+        for program in soak_run.balancers
+    }
+
+
+@registry.register(keeper_faults_by_name, "kill_keepers")
+async def _kill_keepers(soak_run, _duration_s):
+    for program in _keepers_of_a_flow(soak_run):
+        program.send_signal(signal.SIGKILL)
+
+
+@registry.register(keeper_faults_by_name, "stop_keepers")
+async def _stop_keepers(soak_run, _duration_s):
+    for program in _keepers_of_a_flow(soak_run):
+        program.send_signal(signal.SIGTERM)
+
+
+@registry.register(keeper_faults_by_name, "freeze_keepers")
+async def _freeze_keepers(soak_run, duration_s):
+    await _freeze(soak_run, _keepers_of_a_flow(soak_run), duration_s)
+
+
+@registry.register(keeper_faults_by_name, "kill_watchers")
+async def _kill_watchers(soak_run, _duration_s):
+    for program in _watchers(soak_run):
+        program.send_signal(signal.SIGKILL)
+
+
+@registry.register(keeper_faults_by_name, "freeze_watchers")
+async def _freeze_watchers(soak_run, duration_s):
+    await _freeze(soak_run, _watchers(soak_run), duration_s)
+
+
+@registry.register(keeper_faults_by_name, "replace_balancers")
+async def _replace_balancers(soak_run, _duration_s):
+    """Stop one balancer after the other, as a release does."""
+    for program in soak_run.balancers:
+        program.send_signal(signal.SIGTERM)
+        await soak_run.reactor.sleep(1.0)
+
+
 @registry.register(faults_by_name, "server_crash")
 async def _crash_server(soak_run, duration_s):
     server = soak_run.fault_rng.choice(soak_run.servers)
@@ -480,16 +566,27 @@
     soak_run.loss_probability = 0.0
 
 
-def run_once(seed, seconds, folder, disabled_protection="", freezes=False):
-    """Run the soak once; return its :class:`SoakRun`."""
+def run_once(seed, seconds, folder, disabled_protection="", **options):
+    """Run the soak once; return its :class:`SoakRun`.
+
+    :param options: of :class:`SoakRun`.
+    """
     soak_run = SoakRun(
-        seed, seconds, pathlib.Path(folder), disabled_protection, freezes
+        seed, seconds, pathlib.Path(folder), disabled_protection, **options
     )
     soak_run.run()
     return soak_run
 
 
-def main(seed=None, seconds=20.0, runs=1, keep="", without="", freezes=False):
+def main(
+    seed=None,
+    seconds=20.0,
+    runs=1,
+    keep="",
+    without="",
+    freezes=False,
+    keepers=False,
+):
     """Run the soak, print violations and exit with 1 if there are any.
 
     :param seed: of the first run; random when left out.
@@ -498,12 +595,21 @@
     :param without: name of a protection to switch off.
     :param keep: folder for settings and logs of runs with violations.
     :param freezes: whether every second fault is a freeze of several programs.
+    :param keepers: whether every second fault hits balancers that keep the
+        record of a flow or wait at the store.
     """
     first_seed = random.randrange(1 << 30) if seed is None else seed
     failed_runs = 0
     for run_seed in range(first_seed, first_seed + runs):
         with tempfile.TemporaryDirectory() as folder:
-            soak_run = run_once(run_seed, seconds, folder, without, freezes)
+            soak_run = run_once(
+                run_seed,
+                seconds,
+                folder,
+                without,
+                freezes=freezes,
+                keepers=keepers,
+            )
             requests_answered = sum(
                 caller.requests_answered for caller in soak_run.callers
             )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,17 @@
     assert not soak_run.violations
 
 
+def test_no_promise_breaks_when_keepers_fail(tmp_path):
+    """The loss of the balancers that others rely on must break no promise.
+
+    Half of the faults hit the balancers that keep the record of an open flow
+    or wait at the store: they are killed, stopped, frozen and replaced.
+    """
+    soak_run = soak.run_once(5, 12.0, tmp_path, keepers=True)
+    assert soak_run.injected_faults
+    assert not soak_run.violations
+
+
 @pytest.mark.parametrize("protection", ["drain", "proof", "routes", "search"])
 def test_soak_detects_disabled_protection(protection, tmp_path):
     """A soak that passes without a protection does not test it.
