Distribute the tests of the soak and of the traces one by one

Cause: all tests of a file ran in one process, one after the other. The soak took 170 s of 198 s of the whole run, the traces as long.

Change: tests/conftest.py groups tests by file, but for these two files, whose tests share nothing, and starts them first.

--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -10,9 +10,14 @@
 import tempfile
 from xml.etree import ElementTree
 
-# Some test files cache the result of a slow model for several of their tests;
-# loadfile gives all tests of a file to one worker, so each model runs once.
-_WORKER_OPTIONS = ("-n", "6", "--dist", "loadfile")
+# The groups are set in tests/conftest.py, which also orders them.
+_WORKER_OPTIONS = (
+    "-n",
+    "6",
+    "--dist",
+    "loadgroup",
+    "--no-loadscope-reorder",
+)
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
