Go on with a search when the next copy of its segment comes

Cause: a search that ended without a result forgot what the agents had confirmed, and the caller's next copy asked all of them again.

Ruled out: to take such an agent for lost (it may be frozen and hold the flow); longer searches (the first copy comes after 200 ms, and the segments that wait would be delivered late).

The next copy with the same acknowledgement number asks only the agents that are left, and late answers still count. A first segment ends it, and another acknowledgement number begins anew.

Callers of flows that cannot be proved lost are told no earlier.

--- a/src/limpetlift/state/searching.py
+++ b/src/limpetlift/state/searching.py
@@ -5,7 +5,9 @@
 searches share messages, and a budget bounds what all searches send. An agent
 that cannot tell whether its backend server holds the flow gets a segment of
 it, which the server accepts or returns. A search ends without a reset unless
-every agent has confirmed that its server does not hold the flow.
+every agent has confirmed that its server does not hold the flow. What agents
+have confirmed stays true while the caller repeats the same segment, so a
+search goes on from there when the next copy comes.
 """
 
 import collections
@@ -24,8 +26,9 @@
 class _Search:
     """A search for the agent of one flow.
 
-    :param began_at: arrival time of the segment that started the search.
-    :param expires_at: when the search is abandoned.
+    :param began_at: arrival time of the segment that started the search, or
+        the last copy that started it again.
+    :param expires_at: when the search ends without a result.
     :param ack: acknowledgement number of that segment.
     :param preferred: addresses of the agents that are queried first, in this
         order.
@@ -40,6 +43,8 @@
     :param widen_at: when more agents are queried; infinite when all have
         been.
     :param is_delayed: whether the budget has delayed a round.
+    :param is_dormant: whether it has ended without a result and waits for
+        the next copy of its segment, or for late answers.
     """
 
     began_at: float
@@ -54,6 +59,32 @@
     rounds: int = 0
     widen_at: float = float("-inf")
     is_delayed: bool = False
+    is_dormant: bool = False
+
+    @property
+    def forgotten_at(self):
+        """When a dormant search is deleted: its caller has given up."""
+        return self.began_at + defaults.SEARCH_WIDENING_MAX_S
+
+    @property
+    def is_complete(self):
+        """Whether all agents have been queried."""
+        return self.widen_at == float("inf")
+
+    def resume(self, now, data):
+        """Go on with a dormant search when a copy of its segment comes.
+
+        The agents that have not answered are queried again.
+        """
+        self.began_at = now
+        self.expires_at = self.forgotten_at
+        self.waiting = [data]
+        self.pending = set()
+        self.starting = set()
+        self.retry_at = float("inf")
+        self.rounds = 0
+        self.is_delayed = False
+        self.is_dormant = False
 
     def has_unqueried(self, agents):
         """Whether one of ``agents`` has not been queried yet."""
@@ -127,36 +158,52 @@
         :returns: whether such a search is in progress.
         """
         search = self._searches_by_key.get(segment.key)
-        if search is None:
+        if search is None or search.is_dormant:
             return False
         if len(search.waiting) < defaults.MAX_SEARCH_SEGMENTS:
             search.waiting.append(segment.data)
         return True
 
     def begin(self, now, segment, preferred, excluded=()):
-        """Start a search for the flow of a segment.
+        """Start a search for the flow of a segment, or go on with one.
 
-        :param segment: the segment, of a flow without a search.
+        A flow with another acknowledgement number may be a later one between
+        the same ports, of which nothing has been confirmed.
+
+        :param segment: the segment, of a flow without a search in progress.
         :param preferred: addresses of the agents that are queried first, in
             this order.
         :param excluded: addresses of agents that do not hold the flow.
         :returns: steps.
         """
         key = segment.key
-        search = _Search(
-            now,
-            now + defaults.SEARCH_WIDENING_MAX_S,
-            segment.ack,
-            preferred,
-            [segment.data],
-        )
+        search = self._searches_by_key.get(key)
+        if search is None or search.ack != segment.ack:
+            search = _Search(
+                now,
+                now + defaults.SEARCH_WIDENING_MAX_S,
+                segment.ack,
+                preferred,
+                [segment.data],
+            )
+            self._searches_by_key[key] = search
+        else:
+            search.resume(now, segment.data)
         search.excluded.update(excluded)
-        self._searches_by_key[key] = search
-        return self._widen(now, key, search) + [
+        result = self._widen(now, key, search)
+        result.append(
             steps.LogEvent(
-                "flow_searched", key, {"asked": len(search.pending)}
+                "flow_searched",
+                key,
+                {
+                    "asked": len(search.pending),
+                    "agents_without": len(search.excluded),
+                },
             )
-        ]
+        )
+        if search.is_complete and search.excluded and not search.pending:
+            result += self._on_answer(now, key, search)
+        return result
 
     def _widen(self, now, key, search):
         """Query the next agents of a search, if the budget allows it.
@@ -188,7 +235,7 @@
         return []
 
     def end(self, key):
-        """End the search for a flow that was found.
+        """End the search for a flow that was found or opened.
 
         :returns: ``(waiting datagrams, start time of the search)``, or None
             when no search for the flow is in progress.
@@ -252,9 +299,9 @@
         :returns: steps.
         """
         result = []
-        if not search.pending and search.widen_at < float("inf"):
+        if not search.pending and not search.is_complete:
             result = self._widen(now, key, search)
-        if search.pending or search.widen_at < float("inf"):
+        if search.pending or not search.is_complete:
             return result
         search.expires_at = now + defaults.DIRECTORY_READ_TIMEOUT_S
         return result + [steps.ReadDirectory()]
@@ -278,6 +325,8 @@
         :returns: steps.
         """
         search = self._searches_by_key[key]
+        if search.is_dormant:
+            return []
         return [
             steps.SendToPeer(
                 address, tunnel.TentativeForward(search.waiting[0])
@@ -290,6 +339,8 @@
         The agent has just started and has no report of its server.
         """
         search = self._searches_by_key[key]
+        if search.is_dormant:
+            return
         search.starting.add(address)
         search.retry_at = min(search.retry_at, now + defaults.SEARCH_RETRY_S)
 
@@ -310,7 +361,7 @@
         for key, search in list(self._searches_by_key.items()):
             if (
                 search.pending
-                or search.widen_at < float("inf")
+                or not search.is_complete
                 or search.began_at > began_at
             ):
                 continue
@@ -342,7 +393,7 @@
             search.expires_at = max(
                 search.expires_at, now + defaults.SEARCH_TIMEOUT_S
             )
-            if search.widen_at < float("inf"):
+            if not search.is_complete:
                 search.widen_at = now + defaults.SEARCH_ROUND_TIMEOUT_S
 
     def tick(self, now, format_agents):
@@ -355,10 +406,13 @@
         result = []
         due = []
         for key, search in list(self._searches_by_key.items()):
+            if search.is_dormant:
+                if search.forgotten_at <= now:
+                    del self._searches_by_key[key]
+                continue
             if search.retry_at <= now:
                 self._query_starting(now, key, search)
             if search.expires_at <= now:
-                del self._searches_by_key[key]
                 result.append(
                     steps.LogEvent(
                         "flow_not_found",
@@ -366,10 +420,12 @@
                         {
                             "waited": len(search.waiting),
                             "unanswered": format_agents(search.pending),
-                            "is_complete": search.widen_at == float("inf"),
+                            "is_complete": search.is_complete,
                         },
                     )
                 )
+                search.is_dormant = True
+                search.waiting = []
             elif search.widen_at <= now:
                 due.append((key, search))
         # Second rounds are small and find most of the flows that are left.
@@ -378,7 +434,7 @@
         due.sort(key=lambda item: item[1].rounds > 1)
         for key, search in due:
             result += self._widen(now, key, search)
-            if not search.pending and search.widen_at == float("inf"):
+            if not search.pending and search.is_complete:
                 result += self._on_answer(now, key, search)
         return result + self.flush_queries()
 
@@ -387,7 +443,7 @@
         self._queue_queries(key, search, search.starting)
         search.starting = set()
         search.retry_at = float("inf")
-        if search.widen_at == float("inf"):
+        if search.is_complete:
             search.expires_at = min(
                 now + defaults.SEARCH_TIMEOUT_S,
                 search.began_at + defaults.SEARCH_MAX_S,
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -282,6 +282,8 @@
         flow = self.flows_by_key.get(segment.key)
         if flow is None:
             if segment.opens_flow:
+                # An earlier flow between the same ports has ended.
+                self.searches.end(segment.key)
                 if self._polls.add_copy(segment):
                     return []
                 return self._place_unknown(now, segment)
--- a/tests/test_searching.py
+++ b/tests/test_searching.py
@@ -234,3 +234,85 @@
         requests = _requests(balancer.searches.flush_queries())
         counts[agents] = sum(len(request.queries) for _, request in requests)
     assert counts[300] == counts[100] == counts[30]
+
+
+def _unanswered_search(balancer, silent):
+    """Let a search end without the answer of some agents."""
+    run = _Run(balancer, silent=silent)
+    run.run(1.0, 0.6, {0: [1]})
+    assert not run.resets_by_key
+    balancer.searches.flush_queries()
+
+
+def _asked(balancer, now, port, ack=5):
+    segment = kit.caller_segment(port, kit.ACK, ack=ack)
+    balancer.on_segment(now, segment)
+    requests = _requests(balancer.searches.flush_queries())
+    return {address for address, _ in requests}
+
+
+def test_the_next_copy_asks_only_agents_that_have_not_answered():
+    """Copies of a segment must not repeat the whole search.
+
+    While the entry of one lost agent was left over, each copy of a segment of
+    each lost flow cost a question to each of 136 agents.
+    """
+    balancer = _balancer()
+    silent = {kit.agent(77).address}
+    _unanswered_search(balancer, silent)
+    assert _asked(balancer, 1.8, 1) == silent
+
+
+def test_an_answer_after_the_end_of_a_search_completes_the_proof():
+    """A caller must not wait for its next copy when the last agent answers."""
+    balancer = _balancer()
+    late = kit.agent(77).address
+    _unanswered_search(balancer, {late})
+    result = balancer.on_message(
+        1.7, late, tunnel.LocateReply([(kit.key_of(1), tunnel.ABSENT)])
+    )
+    assert kit.step_types(result) == [steps.ReadDirectory]
+    assert kit.resets(balancer.on_directory_read(1.71, 1.7))
+
+
+def test_a_flow_is_found_by_an_answer_after_the_end_of_its_search():
+    """The next copy must go straight to an agent that answered late."""
+    balancer = _balancer()
+    late = kit.agent(77).address
+    _unanswered_search(balancer, {late})
+    balancer.on_message(
+        1.7, late, tunnel.LocateReply([(kit.key_of(1), tunnel.HELD)])
+    )
+    segment = kit.caller_segment(1, kit.ACK, ack=5)
+    result = balancer.on_segment(1.8, segment)
+    assert [to for to, _ in kit.messages(result, tunnel.Forward)] == [late]
+
+
+def test_a_later_flow_between_the_same_ports_is_searched_anew():
+    """What was confirmed of a flow must not be taken for a later one."""
+    balancer = _balancer()
+    _unanswered_search(balancer, {kit.agent(77).address})
+    assert len(_asked(balancer, 1.8, 1, ack=900)) == (
+        defaults.SEARCH_FIRST_AGENTS
+    )
+
+
+def test_a_new_flow_ends_the_search_for_an_earlier_one():
+    """A new flow must not be reset by what is confirmed of an earlier one."""
+    balancer = _balancer()
+    late = kit.agent(77).address
+    _unanswered_search(balancer, {late})
+    balancer.on_segment(1.65, kit.caller_segment(1, kit.SYN))
+    result = balancer.on_message(
+        1.7, late, tunnel.LocateReply([(kit.key_of(1), tunnel.ABSENT)])
+    )
+    assert not result
+    assert not kit.resets(balancer.on_directory_read(1.71, 1.7))
+
+
+def test_searches_of_callers_that_gave_up_are_forgotten():
+    """Ended searches must not fill the memory."""
+    balancer = _balancer()
+    _unanswered_search(balancer, {kit.agent(77).address})
+    balancer.tick(1.0 + _FLOW_TIMEOUT_S)
+    assert len(_asked(balancer, 3.1, 1)) == defaults.SEARCH_FIRST_AGENTS
