--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -35,20 +35,24 @@
 
 
 def _read_results(folder):
-    """Yield ``(test id, outcome)`` for each test in JUnit files.
+    """Yield ``(test id, outcome, message)`` for each test in JUnit files.
+
+    The message of a failure is printed with the summary, because behave does
+    not print it in its progress format.
 
     :param folder: holds the JUnit files.
     """
     for path in sorted(folder.glob("*.xml")):
         for case in ElementTree.parse(path).iter("testcase"):
             name = "%s::%s" % (case.get("classname"), case.get("name"))
-            outcome = "passed"
+            outcome, message = "passed", ""
             for child in case:
                 if child.tag in ("failure", "error"):
                     outcome = "failed"
+                    message = child.get("message", "")
                 elif child.tag == "skipped" and outcome == "passed":
                     outcome = "skipped"
-            yield name, outcome
+            yield name, outcome, message
 
 
 def _run(arguments):
@@ -73,12 +77,14 @@
                     + ["--junit-directory", folder_name, "features"]
                 )
             )
-        for test, outcome in _read_results(folder):
+        for test, outcome, message in _read_results(folder):
             if outcome == "failed" and test in known_red_ids:
                 print("known red: %s" % test)
                 outcome = "skipped"
             elif outcome == "failed":
                 print("failed: %s" % test)
+            if message:
+                print("    " + message.splitlines()[0])
             counts[outcome] += 1
     has_runner_failed = any(code not in (0, 1) for code in exit_codes)
     if has_runner_failed:
