--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -29,12 +29,15 @@
         self.entries = [kit.balancer(number) for number in range(1, count + 1)]
         self.balancers_by_address = {}
         self.records_sent = 0
-        self._numbers = itertools.count(1)
+        self.numbers = itertools.count(1)
         for entry in self.entries:
             self.start(entry)
 
-    def start(self, entry):
-        """Start a balancer, in place of one with the same address."""
+    def start(self, entry, agents=None):
+        """Start a balancer, in place of one with the same address.
+
+        :param agents: entries of the agents in the store; all by default.
+        """
         balancer = steering.FlowSteering(
             entry.address,
             "a",
@@ -45,7 +48,9 @@
         balancer.on_routes(0.0, kit.routes())
         self.balancers_by_address[entry.address] = balancer
         self.deliver(
-            0.0, entry, balancer.on_entries(0.0, _AGENTS, self.entries)
+            0.0,
+            entry,
+            balancer.on_entries(0.0, agents or _AGENTS, self.entries),
         )
 
     def deliver(self, now, sender, result):
@@ -75,7 +80,7 @@
         return others
 
     def _tell_load(self, now, source, step):
-        load = kit.load(next(self._numbers))
+        load = kit.load(next(self.numbers))
         balancer = self.balancers_by_address[source]
         return balancer.on_message(now, step.address, load)
 
@@ -342,3 +347,41 @@
             counts[address] += 1
     mean = sum(counts.values()) / len(counts)
     assert max(counts.values()) < 1.25 * mean
+
+
+def test_a_started_balancer_knows_agents_whose_entries_were_taken():
+    """A flow must not be reset because its agent is missing in the store.
+
+    The store took the entry of an agent away. The balancers that run keep the
+    agent while it answers them, but one that starts before the agent has
+    written its entry again takes the list of the others for complete. Here
+    the record of the flow has not been sent to its keepers yet.
+    """
+    cell = _DataCentre(6)
+    running, started, *_ = cell.entries
+    keepers = keeping.Keepers(frozenset(cell.balancers_by_address))
+    port = next(
+        port
+        for port in range(100)
+        if not {running.address, started.address}
+        & set(keepers.of(kit.key_of(port)))
+    )
+    taken, *listed = _AGENTS
+    balancer = cell.balancers_by_address[running.address]
+    balancer.on_entries(0.01, _AGENTS, cell.entries, {taken.process_id})
+    for agent in listed:
+        load = kit.load(next(cell.numbers), accepting=False)
+        balancer.on_message(0.01, agent.address, load)
+    load = kit.load(next(cell.numbers))
+    balancer.on_message(0.01, taken.address, load)
+    cell.start(started, listed)
+    result = balancer.on_segment(0.011, kit.caller_segment(port, kit.SYN))
+    assert [to for to, _ in _forwards(result)] == [taken.address]
+    cell.segment(0.012, started, port, kit.ACK, ack=5)
+    balancer = cell.balancers_by_address[started.address]
+    result = []
+    for agent in listed:
+        answer = tunnel.LocateReply([(kit.key_of(port), tunnel.ABSENT)])
+        result += balancer.on_message(0.013, agent.address, answer)
+    result += balancer.on_directory_read(0.02, 0.015)
+    assert not kit.resets(result)
