Begin a repeated search as a new one with what was confirmed

A dormant search was set back field by field when the next copy came, which repeated the defaults of its class, and the order of the agents that had been worked out for the copy was thrown away. Now it is a new search that takes over the agents that do not hold the flow. Which agents have not been asked is decided in one place for take_next and has_unqueried.

Behaviour: the same but for one point. When routes or agents changed within the 2 s since the last copy, the questions follow the present order.

--- a/src/limpetlift/state/searching.py
+++ b/src/limpetlift/state/searching.py
@@ -26,8 +26,7 @@
 class _Search:
     """A search for the agent of one flow.
 
-    :param began_at: arrival time of the segment that started the search, or
-        the last copy that started it again.
+    :param began_at: arrival time of the segment that started the search.
     :param expires_at: when the search ends without a result.
     :param ack: acknowledgement number of that segment.
     :param preferred: addresses of the agents that are queried first, in this
@@ -71,27 +70,17 @@
         """Whether all agents have been queried."""
         return self.widen_at == float("inf")
 
-    def resume(self, now, data):
-        """Go on with a dormant search when a copy of its segment comes.
-
-        The agents that have not answered are queried again.
-        """
-        self.began_at = now
-        self.expires_at = self.forgotten_at
-        self.waiting = [data]
-        self.pending = set()
-        self.starting = set()
-        self.retry_at = float("inf")
-        self.rounds = 0
-        self.is_delayed = False
-        self.is_dormant = False
+    def _unqueried(self, addresses):
+        """Iterate over the addresses that are not queried yet, lazily."""
+        return (
+            address
+            for address in addresses
+            if address not in self.pending and address not in self.excluded
+        )
 
     def has_unqueried(self, agents):
         """Whether one of ``agents`` has not been queried yet."""
-        return any(
-            address not in self.pending and address not in self.excluded
-            for address in agents
-        )
+        return next(self._unqueried(agents), None) is not None
 
     def take_next(self, agents):
         """Add the agents of the next round to ``pending``; return them.
@@ -108,17 +97,15 @@
             if len(agents) - queried <= 2 * count:
                 count = len(agents)
         self.rounds += 1
+        preferred = (
+            address for address in self.preferred if address in agents
+        )
+        unqueried = self._unqueried(itertools.chain(preferred, agents))
         taken = []
-        for address in itertools.chain(self.preferred, agents):
-            if len(taken) == count:
-                break
-            if (
-                address in agents
-                and address not in self.pending
-                and address not in self.excluded
-            ):
-                self.pending.add(address)
-                taken.append(address)
+        for address in itertools.islice(unqueried, count):
+            # An agent that is preferred is not taken a second time.
+            self.pending.add(address)
+            taken.append(address)
         return taken
 
 
@@ -177,19 +164,18 @@
         :returns: steps.
         """
         key = segment.key
-        search = self._searches_by_key.get(key)
-        if search is None or search.ack != segment.ack:
-            search = _Search(
-                now,
-                now + defaults.SEARCH_WIDENING_MAX_S,
-                segment.ack,
-                preferred,
-                [segment.data],
-            )
-            self._searches_by_key[key] = search
-        else:
-            search.resume(now, segment.data)
+        search = _Search(
+            now,
+            now + defaults.SEARCH_WIDENING_MAX_S,
+            segment.ack,
+            preferred,
+            [segment.data],
+        )
         search.excluded.update(excluded)
+        dormant = self._searches_by_key.get(key)
+        if dormant is not None and dormant.ack == segment.ack:
+            search.excluded |= dormant.excluded
+        self._searches_by_key[key] = search
         result = self._widen(now, key, search)
         result.append(
             steps.LogEvent(
