Check the events of searches and agents too, define TokenBucket cheaply

The test that every event is documented missed searching.py, and agent_joined, agent_gone and agent_left, which are logged by a method. It now reads them, and names three events that it must find. TokenBucket is loaded by balancers since searches have a budget, so it is defined with structs as their other classes are.

--- a/src/limpetlift/coordination/tokens.py
+++ b/src/limpetlift/coordination/tokens.py
@@ -3,9 +3,10 @@
 import attrs
 
 from limpetlift import defaults
+from limpetlift import structs
 
 
-@attrs.define
+@structs.define
 class TokenBucket:
     """Limits the bytes sent per second.
 
--- a/tests/test_segmentmetrics.py
+++ b/tests/test_segmentmetrics.py
@@ -43,15 +43,22 @@
     page = (_ROOT / "docs" / "OPERATIONS.md").read_text("utf-8")
     events = set()
     for path in (_ROOT / "src" / "limpetlift").rglob("*.py"):
-        if path.stem in ("steering", "hosting") or path.stem.startswith(
+        if path.stem in (
+            "steering",
+            "hosting",
+            "searching",
+            "knownagents",
+        ) or path.stem.startswith(
             ("segment", "following", "announcing", "reactor", "http1")
         ):
             text = path.read_text("utf-8")
             events.update(
                 re.findall(
-                    r'(?:LogEvent|LOG\.\w+|count)\(\s*"([a-z_]+)"', text
+                    r'(?:LogEvent|LOG\.\w+|count|\.event)\(\s*"([a-z_]+)"',
+                    text,
                 )
             )
             events.update(re.findall(r'Reset\([^)]*"([a-z_]+)"\)', text))
+    assert {"flow_placed", "search_delayed", "agent_joined"} <= events
     missing = sorted(event for event in events if event not in page)
     assert not missing
