--- a/tests/soak.py
+++ b/tests/soak.py
@@ -334,6 +334,11 @@
         self.reactor.stop()
 
 
+def _send_signal(programs, number):
+    for program in programs:
+        program.send_signal(number)
+
+
 @registry.register(faults_by_name, "kill")
 async def _kill_program(soak_run, _duration_s):
     soak_run.fault_rng.choice(
@@ -343,8 +348,7 @@
 
 @registry.register(faults_by_name, "kill_balancers")
 async def _kill_balancers(soak_run, _duration_s):
-    for program in soak_run.balancers:
-        program.send_signal(signal.SIGKILL)
+    _send_signal(soak_run.balancers, signal.SIGKILL)
 
 
 @registry.register(faults_by_name, "stop")
@@ -371,11 +375,9 @@
 
 async def _freeze(soak_run, programs, duration_s):
     """Let programs stand still at the same time."""
-    for program in programs:
-        program.send_signal(signal.SIGSTOP)
+    _send_signal(programs, signal.SIGSTOP)
     await soak_run.reactor.sleep(duration_s)
-    for program in programs:
-        program.send_signal(signal.SIGCONT)
+    _send_signal(programs, signal.SIGCONT)
 
 
 @registry.register(freezes_by_name, "freeze_agents")
@@ -459,14 +461,12 @@
 
 @registry.register(keeper_faults_by_name, "kill_keepers")
 async def _kill_keepers(soak_run, _duration_s):
-    for program in _keepers_of_a_flow(soak_run):
-        program.send_signal(signal.SIGKILL)
+    _send_signal(_keepers_of_a_flow(soak_run), signal.SIGKILL)
 
 
 @registry.register(keeper_faults_by_name, "stop_keepers")
 async def _stop_keepers(soak_run, _duration_s):
-    for program in _keepers_of_a_flow(soak_run):
-        program.send_signal(signal.SIGTERM)
+    _send_signal(_keepers_of_a_flow(soak_run), signal.SIGTERM)
 
 
 @registry.register(keeper_faults_by_name, "freeze_keepers")
@@ -476,8 +476,7 @@
 
 @registry.register(keeper_faults_by_name, "kill_watchers")
 async def _kill_watchers(soak_run, _duration_s):
-    for program in _watchers(soak_run):
-        program.send_signal(signal.SIGKILL)
+    _send_signal(_watchers(soak_run), signal.SIGKILL)
 
 
 @registry.register(keeper_faults_by_name, "freeze_watchers")
