--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -671,6 +671,8 @@
         self._health = HttpServer((ip, deployment.app_port), self._on_http)
         self._tasks = []
         self.state = "ready"
+        self.born = 0
+        self.reports = 0
         self.acknowledged_reports = 0
         deployment.add_closer(self)
 
@@ -683,7 +685,7 @@
             (self.ip, self._deployment.app_port), self._on_datagram
         )
         await self._health.start()
-        self._born = int((time.time() + self._clock_ahead_s) * 1000)
+        self.born = int((time.time() + self._clock_ahead_s) * 1000)
         self.started_at = time.monotonic()
         self.is_alive = True
         self._deployment.note(
@@ -693,9 +695,9 @@
         self._tasks.append(asyncio.ensure_future(self._report()))
 
     async def _report(self):
-        sequence = 0
         while True:
-            sequence += 1
+            self.reports += 1
+            sequence = self.reports
             body = {
                 "service": self.service,
                 "address": "%s:%d" % (self.ip, self._deployment.app_port),
@@ -705,7 +707,7 @@
                 "state": self.state,
                 "warmup_left_ms": 0,
                 "sequence": sequence,
-                "born": self._born,
+                "born": self.born,
             }
             try:
                 status, _ = await http_call(
