--- a/review/3/case.py
+++ b/review/3/case.py
@@ -56,9 +56,7 @@
         agent.start()
         agents.append(agent)
         if number < 3:
-            server = standins.Server(
-                deployment, "i-%d" % number, ip, "desk"
-            )
+            server = standins.Server(deployment, "i-%d" % number, ip, "desk")
             await server.start()
             servers.append(server)
     await asyncio.sleep(3.0)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -539,9 +539,7 @@
         }
         environment["LIMPETLIFT_SETTINGS"] = str(path)
         environment["PYTHONPATH"] = str(REPOSITORY / "target/deps")
-        with open(
-            self._deployment.folder / (self.name + ".log"), "ab"
-        ) as log:
+        with open(self._deployment.folder / (self.name + ".log"), "ab") as log:
             self._process = subprocess.Popen(
                 self._role["run"].split(),
                 cwd=REPOSITORY,
@@ -770,7 +768,10 @@
             elif packet.length:
                 self._answer(key, RST, packet.ack, 0)
             return
-        if first is None or not 0 < (packet.ack - first) & 0xFFFFFFFF < 1 << 26:
+        if (
+            first is None
+            or not 0 < (packet.ack - first) & 0xFFFFFFFF < 1 << 26
+        ):
             bounced = bytearray(data)
             bounced[FLAGS_OFFSET] |= BOUNCED
             bounced[PAD_OFFSET : PAD_OFFSET + 4] = b"\0\0\0\0"
@@ -785,9 +786,7 @@
             del self.flows_by_key[key]
             self._ended_keys.add(key)
             if packet.flags & FIN:
-                self._answer(
-                    key, FIN | ACK, packet.ack, packet.sequence + 1
-                )
+                self._answer(key, FIN | ACK, packet.ack, packet.sequence + 1)
             return
         if packet.length:
             self._on_request(key, packet)
@@ -940,7 +939,9 @@
         self.server_sequence = None
         self._sequence = self._deployment.rng.randrange(1 << 32)
         began_at = time.monotonic()
-        self._deployment.note("%s opens from port %d" % (self.name, self._port))
+        self._deployment.note(
+            "%s opens from port %d" % (self.name, self._port)
+        )
         copies_at = [0.0, *SYN_COPIES_AT_S, OPENING_TIMEOUT_S]
         for copy, at in enumerate(copies_at[:-1]):
             self._send(SYN, self._sequence, copy)
