--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -197,7 +197,7 @@
         self._ttl_ms_by_lease = {}
         self._expires_at_by_lease = {}
         self._changed = asyncio.Event()
-        self._http = HttpServer(address, self._handle)
+        self._http = HttpServer(address, self.handle)
 
     async def start(self):
         """Start to serve."""
@@ -207,6 +207,11 @@
         """Stop serving."""
         self._http.close()
 
+    def take_away(self, key):
+        """Remove a key without a request."""
+        self._revision += 1
+        self._remove(key)
+
     def put(self, key, value, lease=0):
         """Write a key as the operator does."""
         self._revision += 1
@@ -253,7 +258,8 @@
         for key in keys:
             self._remove(key)
 
-    async def _handle(self, method, target, body):
+    async def handle(self, method, target, body):
+        """Answer a call."""
         await asyncio.sleep(0.004)
         self._expire_leases()
         url = urllib.parse.urlsplit(target)
@@ -346,6 +352,29 @@
         return 200, {"revision": self._revision}
 
 
+class Gate:
+    """A further address of the store, which can turn its callers away."""
+
+    def __init__(self, store, address):
+        self.address = address
+        self.is_closed = False
+        self._store = store
+        self._http = HttpServer(address, self._handle)
+
+    async def start(self):
+        """Start to serve."""
+        await self._http.start()
+
+    def close(self):
+        """Stop serving."""
+        self._http.close()
+
+    async def _handle(self, method, target, body):
+        if self.is_closed:
+            return 503, {}
+        return await self._store.handle(method, target, body)
+
+
 class Deployment:
     """The processes and stand-ins of one run, and its record.
 
@@ -451,8 +480,20 @@
         await self.store.start()
         self.router = Router(self)
 
-    def program(self, role, name, ip, service="", zone="zone-a", first=True):
-        """Return a :class:`Program` that is not started yet."""
+    def program(
+        self,
+        role,
+        name,
+        ip,
+        service="",
+        zone="zone-a",
+        first=True,
+        store=None,
+    ):
+        """Return a :class:`Program` that is not started yet.
+
+        :param store: the :class:`Store` or a :class:`Gate` of it.
+        """
         agent = role == "agent"
         fields = {
             "node_name": name,
@@ -468,7 +509,7 @@
                     "%s:%d" % (ip, self.outbound_port) if agent else ""
                 ),
             },
-            "platform": {"address": "%s:%d" % self.store.address},
+            "platform": {"address": "%s:%d" % (store or self.store).address},
             "internal_port_range": [self.peer_port, self.peer_port],
             "app": "%s:%d" % (ip, self.app_port) if agent else "",
             "service": service,
@@ -581,16 +622,16 @@
 
     def __init__(self, deployment):
         self._deployment = deployment
-        self._ips = []
+        self._zones_by_ip = {}
         self._misses_by_ip = {}
         self._tasks = []
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         deployment.add_closer(self)
 
-    def add(self, ip):
+    def add(self, ip, zone="zone-a"):
         """Probe a balancer from now on."""
-        self._ips.append(ip)
+        self._zones_by_ip[ip] = zone
         self._misses_by_ip[ip] = 2
         self._tasks.append(asyncio.ensure_future(self._probe(ip)))
 
@@ -617,10 +658,17 @@
                 )
             await asyncio.sleep(0.5)
 
-    def rotation(self):
-        """Return the balancers that get packets."""
-        ready = [ip for ip in self._ips if self._misses_by_ip[ip] < 2]
-        return ready if 2 * len(ready) >= len(self._ips) else self._ips
+    def rotation(self, zone="zone-a"):
+        """Return the balancers that get the packets of a zone's clients."""
+        all_ready = [
+            ip for ip, misses in self._misses_by_ip.items() if misses < 2
+        ]
+        ips = [ip for ip, other in self._zones_by_ip.items() if other == zone]
+        ready = [ip for ip in all_ready if ip in ips]
+        if not ready:
+            # The nearest zone with a balancer in rotation, if there is one.
+            return all_ready or ips
+        return ready if 2 * len(ready) >= len(ips) else ips
 
     def send(self, data):
         """Send a packet of a client to a balancer."""
