--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -13,6 +13,7 @@
 import random
 import re
 import shutil
+import signal
 import socket
 import struct
 import subprocess
@@ -32,7 +33,8 @@
 OPENING_TIMEOUT_S = 1.4
 RETRANSMIT_AFTER_S = 0.2
 RETRANSMIT_MAX_S = 1.6
-FLOW_LIFETIME_S = 60.0
+# Ports that are free at these addresses are taken to be free at all.
+_PROBED_IPS = ("127.0.0.1", "127.60.0.1", "127.61.0.1", "127.62.0.1")
 
 
 def _packed_ip(ip):
@@ -406,10 +408,11 @@
             sockets = []
             try:
                 for offset in range(6):
-                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                        probe = socket.socket(socket.AF_INET, kind)
-                        sockets.append(probe)
-                        probe.bind(("0.0.0.0", base + offset))
+                    for ip in _PROBED_IPS:
+                        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                            probe = socket.socket(socket.AF_INET, kind)
+                            sockets.append(probe)
+                            probe.bind((ip, base + offset))
             except OSError:
                 continue
             finally:
@@ -1080,6 +1083,11 @@
         finally:
             deployment.close()
 
+    def end(*_):
+        raise SystemExit(2)
+
+    # All processes are ended when the run is stopped, too.
+    signal.signal(signal.SIGTERM, end)
     try:
         code = asyncio.run(asyncio.wait_for(run(), 110))
     except (OSError, asyncio.TimeoutError, KeyError) as error:
