--- a/review/2/case.py
+++ b/review/2/case.py
@@ -125,4 +125,6 @@
     return ""
 
 
-standins.run_case(pathlib.Path(__file__).resolve().parent, scenario)
+standins.run_case(
+    pathlib.Path(__file__).resolve().parent / "record.txt", scenario
+)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -380,15 +380,13 @@
 class Deployment:
     """The processes and stand-ins of one run, and its record.
 
-    :param folder: the folder of the case, for ``record.txt``.
-    :param heartbeat_ms: time between two reports of a server.
+    :param record_path: path of the file that records what was sent, answered
+        and run.
     """
 
-    def __init__(self, folder):
+    def __init__(self, record_path):
         self.rng = random.Random(7)
-        self._record = open(
-            pathlib.Path(folder) / "record.txt", "w", encoding="utf-8"
-        )
+        self._record = open(record_path, "w", encoding="utf-8")
         self._temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self._began_at = time.monotonic()
         self.programs = []
@@ -1059,16 +1057,17 @@
         """Hook of a case: a request was answered."""
 
 
-def run_case(folder, scenario):
+def run_case(record_path, scenario):
     """Run a scenario and exit with 0, 1 or 2.
 
+    :param record_path: path of the record.
     :param scenario: coroutine function of a :class:`Deployment` and of
         whether the disruption is left out. It returns an error text when the
         case could not run.
     """
 
     async def run():
-        deployment = Deployment(folder)
+        deployment = Deployment(record_path)
         try:
             error = await scenario(
                 deployment, os.environ.get("TROUBLE", "1") != "0"
