Keep the service that a flow was routed to with the flow

Callers of one service got the answer of another: the first segment of a flow whose agent was lost was sent again when an agent of another service had started at the address, with the id of that service, so that the agent's check compared the id with itself.

Cause: _forward took the service id from the agent known at the address now. A flow and its records keep the id from the placement on; a segment of a flow whose service nobody told carries none, which no agent accepts for a new flow. Agents replaced by one of another service are not chosen by a poll that is in progress, a copy is placed again when its address is another service's, and of two entries with one address the last one written counts.

Before the change the new tests fail: a_copy_does_not_reach_another_service_at_a_reused_address (both cases), a_record_names_the_service_that_its_flow_was_routed_to, a_found_flow_is_not_given_the_service_of_its_address and the_newer_of_two_agents_at_an_address_is_known; with it they pass.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -30,6 +30,8 @@
         processes.
     :param data_centre: name of its data centre.
     :param service: name of the service of an agent; empty for a balancer.
+    :param revision: the store's revision of the entry's last write; 0 for an
+        entry that was not read from the store.
 
     ``service_id`` is the 8-byte hash of the service's name that messages
     carry.
@@ -39,6 +41,7 @@
     address: tuple
     data_centre: str
     service: str = ""
+    revision: int = attrs.field(default=0, eq=False)
     service_id: bytes = attrs.field(init=False, repr=False)
 
     def __attrs_post_init__(self):
@@ -57,11 +60,12 @@
         ).encode("utf-8")
 
 
-def decode_entry(process_id, value):
+def decode_entry(process_id, value, revision=0):
     """Return the :class:`ProcessEntry` that a value of the store holds.
 
     :param process_id: id of the process, from the entry's key.
     :param value: the value as bytes.
+    :param revision: the store's revision of the value.
     :raises MalformedMessage: when the value is not a valid entry.
     """
     try:
@@ -75,6 +79,7 @@
             (ip, int(port)),
             fields["data_centre"],
             fields["service"],
+            revision,
         )
     except (
         ValueError,
@@ -178,7 +183,7 @@
                 return
         process_id = entry.key.rpartition("/")[2]
         try:
-            decoded = decode_entry(process_id, entry.value)
+            decoded = decode_entry(process_id, entry.value, entry.mod_revision)
         except exceptions.MalformedMessage as error:
             # An invalid entry is left out; the other entries stay valid.
             self.unreadable_by_key[entry.key] = str(error)
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -17,6 +17,10 @@
 
 _KEY_BYTES = 12
 
+# In place of the id of a service that the sender does not know. No agent
+# accepts a new flow of it.
+NO_SERVICE = bytes(8)
+
 decoders_by_kind = {}
 
 FORWARD = 1
@@ -26,7 +30,6 @@
 OWNED = 5
 DECLINED = 6
 UNKNOWN_FLOW = 7
-FLOW_RECORDS = 8
 FLOW_RECORDS_REQUEST = 9
 NOT_HELD = 10
 AGENT_LEFT = 11
@@ -34,7 +37,10 @@
 TENTATIVE_FORWARD = 13
 STORE_CHANGES = 14
 RECORDS_QUERY = 15
-KEPT_RECORDS = 16
+# 8 and 16 were records without a service. Processes of the version that sent
+# them go on forwarding for those of this one during an upgrade.
+FLOW_RECORDS = 17
+KEPT_RECORDS = 18
 
 # Verdicts of an agent on a flow that a balancer searches for: whether its
 # backend server holds the flow.
@@ -66,7 +72,7 @@
 _FORWARD = struct.Struct("!BBH8s")
 _FORWARD_BODY = struct.Struct("!H8s")
 _LOAD_REPORT = struct.Struct("!QIBBHHHH8s")
-_RECORD = struct.Struct("!12s4sHB")
+_RECORD = struct.Struct("!12s4sHB8s")
 _KEY = struct.Struct("!12s")
 _QUERY = struct.Struct("!12sI")
 _VERDICT = struct.Struct("!12sB")
@@ -78,7 +84,7 @@
 # Bytes of a query and its verdict.
 QUERY_BYTES = _QUERY.size + _VERDICT.size
 # So many records or queries fit in one datagram of 1,400 bytes.
-RECORDS_PER_MESSAGE = 70
+RECORDS_PER_MESSAGE = 50
 QUERIES_PER_MESSAGE = 80
 # The same for changes of the store; see :attr:`KeyChange.size`.
 MAX_CHANGES_BYTES = 1_300
@@ -89,8 +95,9 @@
     """A segment that a balancer forwards to the agent of its flow.
 
     :param service: :func:`~limpetlift.protocol.hashing.service_id` of the
-        service that the route names. An agent of another service declines the
-        flow; its address may have belonged to an agent of this service before.
+        service that the flow was routed to, or :data:`NO_SERVICE`. An agent
+        of another service declines a new flow; its address may have belonged
+        to an agent of this service before.
     :param data: the segment's datagram.
     :param wait_ms: the agent declines a new flow whose request would wait
         longer than this; 0 for no limit.
@@ -301,11 +308,14 @@
     :param is_placed: whether a balancer has just placed the flow there.
         Otherwise the agent has confirmed that it owns the flow, and the
         record takes precedence.
+    :param service: id of the service that the flow was routed to, or
+        :data:`NO_SERVICE` when no balancer that placed it has told.
     """
 
     key: bytes
     address: tuple
     is_placed: bool = False
+    service: bytes = NO_SERVICE
 
 
 @structs.frozen
@@ -443,6 +453,7 @@
             socket.inet_aton(record.address[0]),
             record.address[1],
             record.is_placed,
+            record.service,
         )
         for record in records
     )
@@ -558,8 +569,8 @@
 
 def _decode_records(body):
     return [
-        FlowRecord(key, (socket.inet_ntoa(ip), port), bool(is_placed))
-        for key, ip, port, is_placed in _RECORD.iter_unpack(body)
+        FlowRecord(key, (socket.inet_ntoa(ip), port), bool(is_placed), service)
+        for key, ip, port, is_placed, service in _RECORD.iter_unpack(body)
     ]
 
 
--- a/src/limpetlift/state/knownagents.py
+++ b/src/limpetlift/state/knownagents.py
@@ -143,6 +143,10 @@
     def on_entries(self, entries, unlisted):
         """Update the agents from the directory.
 
+        Of several entries with one address the last one written counts: the
+        entry of a lost agent may still be there when its address is used
+        again.
+
         :param entries: entries of the agents.
         :param unlisted: ids of the agents whose entries the store does not
             have any more.
@@ -151,9 +155,17 @@
         result = []
         known = self.by_address
         self.by_address = {}
+        newest_by_address = {}
         for entry in entries:
+            other = newest_by_address.get(entry.address)
+            if other is None or entry.revision > other.revision:
+                newest_by_address[entry.address] = entry
+        for entry in newest_by_address.values():
             agent = known.pop(entry.address, None)
-            if agent is None or agent.entry.service != entry.service:
+            if agent is None or (
+                (agent.entry.process_id, agent.entry.service)
+                != (entry.process_id, entry.service)
+            ):
                 agent = KnownAgent(entry)
                 result.append(agent.event("agent_joined"))
             agent.entry = entry
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -44,7 +44,9 @@
 )
 
 # Reasons that apply to the declined flow only, not to the next one.
-_PER_FLOW_REASONS = frozenset(("server_refused", "busy", "paused"))
+_PER_FLOW_REASONS = frozenset(
+    ("server_refused", "busy", "paused", "other_service")
+)
 
 
 @structs.define
@@ -53,6 +55,9 @@
 
     :param address: address of the agent.
     :param active_at: arrival time of the flow's last segment.
+    :param service_id: id of the service that the flow was routed to when it
+        was placed. It is not derived from ``address``, at which an agent of
+        another service may have started since.
     :param is_open: whether the caller has sent more than the first segment.
     :param tried: addresses of agents that declined the flow or fell silent.
     :param may_recover: whether one of them may accept flows again soon.
@@ -62,6 +67,7 @@
 
     address: tuple
     active_at: float
+    service_id: bytes = tunnel.NO_SERVICE
     is_open: bool = False
     tried: set = attrs.field(factory=set)
     may_recover: bool = False
@@ -298,21 +304,20 @@
         flow.is_open = True
         if segment.is_reset:
             del self.flows_by_key[segment.key]
-        return [self._forward(flow.address, segment.data)]
+        return [self._forward(flow, segment.data)]
 
-    def _forward(self, address, data, max_wait_s=math.inf):
-        """Return the step that forwards a datagram to an agent.
+    @staticmethod
+    def _forward(flow, data, max_wait_s=math.inf):
+        """Return the step that forwards a datagram to the agent of its flow.
 
         :param max_wait_s: for a first segment, the longest time that the
             flow's request may wait at the agent's server.
         """
-        agent = self.agents.by_address.get(address)
-        service_id = agent.entry.service_id if agent else b"\0" * 8
         max_wait_ms = (
             0 if max_wait_s == math.inf else max(round(max_wait_s * 1000), 1)
         )
         return steps.SendToPeer(
-            address, tunnel.Forward(service_id, data, max_wait_ms)
+            flow.address, tunnel.Forward(flow.service_id, data, max_wait_ms)
         )
 
     def _on_copy(self, now, segment, flow):
@@ -322,16 +327,20 @@
         the flow is placed again.
         """
         if flow.is_open:
-            return [self._forward(flow.address, segment.data)]
+            return [self._forward(flow, segment.data)]
         agent = self.agents.by_address.get(flow.address)
-        if agent is None or agent.is_silent(now):
+        if (
+            agent is None
+            or agent.entry.service_id != flow.service_id
+            or agent.is_silent(now)
+        ):
             flow.tried.add(flow.address)
             return self._place(now, segment, flow)
         poll = polling.Poll(segment, flow, now, kept_agent=agent)
         asked = poll.widen(now)
         if asked:
             self._polls.add(poll)
-        return [self._forward(flow.address, segment.data)] + [
+        return [self._forward(flow, segment.data)] + [
             agent.ask(now) for agent in asked
         ]
 
@@ -482,11 +491,12 @@
         agent = self.agents.by_address[address]
         agent.placement_times.append(now)
         poll.flow.address = address
+        poll.flow.service_id = agent.entry.service_id
         self.flows_by_key[key] = poll.flow
-        self._unsent_records.append(tunnel.FlowRecord(key, address, True))
+        self._unsent_records.append(self._record(key))
         load = agent.load
         return [
-            self._forward(address, poll.segment.data, max_wait_s),
+            self._forward(poll.flow, poll.segment.data, max_wait_s),
             steps.Duration("placing", now - poll.began_at),
             steps.LogEvent(
                 "flow_placed",
@@ -507,7 +517,8 @@
     def _choose_admitted(self, agents, poll):
         """Choose the agent of a new flow and check its queue.
 
-        :param agents: the agents to choose from.
+        :param agents: the agents to choose from. Those whose address an agent
+            of another service has taken over are left out.
         :returns: ``(candidate, max_wait_s)``: the chosen agent and the
             longest time that the flow's request may wait there; or None when
             there is no agent or the chosen agent's queue is longer than that.
@@ -515,7 +526,7 @@
         candidates = [
             self._candidate(agent)
             for agent in agents
-            if agent.entry.address in self.agents.by_address
+            if self.agents.by_address.get(agent.entry.address) is agent
         ]
         if not candidates:
             return None
@@ -704,11 +715,11 @@
         if known is not None and known.address == address:
             known.is_open = True
         else:
-            self.flows_by_key[key] = _Flow(address, now, True)
-            self._unsent_records.append(tunnel.FlowRecord(key, address))
-        return self._end_search(now, key, address, delivered_count, "agent")
+            self.flows_by_key[key] = _Flow(address, now, is_open=True)
+            self._unsent_records.append(self._record(key))
+        return self._end_search(now, key, delivered_count, "agent")
 
-    def _end_search(self, now, key, address, delivered_count, by):
+    def _end_search(self, now, key, delivered_count, by):
         """Forward what waited for the search for a flow that was found.
 
         :param by: what told where the flow is, for the log.
@@ -717,12 +728,13 @@
         if search is None:
             return []
         waiting, began_at = search
+        flow = self.flows_by_key[key]
         return [
-            self._forward(address, data) for data in waiting[delivered_count:]
+            self._forward(flow, data) for data in waiting[delivered_count:]
         ] + [
             steps.Duration("search", now - began_at),
             steps.LogEvent(
-                "flow_found", key, {"agent": "%s:%d" % address, "by": by}
+                "flow_found", key, {"agent": "%s:%d" % flow.address, "by": by}
             ),
         ]
 
@@ -791,7 +803,7 @@
         segment = self.decode(unknown.data)
         flow = self.flows_by_key.get(segment.key)
         if flow is not None and flow.address != address:
-            return [self._forward(flow.address, segment.data)]
+            return [self._forward(flow, segment.data)]
         self.flows_by_key.pop(segment.key, None)
         return self._search(now, segment, excluded=(address,))
 
@@ -803,22 +815,30 @@
             if known is None:
                 result += self._learn(now, record)
             elif not (record.is_placed and known.is_open):
+                if (
+                    known.address != record.address
+                    or record.service != tunnel.NO_SERVICE
+                ):
+                    known.service_id = record.service
                 known.address = record.address
         return result
 
     def _learn(self, now, record):
         """Add a flow from its record; forward what waited for it here."""
         key = record.key
-        self.flows_by_key[key] = _Flow(
-            record.address, now, not record.is_placed
+        flow = self.flows_by_key[key] = _Flow(
+            record.address,
+            now,
+            record.service,
+            not record.is_placed,
         )
         result = []
         poll = self._polls.end(key)
         if poll is not None:
             # Another balancer has placed the flow in the meantime.
-            result.append(self._forward(record.address, poll.segment.data))
+            result.append(self._forward(flow, poll.segment.data))
         return result + self._end_search(
-            now, key, record.address, delivered_count=0, by="balancer"
+            now, key, delivered_count=0, by="balancer"
         )
 
     @registry.register(_handlers_by_type, tunnel.KeptRecords)
@@ -861,7 +881,9 @@
     def _record(self, key):
         """Return the record of a known flow."""
         flow = self.flows_by_key[key]
-        return tunnel.FlowRecord(key, flow.address, not flow.is_open)
+        return tunnel.FlowRecord(
+            key, flow.address, not flow.is_open, flow.service_id
+        )
 
     # Timers.
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -3,10 +3,12 @@
 import itertools
 import random
 
+import attrs
 import pytest
 import segmentkit as kit
 
 from limpetlift import defaults
+from limpetlift.protocol import hashing
 from limpetlift.protocol import tunnel
 from limpetlift.state import steering
 from limpetlift.state import steps
@@ -36,6 +38,11 @@
     return kit.messages(result, tunnel.Forward)
 
 
+def _services(result):
+    """Return the services that forwarded segments are meant for."""
+    return {forward.service for _, forward in _forwards(result)}
+
+
 def _asked(result):
     """Return the addresses of the agents that are asked for their loads."""
     return [address for address, _ in kit.messages(result, tunnel.Hello)]
@@ -830,3 +837,79 @@
         step for step in result if isinstance(step, steps.LogEvent)
     )
     assert log_event.fields["busy"] == 2
+
+
+@pytest.mark.parametrize("is_polled", [False, True])
+def test_a_copy_does_not_reach_another_service_at_a_reused_address(is_polled):
+    """A first segment must not run at another service's server.
+
+    The agent that a flow was placed at was lost, and an agent of another
+    service started at its address.
+    """
+    balancer = _balancer(agents=1, is_fresh=False)
+    segment = kit.caller_segment(1, kit.SYN)
+    balancer.on_segment(0.0, segment)
+    result = []
+    if not is_polled:
+        # No agent answers, so the silent one is chosen.
+        result += balancer.tick(defaults.POLL_TIMEOUT_S)
+        assert _forwards(result)
+    reused = attrs.evolve(kit.agent(1, "maps"), process_id="agent-9")
+    balancer.on_entries(0.03, [reused], [])
+    result = _answer(balancer, 0.04, [reused.address], service="maps")
+    result += balancer.tick(0.05)
+    result += balancer.on_segment(0.2, kit.caller_segment(1, kit.SYN, ack=1))
+    result += balancer.tick(0.3)
+    assert _services(result) <= {hashing.service_id("desk")}
+
+
+def test_a_record_names_the_service_that_its_flow_was_routed_to():
+    """A balancer that learns a flow must not guess its service.
+
+    It took the service of the agent that it knew at the address, which may
+    belong to another service's server meanwhile. A record without a service
+    reaches no server with a first segment.
+    """
+    balancer = _balancer(agents=0)
+    balancer.on_entries(0.0, [kit.agent(1, "maps")], [])
+    desk = hashing.service_id("desk")
+    address = kit.agent(1).address
+    for port, record, expected in (
+        (1, tunnel.FlowRecord(kit.key_of(1), address, True, desk), desk),
+        (2, tunnel.FlowRecord(kit.key_of(2), address), tunnel.NO_SERVICE),
+    ):
+        decoded = tunnel.decode(tunnel.FlowRecords([record]).encode())
+        balancer.on_message(0.1, kit.balancer(2).address, decoded)
+        result = balancer.on_segment(0.2, kit.caller_segment(port, kit.ACK))
+        assert _services(result) == {expected}
+        assert balancer.flows_by_key[kit.key_of(port)].service_id == expected
+
+
+def test_a_found_flow_is_not_given_the_service_of_its_address():
+    """An agent that holds a flow may not be the one in the directory."""
+    balancer = _balancer(agents=0)
+    balancer.on_entries(0.0, [kit.agent(1, "maps")], [])
+    balancer.on_segment(1.0, kit.caller_segment(1, kit.ACK, ack=5))
+    balancer.on_message(
+        1.01,
+        kit.agent(1).address,
+        tunnel.LocateReply([(kit.key_of(1), tunnel.HELD)]),
+    )
+    result = balancer.on_segment(1.1, kit.caller_segment(1, kit.SYN, ack=1))
+    assert _services(result) == {tunnel.NO_SERVICE}
+
+
+def test_the_newer_of_two_agents_at_an_address_is_known():
+    """The entry of a lost agent must not hide its successor.
+
+    It stays for 15 s, and the order of a list of the store is that of ids.
+    """
+    newer = attrs.evolve(
+        kit.agent(1, "maps"), process_id="agent-0", revision=9
+    )
+    older = attrs.evolve(kit.agent(1), revision=5)
+    for entries in ([newer, older], [older, newer]):
+        balancer = _balancer(agents=0)
+        balancer.on_entries(0.0, entries, [])
+        (agent,) = balancer.agents.by_address.values()
+        assert agent.entry.process_id == "agent-0"
