Wait for an agent that came back before a flow counts as lost

Callers of flows that their servers were serving got resets: an agent had announced its leave while its server was down, came back and registered, and balancers that did not monitor it went on to leave it out of their proofs.

Cause: has_left is about the process that left, but was kept for the address until a load report of the later process came, which most balancers never ask for. An entry that was written after the leave ends it now, and an agent that left is only left out while a list that was read from the store does not have it. It is asked even then. A leave that waited through a pause is ignored.

Two tests demanded that an agent is not asked from its leave on, whatever the store has; that is the fault. They demand now that the proof does not need the answer of an agent that left, once its entry is removed.

Before the change these tests fail: an_agent_that_registered_again_must_answer, an_agent_that_left_must_answer_while_it_is_listed, an_agent_that_is_back_but_not_registered_is_found, the_leave_of_an_earlier_process_is_ignored_after_a_pause and a_search_goes_on_when_the_entry_of_an_agent_that_left_is_removed.

--- a/src/limpetlift/state/knownagents.py
+++ b/src/limpetlift/state/knownagents.py
@@ -24,7 +24,7 @@
         when it does not.
     :param is_listed: whether the store has its entry.
     :param has_left: whether it announced that it stops, after its backend
-        server had stopped.
+        server had stopped, and no later process is known at its address.
     :param placement_times: when this balancer placed flows there that
         ``load`` may not include.
     """
@@ -54,6 +54,16 @@
             },
         )
 
+    @property
+    def is_gone(self):
+        """Whether it certainly holds no flow.
+
+        It announced that it stops, and the store does not have its entry. A
+        later process at its address may hold flows, but it writes the entry
+        again, or finds it in the store if it was not removed.
+        """
+        return self.has_left and not self.is_listed
+
     def is_silent(self, now):
         """Whether it has left a question unanswered for too long."""
         return (
@@ -168,17 +178,21 @@
             ):
                 agent = KnownAgent(entry)
                 result.append(agent.event("agent_joined"))
+            elif agent.has_left and entry.revision > agent.entry.revision:
+                # A later process has registered.
+                agent.has_left = False
+                result.append(agent.event("agent_returned"))
             agent.entry = entry
             agent.is_listed = entry.process_id not in unlisted
             self.by_address[entry.address] = agent
         return result + [agent.event("agent_gone") for agent in known.values()]
 
-    def searchable(self):
-        """Return the agents that may hold flows, by address."""
+    def gone(self):
+        """Return the addresses of the agents that certainly hold no flow."""
         return {
-            address: agent
+            address
             for address, agent in self.by_address.items()
-            if not agent.has_left
+            if agent.is_gone
         }
 
     def of_services(self, services):
--- a/src/limpetlift/state/searching.py
+++ b/src/limpetlift/state/searching.py
@@ -116,13 +116,15 @@
     Methods take ``now`` in seconds (monotonic). Some of them return steps of
     :mod:`limpetlift.state.steps`. Agents are identified by their addresses.
 
-    :param agents: addresses of the agents that may hold flows, as the keys of
-        a dictionary.
+    :param agents: addresses of the known agents, as the keys of a dictionary.
+    :param gone: addresses of those that certainly hold no flow. They are
+        queried, but no search waits for their answers.
 
     .. versionadded:: 0.2
     """
 
     agents: dict = attrs.field(factory=dict)
+    gone: set = attrs.field(factory=set)
     _searches_by_key: dict = attrs.field(factory=dict)
     _queries_by_address: dict = attrs.field(
         factory=lambda: collections.defaultdict(list)
@@ -136,6 +138,26 @@
     # that are sent together share messages.
     _delayed_until: float = float("-inf")
 
+    def on_agents(self, now, agents, gone):
+        """Replace the known agents and those of them that are gone.
+
+        :returns: steps for the searches that waited only for agents that are
+            gone now.
+        """
+        self.agents = agents
+        known, self.gone = self.gone, gone
+        result = []
+        for key, search in self._searches_by_key.items():
+            if search.is_complete and not (gone - known).isdisjoint(
+                search.pending
+            ):
+                result += self._on_answer(now, key, search)
+        return result
+
+    def _is_awaiting(self, search):
+        """Whether the answer of an agent that may hold the flow is missing."""
+        return not search.pending <= self.gone
+
     def add_segment(self, segment):
         """Keep a segment until the search for its flow ends.
 
@@ -187,7 +209,11 @@
                 },
             )
         )
-        if search.is_complete and search.excluded and not search.pending:
+        if (
+            search.is_complete
+            and search.excluded
+            and not self._is_awaiting(search)
+        ):
             result += self._on_answer(now, key, search)
         return result
 
@@ -285,9 +311,9 @@
         :returns: steps.
         """
         result = []
-        if not search.pending and not search.is_complete:
+        if not self._is_awaiting(search) and not search.is_complete:
             result = self._widen(now, key, search)
-        if search.pending or not search.is_complete:
+        if self._is_awaiting(search) or not search.is_complete:
             return result
         search.expires_at = now + defaults.DIRECTORY_READ_TIMEOUT_S
         return result + [steps.ReadDirectory()]
@@ -333,7 +359,7 @@
     def on_directory_read(self, now, began_at):
         """Complete searches after all entries were read from the store.
 
-        An agent registers before it accepts its first flow. If a list of
+        An agent registers when it accepts its first flow. If a list of
         agents was read after the segment arrived and none of its agents holds
         the flow, then no backend server holds it. The caller gets a reset, so
         that it does not have to wait for its timeout. An empty list proves
@@ -346,7 +372,7 @@
         result = []
         for key, search in list(self._searches_by_key.items()):
             if (
-                search.pending
+                self._is_awaiting(search)
                 or not search.is_complete
                 or search.began_at > began_at
             ):
@@ -420,7 +446,7 @@
         due.sort(key=lambda item: item[1].rounds > 1)
         for key, search in due:
             result += self._widen(now, key, search)
-            if not search.pending and search.is_complete:
+            if not self._is_awaiting(search) and search.is_complete:
                 result += self._on_answer(now, key, search)
         return result + self.flush_queries()
 
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -236,7 +236,9 @@
             have any more.
         """
         result = self.agents.on_entries(agents, unlisted)
-        self.searches.agents = self.agents.searchable()
+        result += self.searches.on_agents(
+            now, self.agents.by_address, self.agents.gone()
+        )
         result += self._update_keepers(
             entry.address
             for entry in balancers
@@ -431,8 +433,7 @@
         agents = [
             agent
             for agent in self.agents.of_services(poll.services[:1])
-            if agent.entry.address not in poll.flow.tried
-            and not agent.has_left
+            if agent.entry.address not in poll.flow.tried and not agent.is_gone
         ]
         flow_hash = hashing.flow_hash(poll.segment.key)
         return polling.in_order(agents, flow_hash, self.data_centre)
@@ -674,14 +675,16 @@
         if agent is None or load.service != agent.entry.service_id:
             return []
         known = agent.load
-        had_left = agent.has_left
+        was_gone = agent.is_gone
         if not agent.on_load(now, load, self._is_catching_up):
             return []
-        if had_left and not agent.has_left:
-            self.searches.agents = self.agents.searchable()
+        result = []
+        if was_gone and not agent.is_gone:
+            result += self.searches.on_agents(
+                now, self.agents.by_address, self.agents.gone()
+            )
         if not self._is_catching_up:
             self.agents.heard_at = now
-        result = []
         if (
             known is None
             or known.incarnation != load.incarnation
@@ -764,12 +767,17 @@
         agent = self.agents.by_address.get(address)
         if agent is None:
             return []
+        if self._is_catching_up:
+            # A later process may have started there during the pause.
+            return [agent.event("agent_left_outdated")]
         agent.has_left = True
-        self.searches.agents = self.agents.searchable()
         self._delete_flows_at(address)
-        return [agent.event("agent_left")] + self.searches.on_left(
-            now, address
-        )
+        result = [agent.event("agent_left")]
+        if agent.is_gone:
+            result += self.searches.on_agents(
+                now, self.agents.by_address, self.agents.gone()
+            )
+        return result + self.searches.on_left(now, address)
 
     @registry.register(_handlers_by_type, tunnel.Declined)
     def _on_declined(self, now, address, declined):
