Judge a server's age by its reports, not by the time of day

Callers of flows that a server was serving got resets after the time of day of its instance had jumped back and its agent had been restarted.

Cause: the agent took a report that seemed to come less than 0.9 s after the server's start for the first one, by the time of day, and so itself for an agent that knows all flows; it denied flows that its predecessor had accepted. Only the number of the first report counts now. Where earlier reports failed, as after a loss of power, lost flows are tried at the server instead.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -418,9 +418,6 @@
 REPORT_INTERVAL_S = 1.2
 # Intervals after which two reports are certainly missing.
 SERVER_SILENT_INTERVALS = 2.5
-# For this share of the interval a server sends no report after one that was
-# acknowledged; a report this soon after its start is thus the first.
-REPORT_EARLY_SHARE = 0.75
 # An agent that has just started receives a report within this time, because
 # the server repeats a report that failed after about 0.1 s.
 AGENT_STARTING_S = 0.2
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -107,13 +107,12 @@
 
     # State of the backend server and of this agent.
 
-    def on_report(self, now, report, age_s=float("inf")):
+    def on_report(self, now, report):
         """Handle a report of the server.
 
         A report that is older than the last one, or that comes from an
         earlier server, is ignored.
 
-        :param age_s: seconds since the server's start.
         :returns: steps. The reported state is in force when this returns.
         """
         known_report = self.report
@@ -139,9 +138,11 @@
             result += self._resend_last_segments()
             self.knows_all_flows = True
         if known_report is None:
+            # The time of day at the server's start shows nothing: the clock
+            # may have jumped since.
             self.knows_all_flows = (
                 self.knows_all_flows
-                or self._is_first_acknowledged(report, age_s)
+                or report.number <= _MAX_FIRST_REPORT_NUMBER
             )
             result.append(steps.Announce())
         self.report = report
@@ -176,20 +177,6 @@
             )
         return result
 
-    def _is_first_acknowledged(self, report, age_s):
-        """Whether no earlier report of this server was acknowledged.
-
-        If so, this agent knows all flows of the server, because the server
-        accepts flows from its first report on. A report that is not
-        acknowledged is repeated at once, and the one after an acknowledged
-        report follows an interval later. A report that arrives early after
-        the server's start is therefore the first one acknowledged.
-        """
-        early_s = defaults.REPORT_EARLY_SHARE * self.report_interval_s
-        return (
-            report.number <= _MAX_FIRST_REPORT_NUMBER or 0.0 <= age_s < early_s
-        )
-
     def _replaces_known(self, now, report):
         """Whether a report replaces the known one.
 
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -1,7 +1,5 @@
 """The agent process: forwards segments to and from its backend server."""
 
-import time
-
 from limpetlift import clock
 from limpetlift.coordination import directory as directories
 from limpetlift import defaults
@@ -82,10 +80,7 @@
                 "report of service %r to an agent of service %r"
                 % (report.service, self.settings.service)
             )
-        age_s = float("inf")
-        if report.started_ms:
-            age_s = time.time() - report.started_ms / 1000
-        self.perform(self.decisions.on_report(self.observe(), report, age_s))
+        self.perform(self.decisions.on_report(self.observe(), report))
 
     def on_leave(self, server_id):
         """Handle the backend server's notice that it shuts down now."""
