Let a late report of a server show nothing of its successor

Callers of flows that a server was serving got resets after a delayed report of the server's crashed predecessor had reached an agent that had just been restarted.

Cause: a change from one reported start of the server to another counted as a restart during the agent's life, after which it denied unknown flows. A single report does not tell when its server ran. An agent is certain now once it has received the first two reports of one start in a row, and stays certain, as every later flow passes through it.

--- a/src/limpetlift/state/hostedflows.py
+++ b/src/limpetlift/state/hostedflows.py
@@ -46,6 +46,8 @@
         lower bound when the agent has not seen it; None before any answer.
     :param server_next_sequence: the sequence number after the server's last
         byte so far, or None before any answer.
+    :param is_accepted: whether the agent forwarded its first segment to the
+        server.
     :param is_known_from_start: whether this agent has seen every segment that
         the server sent of the flow.
     :param caller_next_sequence: the sequence number after the caller's last
@@ -74,6 +76,7 @@
     searched_by: set = attrs.field(factory=set)
     server_initial_sequence: object = None
     server_next_sequence: object = None
+    is_accepted: bool = False
     is_known_from_start: bool = False
     caller_next_sequence: object = None
     caller_ack: int = 0
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -20,8 +20,8 @@
 
 _handlers_by_type = {}
 
-# Highest number that the first report after a server's start can have.
-_MAX_FIRST_REPORT_NUMBER = 1
+# Number of the first report after a server's start.
+_FIRST_REPORT_NUMBER = 1
 
 
 @structs.define
@@ -36,7 +36,9 @@
     :param decode_segment: function that decodes a caller's datagram into a
         segment.
     :param knows_all_flows: whether this agent knows every flow of the server.
-        Initially true when no other agent served the server before.
+        Initially true when no other agent served the server before. It stays
+        true, also for a later server, because every flow that opens after
+        this agent's start passes through it.
     :param report_interval_s: seconds between two reports of the server.
     :param report: the report of the server that is in force, or None.
     :param flows: the :class:`~limpetlift.state.hostedflows.FlowTable` of the
@@ -136,15 +138,10 @@
         )
         if is_restarted:
             result += self._resend_last_segments()
-            self.knows_all_flows = True
         if known_report is None:
-            # The time of day at the server's start shows nothing: the clock
-            # may have jumped since.
-            self.knows_all_flows = (
-                self.knows_all_flows
-                or report.number <= _MAX_FIRST_REPORT_NUMBER
-            )
             result.append(steps.Announce())
+        elif not self.knows_all_flows and _are_first_two(known_report, report):
+            result += self._on_all_flows_known("first_reports")
         self.report = report
         self._reported_at = self._last_heard_at = self._last_served_at = now
         self._unanswered_tentative_flows = 0
@@ -177,6 +174,16 @@
             )
         return result
 
+    def _on_all_flows_known(self, reason):
+        """Record that no flow of the server is unknown to this agent.
+
+        :param reason: how it became known, for the log.
+        """
+        self.knows_all_flows = True
+        for flow in self.flows.by_key.values():
+            flow.is_known_from_start = flow.is_accepted
+        return [steps.LogEvent("all_flows_known", fields={"reason": reason})]
+
     def _replaces_known(self, now, report):
         """Whether a report replaces the known one.
 
@@ -543,6 +550,7 @@
             now,
             first_segment=segment.data,
             answer_due_at=now + defaults.SERVER_ANSWER_TIMEOUT_S,
+            is_accepted=True,
             is_known_from_start=self.knows_all_flows,
         )
         self.flows.add(flow)
@@ -659,6 +667,11 @@
         if now - self._last_sweep_at >= defaults.SWEEP_INTERVAL_S:
             self._last_sweep_at = now
             self._remove_old_flows(now)
+            if (
+                not self.knows_all_flows
+                and now - self._started_at > defaults.MAX_FLOW_LIFETIME_S
+            ):
+                result += self._on_all_flows_known("flow_lifetime")
             result += self._announce_if_unknown(now)
             self._forget_balancers(now)
         return result
@@ -729,11 +742,7 @@
         return result
 
     def _remove_old_flows(self, now):
-        """Remove flows that are idle or were closed a while ago.
-
-        Once this agent has run for the lifetime of a flow, it knows all flows
-        of the server.
-        """
+        """Remove flows that are idle or were closed a while ago."""
         idle_before = now - defaults.HOSTED_FLOW_IDLE_S
         closed_before = now - defaults.CLOSED_FLOW_RETENTION_S
         for key, flow in list(self.flows.by_key.items()):
@@ -741,8 +750,6 @@
                 flow.closed_at is not None and flow.closed_at < closed_before
             ):
                 self.flows.remove(key)
-        if now - self._started_at > defaults.MAX_FLOW_LIFETIME_S:
-            self.knows_all_flows = True
 
     def _next_load_report(self, now):
         """Return a report of the current load with the next number."""
@@ -759,3 +766,19 @@
             round(self._mean_run_s * 1000),
             self._service_id,
         )
+
+
+def _are_first_two(first, second):
+    """Whether two reports are the first two after a server's start.
+
+    The agent that received both knows all flows of the server: the server
+    accepts flows from its first report on. The first one alone does not show
+    that, nor does a change of the server: a report may arrive late, when a
+    later server is running whose flows an earlier agent forwarded. The time
+    of day at the server's start shows nothing, as the clock may have jumped.
+    """
+    return (
+        reports.is_same_incarnation(first, second)
+        and first.number == _FIRST_REPORT_NUMBER
+        and second.number == _FIRST_REPORT_NUMBER + 1
+    )
