Do not let an agent leave beside a server that stands still

An agent that was stopped while its server was frozen for 2.6 s announced its leave, by which balancers count the server's flows as lost. Found by reading; no caller was seen to be affected.

Cause: silence was taken for the end of the server. The agent probes the server's port too now, and leaves only when nobody listens there.

Before the change a_stopping_agent_does_not_leave_beside_a_frozen_server fails, and so does the assertion of the probe that was added to a_stopping_agent_detects_whether_its_server_has_ended.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -75,6 +75,8 @@
     # returned.
     _unanswered_tentative_flows: int = 0
     _last_probe_at: float = float("-inf")
+    # When a probe last found no listener at the server's port.
+    _refused_at: float = float("-inf")
     # Until then a refused probe counts as proof that the server is absent.
     _absent_until: float = float("-inf")
     # Mean run time of requests, in seconds.
@@ -243,7 +245,8 @@
         """Whether the server of a stopping agent has ended.
 
         The platform stops an agent after its server has ended, or restarts it
-        beside a server that is still running and reporting.
+        beside a server that is still running. A running server reports, but
+        not while it stands still; its port then has a listener.
 
         :returns: True, False, or None while that is not known.
         """
@@ -251,13 +254,16 @@
             return True
         if self._last_served_at > self._stopping_at:
             return False
-        if (
-            now - self._last_served_at
-            >= self.report_interval_s * defaults.REPORT_MISSING_INTERVALS
-        ):
+        if self._misses_reports(now) and self._refused_at > self._stopping_at:
             return True
         return None
 
+    def _misses_reports(self, now):
+        """Whether the server neither reported nor served for too long."""
+        return now - self._last_served_at >= (
+            self.report_interval_s * defaults.REPORT_MISSING_INTERVALS
+        )
+
     def leave(self):
         """Notify balancers that the server has ended.
 
@@ -317,6 +323,7 @@
         holds none. The probe counts only while the server is also silent in
         every other way.
         """
+        self._refused_at = now
         if not self._may_be_absent(now):
             return []
         self._absent_until = now + defaults.SERVER_PROBE_INTERVAL_S
@@ -707,11 +714,16 @@
         return [steps.Announce()]
 
     def _probe_if_silent(self, now):
-        """Probe the server's port when it is silent and has to answer."""
-        if (
-            now - self._last_probe_at < defaults.SERVER_PROBE_INTERVAL_S
-            or not self._may_be_absent(now)
-        ):
+        """Probe the server's port when it is silent and has to answer.
+
+        A stopping agent probes it to find out whether the server has ended.
+        """
+        if now - self._last_probe_at < defaults.SERVER_PROBE_INTERVAL_S:
+            return []
+        if self.is_stopping and self._misses_reports(now):
+            self._last_probe_at = now
+            return [steps.ProbeServer()]
+        if not self._may_be_absent(now):
             return []
         waiting_since = now - defaults.SERVER_PROBE_AFTER_S
         if not any(
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -342,15 +342,33 @@
     agent.on_server_segment(0.6, kit.server_segment(2, kit.ACK))
     agent.on_server_segment(0.6, kit.server_segment(3, kit.RST))
     assert agent.has_server_ended(0.7) is None
-    assert agent.has_server_ended(
-        _INTERVAL_S * defaults.REPORT_MISSING_INTERVALS
-    )
+    late = 0.6 + _INTERVAL_S * defaults.REPORT_MISSING_INTERVALS
+    assert steps.ProbeServer in kit.step_types(agent.tick(late))
+    agent.on_server_absent(late)
+    assert agent.has_server_ended(late)
     agent.on_message(0.1, _BALANCER, tunnel.Hello())
     assert kit.messages(agent.leave(), tunnel.AgentLeft) == [
         (_BALANCER, tunnel.AgentLeft())
     ]
 
 
+def test_a_stopping_agent_does_not_leave_beside_a_frozen_server():
+    """A server that stands still reports nothing and still holds its flows.
+
+    Its agent announced that it leaves, after which its flows count as lost.
+    """
+    agent = _agent()
+    agent.tick(0.0)
+    _open_flow(agent, 0.1, 1)
+    agent.stop(0.5)
+    late = 0.5 + _INTERVAL_S * defaults.REPORT_MISSING_INTERVALS
+    assert steps.ProbeServer in kit.step_types(agent.tick(late))
+    assert agent.has_server_ended(late) is None
+    assert agent.has_server_ended(late + 10.0) is None
+    agent.on_server_absent(late + 10.1)
+    assert agent.has_server_ended(late + 10.1)
+
+
 def test_a_paused_agent_does_not_count_its_server_as_ended():
     """An agent was paused and then stopped.
 
