Refuse odd entries, and keep an agent whose entry is overwritten

Other operators reported machines that ended, or stopped following, over one odd entry among those of the servers. Deep nesting, large numbers and ports out of range were refused before and are part of the tests now.

Two faults were shown: an entry whose key has a lone surrogate was accepted and raised an error later, outside of the decoder; and an unreadable value under the key of a running agent removed the agent from the directory, so that flows could be found lost without its answer. Ports in other digits or with underscores, and addresses that are no single host's, were accepted.

All of these are refused. An agent whose entry was overwritten counts as one whose entry is missing: it is kept while it reports and writes it again.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -71,9 +71,15 @@
     try:
         fields = json.loads(value)
         ip, _, port = fields["address"].rpartition(":")
+        # int() also takes signs, spaces, underscores and other digits.
+        if not (port.isascii() and port.isdigit()):
+            raise ValueError("the port %r is not a number" % port)
         segments.check_address(ip, int(port))
-        if not isinstance(fields["data_centre"], str):
-            raise ValueError("the data centre is not a text")
+        for text in (process_id, fields["data_centre"]):
+            if not isinstance(text, str):
+                raise ValueError("%r is not a text" % text)
+            # JSON can hold surrogates, which no message can.
+            text.encode("utf-8")
         return ProcessEntry(
             process_id,
             (ip, int(port)),
@@ -144,7 +150,7 @@
         self.on_reachable(now)
         present_keys = {entry.key for entry in snapshot}
         for entry in snapshot:
-            self._put(entry)
+            self._put(now, entry)
         for key in set(self._tracked_by_key) - present_keys:
             if self._tracked_by_key[key].revision <= revision:
                 self._remove(now, key)
@@ -158,7 +164,7 @@
         self.on_reachable(now)
         for change in changes:
             if change.entry is not None:
-                self._put(change.entry)
+                self._put(now, change.entry)
                 continue
             tracked = self._tracked_by_key.get(change.key)
             if tracked is not None and tracked.revision < change.revision:
@@ -175,8 +181,13 @@
             self._is_store_unreachable = False
             self._store_reachable_since = now
 
-    def _put(self, entry):
-        """Add or replace an entry, unless a newer state of it is known."""
+    def _put(self, now, entry):
+        """Add or replace an entry, unless a newer state of it is known.
+
+        An entry that cannot be decoded is another writer's. If it replaces
+        that of a process, the process counts as one whose entry is missing,
+        because it may be alive.
+        """
         known = self._tracked_by_key.get(entry.key)
         if known is not None and known.revision >= entry.mod_revision:
             if known.expires_at is None or known.revision > entry.mod_revision:
@@ -185,9 +196,10 @@
         try:
             decoded = decode_entry(process_id, entry.value, entry.mod_revision)
         except exceptions.MalformedMessage as error:
-            # An invalid entry is left out; the other entries stay valid.
             self.unreadable_by_key[entry.key] = str(error)
-            self._tracked_by_key.pop(entry.key, None)
+            if known is not None:
+                known.revision = entry.mod_revision
+                self._remove(now, entry.key)
             return
         self._tracked_by_key[entry.key] = _TrackedEntry(
             decoded, entry.mod_revision
--- a/src/limpetlift/protocol/segment.py
+++ b/src/limpetlift/protocol/segment.py
@@ -16,6 +16,8 @@
 # is further ahead belongs to a flow at another backend server.
 SEQUENCE_WINDOW_BYTES = 1 << 26
 _SEQUENCE_MASK = 0xFFFFFFFF
+# This and higher ones are multicast, reserved and broadcast addresses.
+_FIRST_MULTICAST_OCTET = 224
 _MAX_PORT = 0xFFFF
 
 
@@ -66,16 +68,18 @@
 
 
 def check_address(ip, port):
-    """Check that a segment can be sent to an address.
+    """Check that a segment can be sent to one process at an address.
 
     :param ip: dotted IPv4 address.
     :param port: port number.
     :raises ValueError: when either is invalid.
     """
     try:
-        socket.inet_pton(socket.AF_INET, ip)
+        packed = socket.inet_pton(socket.AF_INET, ip)
     except OSError:
         raise ValueError("invalid IPv4 address %r" % ip) from None
+    if not packed[0] or packed[0] >= _FIRST_MULTICAST_OCTET:
+        raise ValueError("no address of a single host: %s" % ip)
     if not 0 < port <= _MAX_PORT:
         raise ValueError("port %d is out of range" % port)
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,10 +1,14 @@
 """Tests of the directory of agents and balancers."""
 
+import json
+
+import pytest
 import segmentkit as kit
 
 from limpetlift.coordination import directory
 from limpetlift.coordination import entries
 from limpetlift import defaults
+from limpetlift import exceptions
 
 
 def _store_entry(number, revision):
@@ -140,3 +144,73 @@
     assert agents_directory.expire(
         10.0 + defaults.LAPSED_ENTRY_GRACE_S, _always_reporting
     )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"data_centre": "\ud800"},
+        {"service": "\ud800"},
+        {"address": "10.0.0.1:\uff18\uff10"},
+        {"address": "10.0.0.1:7_0"},
+        {"address": "10.0.0.1: 70"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:" + "9" * 5000},
+        {"address": "0.0.0.0:70"},
+        {"address": "224.0.0.1:70"},
+        {"address": "255.255.255.255:70"},
+    ],
+)
+def test_an_odd_entry_names_no_process(change):
+    """An entry of another writer must not be sent to, nor end the list."""
+    fields = json.loads(kit.agent(1).encode())
+    fields.update(change)
+    with pytest.raises(exceptions.MalformedMessage):
+        directory.decode_entry("agent-1", json.dumps(fields))
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"[" * 100_000,
+        b'{"address":' * 50_000,
+        b'{"address": "10.0.0.1:70", "data_centre": "a", "service": 1e999}',
+        b"9" * 10_000,
+    ],
+)
+def test_a_deep_or_large_entry_names_no_process(value):
+    """Decoding an entry must not end the process that reads the list."""
+    with pytest.raises(exceptions.MalformedMessage):
+        directory.decode_entry("agent-1", value)
+
+
+def test_an_entry_with_an_odd_key_names_no_process():
+    """An id that cannot be encoded must not stop a balancer from following.
+
+    The balancer failed after the directory had accepted the entry.
+    """
+    agents_directory = directory.Directory()
+    key = directory.AGENTS_PREFIX + "\ud800"
+    entry = entries.Entry(key, kit.agent(2).encode(), 6)
+    agents_directory.on_snapshot(0.0, [entry, _store_entry(1, 5)], 6)
+    assert _agent_ids(agents_directory) == ["agent-1"]
+    assert set(agents_directory.unreadable_by_key) == {key}
+
+
+def test_an_agent_whose_entry_was_overwritten_stays():
+    """An agent must not be left out of proofs because of another writer.
+
+    Its entry counts as missing, so that it is told and writes it again.
+    """
+    agents_directory = directory.Directory()
+    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)], 5)
+    odd = entries.Entry(_key(1), b"{", 6)
+    agents_directory.on_changes(10.0, [entries.Change(odd.key, odd, 6)])
+    agents_directory.on_snapshot(10.5, [odd], 6)
+    assert agents_directory.unlisted() == {"agent-1"}
+    assert not agents_directory.expire(20.0, _always_reporting)
+    assert _agent_ids(agents_directory) == ["agent-1"]
+    agents_directory.on_changes(
+        21.0, [entries.Change(_key(1), _store_entry(1, 7), 7)]
+    )
+    assert agents_directory.is_listed(_key(1))
