--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -17,6 +17,9 @@
 
 _KEY_BYTES = 12
 
+# Longest wait that a message can permit; a longer one is sent as this.
+MAX_WAIT_MS = 0xFFFF
+
 # In place of the id of a service that the sender does not know. No agent
 # accepts a new flow of it.
 NO_SERVICE = bytes(8)
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -315,9 +315,10 @@
         :param max_wait_s: for a first segment, the longest time that the
             flow's request may wait at the agent's server.
         """
-        max_wait_ms = (
-            0 if max_wait_s == math.inf else max(round(max_wait_s * 1000), 1)
-        )
+        max_wait_ms = 0
+        if max_wait_s != math.inf:
+            max_wait_ms = max(round(max_wait_s * 1000), 1)
+            max_wait_ms = min(max_wait_ms, tunnel.MAX_WAIT_MS)
         return steps.SendToPeer(
             flow.address, tunnel.Forward(flow.service_id, data, max_wait_ms)
         )
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1023,3 +1023,16 @@
         balancer.on_entries(0.0, entries, [])
         (agent,) = balancer.agents.by_address.values()
         assert agent.entry.process_id == "agent-0"
+
+
+def test_a_flow_of_a_route_with_a_long_aim_is_forwarded():
+    """A permitted wait of over 65 s must not make a message invalid.
+
+    The first segment was lost, with all further steps of the same decision.
+    """
+    balancer = _balancer()
+    balancer.on_routes(0.0, kit.routes(2, aim_s=3600.0))
+    result = balancer.on_segment(0.001, kit.caller_segment(1, kit.SYN))
+    ((_, forward),) = _forwards(result)
+    decoded = tunnel.decode(forward.encode())
+    assert decoded.wait_ms == tunnel.MAX_WAIT_MS
