Ask the other balancers for agents without an entry at the start

Callers of flows that a server was serving got resets from a balancer that had just been started, while the store had taken the entry of the server's agent away.

Cause: the store's list was taken for all agents there are, while the balancers that run also keep agents that answer them without an entry. A balancer that starts asks them for these now, and finds no flow lost until they have answered. When all start at once they do not wait for each other.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -215,6 +215,16 @@
                 > defaults.LAPSED_ENTRY_GRACE_S
             )
 
+    def add_unlisted(self, now, entry):
+        """Add an agent that another balancer keeps without an entry.
+
+        It stays like one whose entry was removed from the store.
+        """
+        self._tracked_by_key.setdefault(
+            AGENTS_PREFIX + entry.process_id,
+            _TrackedEntry(entry, 0, now + defaults.LAPSED_ENTRY_GRACE_S),
+        )
+
     def expire(self, now, is_reporting):
         """Delete the entries that have expired.
 
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -391,6 +391,11 @@
 # another balancer may have placed its flow.
 RECORD_QUERY_TIMEOUT_S = 0.02
 
+# After the first complete answer of a balancer that was asked for agents which
+# the store does not have: longer than a round trip between data centres and an
+# event loop iteration of a slow balancer.
+UNLISTED_TIMEOUT_S = 0.15
+
 # Hosting of flows.
 
 # A backend server answers the first segment of a flow within a millisecond;
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -44,6 +44,8 @@
 # them go on forwarding for those of this one during an upgrade.
 FLOW_RECORDS = 17
 KEPT_RECORDS = 18
+UNLISTED_AGENTS_REQUEST = 19
+UNLISTED_AGENTS = 20
 
 # Verdicts of an agent on a flow that a balancer searches for: whether its
 # backend server holds the flow.
@@ -80,6 +82,8 @@
 _QUERY = struct.Struct("!12sI")
 _VERDICT = struct.Struct("!12sB")
 _STORE_CHANGES = struct.Struct("!BQQ")
+# Whether the sender is complete, and the number of agents.
+_UNLISTED_AGENTS = struct.Struct("!BH")
 # Revision, length of the key and length of the value.
 _CHANGE = struct.Struct("!QBH")
 # In place of the length of a value: the key was removed.
@@ -448,6 +452,39 @@
         )
 
 
+@structs.frozen
+class UnlistedAgentsRequest:
+    """Request of a balancer that starts for the :class:`UnlistedAgents`."""
+
+    def encode(self):
+        """Return the datagram."""
+        return _HEADER.pack(_VERSION, UNLISTED_AGENTS_REQUEST)
+
+
+@structs.frozen
+class UnlistedAgents:
+    """Agents that a balancer keeps although the store lacks their entries.
+
+    :param is_complete: whether the balancer has learned those that others
+        keep; False when it has just started itself.
+    :param total: number of the agents in this message and the others of the
+        same answer.
+    :param agents: list of :class:`KeyChange` with the entries.
+    """
+
+    is_complete: bool
+    total: int
+    agents: list
+
+    def encode(self):
+        """Return the datagram."""
+        return (
+            _HEADER.pack(_VERSION, UNLISTED_AGENTS)
+            + _UNLISTED_AGENTS.pack(self.is_complete, min(self.total, 0xFFFF))
+            + b"".join(change.encode() for change in self.agents)
+        )
+
+
 def _encode_records(kind, records):
     """Return the datagram of a message that consists of flow records."""
     return _HEADER.pack(_VERSION, kind) + b"".join(
@@ -590,8 +627,27 @@
 @registry.register(decoders_by_kind, STORE_CHANGES)
 def _decode_store_changes(body):
     topic, after, revision = _STORE_CHANGES.unpack_from(body)
+    changes = _decode_changes(body, _STORE_CHANGES.size)
+    return StoreChanges(topic, after, revision, changes)
+
+
+@registry.register(decoders_by_kind, UNLISTED_AGENTS_REQUEST)
+def _decode_unlisted_agents_request(_body):
+    return UnlistedAgentsRequest()
+
+
+@registry.register(decoders_by_kind, UNLISTED_AGENTS)
+def _decode_unlisted_agents(body):
+    is_complete, total = _UNLISTED_AGENTS.unpack_from(body)
+    agents = _decode_changes(body, _UNLISTED_AGENTS.size)
+    if any(change.value is None for change in agents):
+        raise exceptions.MalformedMessage("an agent has no entry")
+    return UnlistedAgents(bool(is_complete), total, agents)
+
+
+def _decode_changes(body, position):
+    """Return the changes from a position of a message's body to its end."""
     changes = []
-    position = _STORE_CHANGES.size
     while position < len(body):
         changed_at, key_length, length = _CHANGE.unpack_from(body, position)
         position += _CHANGE.size
@@ -606,7 +662,7 @@
             value = _slice(body, position, length)
             position += length
         changes.append(KeyChange(key, value, changed_at))
-    return StoreChanges(topic, after, revision, changes)
+    return changes
 
 
 def _slice(body, start, length):
--- a/src/limpetlift/state/knownagents.py
+++ b/src/limpetlift/state/knownagents.py
@@ -187,6 +187,28 @@
             self.by_address[entry.address] = agent
         return result + [agent.event("agent_gone") for agent in known.values()]
 
+    def unlisted(self):
+        """Return the entries of the agents that the store does not have.
+
+        Those that have left are not among them.
+        """
+        return [
+            agent.entry
+            for agent in self.by_address.values()
+            if not agent.is_listed and not agent.has_left
+        ]
+
+    def add_unlisted(self, now, entry):
+        """Add an agent that another balancer knows; ask whether it lives.
+
+        :returns: steps; none for an address that is known.
+        """
+        if entry.address in self.by_address:
+            return []
+        agent = KnownAgent(entry, is_listed=False)
+        self.by_address[entry.address] = agent
+        return [agent.event("agent_joined"), agent.ask(now)]
+
     def gone(self):
         """Return the addresses of the agents that certainly hold no flow."""
         return {
--- a/src/limpetlift/state/searching.py
+++ b/src/limpetlift/state/searching.py
@@ -119,12 +119,15 @@
     :param agents: addresses of the known agents, as the keys of a dictionary.
     :param gone: addresses of those that certainly hold no flow. They are
         queried, but no search waits for their answers.
+    :param are_agents_known: whether ``agents`` has all agents that may hold
+        flows. Otherwise a flow may be found, but not proved lost.
 
     .. versionadded:: 0.2
     """
 
     agents: dict = attrs.field(factory=dict)
     gone: set = attrs.field(factory=set)
+    are_agents_known: bool = True
     _searches_by_key: dict = attrs.field(factory=dict)
     _queries_by_address: dict = attrs.field(
         factory=lambda: collections.defaultdict(list)
@@ -154,6 +157,18 @@
                 result += self._on_answer(now, key, search)
         return result
 
+    def on_agents_known(self, now):
+        """Resume the searches that only waited for all agents to be known.
+
+        :returns: steps.
+        """
+        self.are_agents_known = True
+        result = []
+        for key, search in self._searches_by_key.items():
+            if search.is_complete and not self._is_awaiting(search):
+                result += self._on_answer(now, key, search)
+        return result
+
     def _is_awaiting(self, search):
         """Whether the answer of an agent that may hold the flow is missing."""
         return not search.pending <= self.gone
@@ -370,6 +385,8 @@
         :returns: steps.
         """
         result = []
+        if not self.are_agents_known:
+            return result
         for key, search in list(self._searches_by_key.items()):
             if (
                 self._is_awaiting(search)
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -26,6 +26,7 @@
 from limpetlift.state import routing
 from limpetlift.state import searching
 from limpetlift.state import steps
+from limpetlift.state import unlisted as unlisted_agents
 from limpetlift import structs
 
 _handlers_by_type = {}
@@ -130,6 +131,7 @@
     _polls: polling.LoadPolls = attrs.field(factory=polling.LoadPolls)
     _deferrals_by_key: dict = attrs.field(factory=dict)
     agents: knownagents.KnownAgents = attrs.field(init=False)
+    _unlisted: unlisted_agents.UnlistedAgents = attrs.field(init=False)
     _keepers: keeping.Keepers = attrs.field(init=False)
     # Records that have not been sent to their keepers yet.
     _unsent_records: list = attrs.field(factory=list)
@@ -153,6 +155,8 @@
         )
         self.agents = knownagents.KnownAgents(self.address, self.rng)
         self._keepers = self._keepers_among(())
+        self._unlisted = unlisted_agents.UnlistedAgents(self.address)
+        self.searches.are_agents_known = False
 
     # Pauses.
 
@@ -244,8 +248,18 @@
             for entry in balancers
             if entry.data_centre == self.data_centre
         )
+        result += self._unlisted.on_balancers(
+            now, [entry.address for entry in balancers]
+        )
+        result += self._resume_searches(now)
         return result + self.agents.update_monitored(now, balancers)
 
+    def _resume_searches(self, now):
+        """Let flows be proved lost once all agents are known."""
+        if self.searches.are_agents_known or not self._unlisted.is_complete:
+            return []
+        return self.searches.on_agents_known(now)
+
     def _keepers_among(self, addresses):
         """Return the keepers among this balancer and some others."""
         return keeping.Keepers(
@@ -894,6 +908,25 @@
             key, flow.address, not flow.is_open, flow.service_id
         )
 
+    @registry.register(_handlers_by_type, tunnel.UnlistedAgentsRequest)
+    def _on_unlisted_agents_request(self, _now, address, _message):
+        return [
+            steps.SendToPeer(address, message)
+            for message in self._unlisted.answers(self.agents.unlisted())
+        ]
+
+    @registry.register(_handlers_by_type, tunnel.UnlistedAgents)
+    def _on_unlisted_agents(self, now, address, message):
+        entries, result = self._unlisted.on_answer(now, address, message)
+        for entry in entries:
+            added = self.agents.add_unlisted(now, entry)
+            if added:
+                result += added + [steps.KeepAgent(entry)]
+        result += self.searches.on_agents(
+            now, self.agents.by_address, self.agents.gone()
+        )
+        return result + self._resume_searches(now)
+
     # Timers.
 
     def tick(self, now):
@@ -913,6 +946,8 @@
                 for message in _record_messages(records)
             ]
         result += self.agents.say_hello(now)
+        if not self._unlisted.is_complete:
+            result += self._unlisted.tick(now) + self._resume_searches(now)
         for poll in self._polls.pop_due(now):
             result += self._advance(now, poll)
         result += self.searches.tick(now, self.agents.format_ids)
--- a/src/limpetlift/state/steps.py
+++ b/src/limpetlift/state/steps.py
@@ -91,6 +91,17 @@
     """Read all directory entries from the store now."""
 
 
+@structs.frozen
+class KeepAgent:
+    """Keep an agent in the directory that the store does not have.
+
+    :param entry: its
+        :class:`~limpetlift.coordination.directory.ProcessEntry`.
+    """
+
+    entry: object
+
+
 @structs.frozen
 class Duration:
     """Add a duration to a histogram of the metrics.
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -168,6 +168,8 @@
                 self._reset(step)
             elif isinstance(step, steps.ReadDirectory):
                 self._request_directory()
+            elif isinstance(step, steps.KeepAgent):
+                self._directory.add_unlisted(clock.now(), step.entry)
             elif isinstance(step, steps.Duration):
                 self.measure(step.name, step.seconds)
             else:
--- a/tests/decoderfuzz.py
+++ b/tests/decoderfuzz.py
@@ -92,6 +92,12 @@
         tunnel.RecordsQuery([_KEY] * 3),
         tunnel.KeptRecords([tunnel.FlowRecord(_KEY, _ADDRESS)] * 2),
         tunnel.AgentLeft(),
+        tunnel.UnlistedAgentsRequest(),
+        tunnel.UnlistedAgents(
+            True,
+            2,
+            [tunnel.KeyChange("agents/x", kit.agent(1).encode(), 0)],
+        ),
         tunnel.StoreChanges(
             1,
             5,
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -214,3 +214,18 @@
         21.0, [entries.Change(_key(1), _store_entry(1, 7), 7)]
     )
     assert agents_directory.is_listed(_key(1))
+
+
+def test_an_agent_that_another_balancer_keeps_stays_while_it_reports():
+    """A balancer must not lose it with the next list of the store."""
+    agents_directory = directory.Directory()
+    agents_directory.on_snapshot(10.0, [_store_entry(1, 5)], 5)
+    agents_directory.add_unlisted(10.1, kit.agent(2))
+    agents_directory.on_snapshot(10.2, [_store_entry(1, 5)], 6)
+    assert agents_directory.unlisted() == {"agent-2"}
+    assert not agents_directory.expire(20.0, _always_reporting)
+    assert _agent_ids(agents_directory) == ["agent-1", "agent-2"]
+    agents_directory.add_unlisted(20.0, kit.agent(1))
+    assert agents_directory.unlisted() == {"agent-2"}
+    assert agents_directory.expire(20.0, _never_reporting)
+    assert _agent_ids(agents_directory) == ["agent-1"]
