Try a flow at the server that a late first segment made known

A restarted agent that got a late copy of the first segment of an open flow took the flow for a new one without an answer of its server, and denied it. Found by reading; no caller was seen to be affected.

Cause: without a number of the server no acknowledgement matched, which counted as a denial even of an agent that does not know all flows. Such a flow is not known now and is tried at the server. Before the change a_late_first_segment_does_not_deny_an_open_flow fails.

--- a/src/limpetlift/state/hostedflows.py
+++ b/src/limpetlift/state/hostedflows.py
@@ -97,6 +97,19 @@
         """Whether the flow is neither tentative nor closed."""
         return self.closed_at is None and not self.is_tentative
 
+    @property
+    def is_undecided(self):
+        """Whether nothing shows that the server holds or does not hold it.
+
+        The server may hold a flow whose first segment it has not answered
+        here: the segment may be a late copy, and an earlier agent may have
+        forwarded the first one.
+        """
+        return self.is_tentative or (
+            self.server_initial_sequence is None
+            and not self.is_known_from_start
+        )
+
     @property
     def is_caller_waiting(self):
         """Whether the flow is open and its caller waits for an answer.
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -415,7 +415,7 @@
     def _verdict(self, now, query):
         """Return the answer to the query of a balancer that searches."""
         flow = self.flows.by_key.get(query.key)
-        if flow is not None and not flow.is_tentative:
+        if flow is not None and not flow.is_undecided:
             is_held = flow.is_held(query.ack)
             return tunnel.HELD if is_held else tunnel.ABSENT
         if self._knows_all_flows_at(now):
@@ -431,7 +431,9 @@
     def _on_tentative_forward(self, now, balancer, forward):
         segment = self.decode_segment(forward.data)
         flow = self.flows.by_key.get(segment.key)
-        if flow is None and not self._knows_all_flows_at(now):
+        if not self._knows_all_flows_at(now) and (
+            flow is None or flow.is_undecided and not flow.is_tentative
+        ):
             flow = self._add_tentative_flow(now, balancer, segment)
         if flow is None or not (
             flow.is_tentative or flow.is_held(segment.ack)
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -597,6 +597,27 @@
     assert _verdicts(agent, 0.1, (1, 5000)) == [tunnel.HELD]
 
 
+def test_a_late_first_segment_does_not_deny_an_open_flow():
+    """A copy of a first segment may arrive after its flow has opened.
+
+    An agent that was restarted meanwhile took the flow for a new one that its
+    server had not answered, and denied it although the server held it.
+    """
+    agent = _agent(knows_all_flows=False, report=False)
+    agent.on_report(0.0, _report(5))
+    _forward(agent, 0.1, 1, kit.SYN, ack=1)
+    assert _verdicts(agent, 0.11, (1, 900)) == [tunnel.UNSURE]
+    result = _forward_tentatively(agent, 0.12, 1, ack=900)
+    assert kit.step_types(result) == [steps.SendToServer]
+    result = agent.on_server_segment(
+        0.13, kit.server_segment(1, kit.ACK, sequence=900, payload=b"part")
+    )
+    assert kit.messages(result, tunnel.Owned) == [
+        (_BALANCER, tunnel.Owned(kit.key_of(1)))
+    ]
+    assert _verdicts(agent, 0.14, (1, 900)) == [tunnel.HELD]
+
+
 def test_a_starting_agent_does_not_report_flows_absent():
     """Its server may hold flows from before the agent's start."""
     agent = _agent(knows_all_flows=False, report=False)
