Ask balancers for unlisted agents again, and take a question for an answer

A balancer that asks has nothing to tell, so its question counts as its answer, and the others are asked again every 0.1 s.

Before the change a_balancer_that_asks_itself_has_nothing_to_tell and balancers_that_did_not_answer_are_asked_again fail.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -395,6 +395,8 @@
 # the store does not have: longer than a round trip between data centres and an
 # event loop iteration of a slow balancer.
 UNLISTED_TIMEOUT_S = 0.15
+# Balancers that have not answered are asked again after this time.
+UNLISTED_RETRY_S = 0.1
 
 # Hosting of flows.
 
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -909,8 +909,10 @@
         )
 
     @registry.register(_handlers_by_type, tunnel.UnlistedAgentsRequest)
-    def _on_unlisted_agents_request(self, _now, address, _message):
-        return [
+    def _on_unlisted_agents_request(self, now, address, _message):
+        result = self._unlisted.on_request(now, address)
+        result += self._resume_searches(now)
+        return result + [
             steps.SendToPeer(address, message)
             for message in self._unlisted.answers(self.agents.unlisted())
         ]
--- a/src/limpetlift/state/unlisted.py
+++ b/src/limpetlift/state/unlisted.py
@@ -33,6 +33,7 @@
     # When the missing answers are not waited for any more.
     _complete_at: float = float("inf")
     _unanswered: set = attrs.field(factory=set)
+    _ask_at: float = float("inf")
     # Ids of the agents that each balancer has named so far.
     _agent_ids_by_address: dict = attrs.field(factory=dict)
 
@@ -48,10 +49,18 @@
         # again by then.
         self._complete_at = now + defaults.LAPSED_ENTRY_GRACE_S
         self._unanswered = set(addresses) - {self.own_address}
-        return [
-            steps.SendToPeer(address, tunnel.UnlistedAgentsRequest())
-            for address in sorted(self._unanswered)
-        ] + self.tick(now)
+        self._ask_at = now
+        return self.tick(now)
+
+    def on_request(self, now, address):
+        """Handle the question of another balancer.
+
+        One that asks has just started and has nothing to tell.
+
+        :returns: steps.
+        """
+        self._unanswered.discard(address)
+        return self.tick(now)
 
     def on_answer(self, now, address, message):
         """Handle the answer of a balancer, or a part of it.
@@ -79,15 +88,14 @@
         return entries, self.tick(now)
 
     def tick(self, now):
-        """Stop waiting when all balancers have answered, or in due time.
+        """Ask again, or stop waiting when all have answered or in due time.
 
         :returns: steps.
         """
-        if self.is_complete or (self._unanswered and now < self._complete_at):
-            return []
-        if self._complete_at == float("inf"):
-            # The balancers are not known yet.
+        if self.is_complete or self._complete_at == float("inf"):
             return []
+        if self._unanswered and now < self._complete_at:
+            return self._ask(now)
         self.is_complete = True
         self._agent_ids_by_address.clear()
         return [
@@ -97,6 +105,15 @@
             )
         ]
 
+    def _ask(self, now):
+        if now < self._ask_at:
+            return []
+        self._ask_at = now + defaults.UNLISTED_RETRY_S
+        return [
+            steps.SendToPeer(address, tunnel.UnlistedAgentsRequest())
+            for address in sorted(self._unanswered)
+        ]
+
     def answers(self, entries):
         """Return the messages that name some agents to another balancer.
 
--- a/tests/test_unlisted.py
+++ b/tests/test_unlisted.py
@@ -125,6 +125,29 @@
     assert _is_reset(balancer, 0.03)
 
 
+def test_a_balancer_that_asks_itself_has_nothing_to_tell():
+    """After a loss of power the first balancers waited 2 s for the others.
+
+    These had not started yet when they were asked.
+    """
+    balancer, _ = _started()
+    for other in _OTHERS:
+        result = balancer.on_message(
+            0.6, other.address, tunnel.UnlistedAgentsRequest()
+        )
+        assert kit.messages(result, tunnel.UnlistedAgents)
+    assert _is_reset(balancer, 0.61)
+
+
+def test_balancers_that_did_not_answer_are_asked_again():
+    """A question or its answer may be lost."""
+    balancer, _ = _started()
+    balancer.on_message(0.02, _OTHERS[0].address, _answer(is_complete=False))
+    result = balancer.tick(0.01 + defaults.UNLISTED_RETRY_S)
+    assert _asked(result) == [_OTHERS[1].address]
+    assert not _asked(balancer.tick(0.02 + defaults.UNLISTED_RETRY_S))
+
+
 def test_a_dead_balancer_is_not_waited_for_long():
     """The entry of a balancer that has ended stays for some seconds."""
     balancer, _ = _started()
