Read no list for a proof while agents may be unknown

While a balancer that starts waits for the others, each search whose agents had all answered read the entries from the store, which proves nothing then and is billed. Clearer conditions and a name of its own for the exchange; the other steps are the same.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -431,9 +431,10 @@
     def _on_tentative_forward(self, now, balancer, forward):
         segment = self.decode_segment(forward.data)
         flow = self.flows.by_key.get(segment.key)
-        if not self._knows_all_flows_at(now) and (
-            flow is None or flow.is_undecided and not flow.is_tentative
-        ):
+        is_untried = flow is None or (
+            flow.is_undecided and not flow.is_tentative
+        )
+        if is_untried and not self._knows_all_flows_at(now):
             flow = self._add_tentative_flow(now, balancer, segment)
         if flow is None or not (
             flow.is_tentative or flow.is_held(segment.ack)
--- a/src/limpetlift/state/searching.py
+++ b/src/limpetlift/state/searching.py
@@ -147,13 +147,12 @@
         :returns: steps for the searches that waited only for agents that are
             gone now.
         """
+        newly_gone = gone - self.gone
         self.agents = agents
-        known, self.gone = self.gone, gone
+        self.gone = gone
         result = []
         for key, search in self._searches_by_key.items():
-            if search.is_complete and not (gone - known).isdisjoint(
-                search.pending
-            ):
+            if search.is_complete and search.pending & newly_gone:
                 result += self._on_answer(now, key, search)
         return result
 
@@ -323,12 +322,18 @@
     def _on_answer(self, now, key, search):
         """Go on with a search once all agents queried so far have answered.
 
+        Without all agents, a list of the store proves nothing and is not read.
+
         :returns: steps.
         """
         result = []
         if not self._is_awaiting(search) and not search.is_complete:
             result = self._widen(now, key, search)
-        if self._is_awaiting(search) or not search.is_complete:
+        if (
+            self._is_awaiting(search)
+            or not search.is_complete
+            or not self.are_agents_known
+        ):
             return result
         search.expires_at = now + defaults.DIRECTORY_READ_TIMEOUT_S
         return result + [steps.ReadDirectory()]
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -131,7 +131,7 @@
     _polls: polling.LoadPolls = attrs.field(factory=polling.LoadPolls)
     _deferrals_by_key: dict = attrs.field(factory=dict)
     agents: knownagents.KnownAgents = attrs.field(init=False)
-    _unlisted: unlisted_agents.UnlistedAgents = attrs.field(init=False)
+    _unlisted: unlisted_agents.Exchange = attrs.field(init=False)
     _keepers: keeping.Keepers = attrs.field(init=False)
     # Records that have not been sent to their keepers yet.
     _unsent_records: list = attrs.field(factory=list)
@@ -155,7 +155,7 @@
         )
         self.agents = knownagents.KnownAgents(self.address, self.rng)
         self._keepers = self._keepers_among(())
-        self._unlisted = unlisted_agents.UnlistedAgents(self.address)
+        self._unlisted = unlisted_agents.Exchange(self.address)
         self.searches.are_agents_known = False
 
     # Pauses.
--- a/src/limpetlift/state/unlisted.py
+++ b/src/limpetlift/state/unlisted.py
@@ -16,7 +16,7 @@
 
 
 @structs.define
-class UnlistedAgents:
+class Exchange:
     """What one balancer has learned of them from the other balancers.
 
     Methods take ``now`` in seconds (monotonic).
--- a/tests/test_unlisted.py
+++ b/tests/test_unlisted.py
@@ -62,7 +62,12 @@
 def test_no_flow_is_lost_before_the_others_have_answered():
     """A balancer that cannot count the agents must stay silent."""
     balancer, _ = _started()
-    assert not _is_reset(balancer, 0.01)
+    balancer.on_segment(0.01, kit.caller_segment(1, kit.ACK, ack=5))
+    # A list of the store would prove nothing, and reading it is billed.
+    assert not balancer.on_message(
+        0.01, _LISTED.address, tunnel.NotHeld(kit.key_of(1))
+    )
+    assert not balancer.on_directory_read(0.012, 0.011)
     balancer.on_message(0.02, _OTHERS[0].address, _answer())
     assert not _is_reset(balancer, 0.03, port=2)
     result = balancer.on_message(0.04, _OTHERS[1].address, _answer())
