Log what decides where a flow's request ran

After requests had run at servers of another service, the logs told neither which service a flow was routed to, nor by which server's report it was accepted, nor whether an address was used again. Forwarded copies of first segments were not logged at all.

flow_placed names the service and address of the agent; flow_refused, copy_dropped and flow_deferred the service tried first and the number of agents known. copy_forwarded is new, and agent_joined names the agent that it replaces. flow_accepted and flow_passed_on name the balancer, the server of the report in force, its service and the report's age. Agents log reports of another service once a server (report_other_service), all processes log changed settings that they read only at their start (settings_need_restart), and agents have the gauges accepting and report_age_seconds. explain shows these events and those of the agents at a flow's addresses. No decision changes.

--- a/src/limpetlift/explaining.py
+++ b/src/limpetlift/explaining.py
@@ -30,6 +30,10 @@
         "agent_state",
         "agent_joined",
         "agent_gone",
+        "agent_left",
+        "report_other_service",
+        "settings_changed",
+        "settings_need_restart",
         "routes_in_force",
         "store_lost",
         "store_regained",
@@ -37,8 +41,12 @@
     )
 )
 
-# These events are shown from this time before the first line of the flow until
-# this time after its last line.
+# Events of a state that lasts: they are shown however long they precede the
+# flow.
+_LASTING_EVENTS = frozenset(("report_other_service", "settings_need_restart"))
+
+# The other ones are shown from this time before the first line of the flow
+# until this time after its last line.
 _CONTEXT_BEFORE_S = 2.0
 _CONTEXT_AFTER_S = 0.5
 
@@ -195,18 +203,27 @@
     end_s = max(line.unix_s for line in flow_lines) + _CONTEXT_AFTER_S
     processes = {line.process for line in flow_lines}
     processes |= {line.fields_by_name.get("agent", "") for line in flow_lines}
+    addresses = {line.fields_by_name.get("address") for line in flow_lines}
+    addresses.discard(None)
     return [
         line
         for line in lines
         if line.event in _CONTEXT_EVENTS
-        and begin_s <= line.unix_s <= end_s
+        and line.unix_s <= end_s
+        and (begin_s <= line.unix_s or _is_lasting(line))
+        and line.process in processes
         and (
-            line.process in processes
-            and line.fields_by_name.get("agent", line.process) in processes
+            line.fields_by_name.get("agent", line.process) in processes
+            or line.fields_by_name.get("address") in addresses
         )
     ]
 
 
+def _is_lasting(line):
+    """Whether a line tells of a state that lasts."""
+    return line.event in _LASTING_EVENTS or "replaced" in line.fields_by_name
+
+
 def _format_time(unix_s):
     return datetime.datetime.fromtimestamp(unix_s).isoformat(
         timespec="milliseconds"
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -164,6 +164,7 @@
                     "server_state",
                     fields={
                         "server": report.server_id,
+                        "service": report.service,
                         "state": report.state,
                         "was": (
                             known_report.state if known_report else "unknown"
@@ -223,6 +224,7 @@
                 "server_state",
                 fields={
                     "server": server_id,
+                    "service": self.report.service,
                     "state": reports.GONE,
                     "flows": len(self.flows.by_key),
                 },
@@ -342,7 +344,11 @@
                 result += self._report_not_held(flow, key, flow.first_segment)
             elif flow.server_initial_sequence is None and flow.first_segment:
                 result += self._decline(
-                    flow.balancer, key, "server_silent", flow.first_segment
+                    now,
+                    flow.balancer,
+                    key,
+                    "server_silent",
+                    flow.first_segment,
                 )
         return result + self._reset_flows("server_gone")
 
@@ -528,6 +534,11 @@
             return "too_many_flows"
         return ""
 
+    @property
+    def is_accepting(self):
+        """Whether new flows of the own service are accepted."""
+        return not self.decline_reason(self._service_id)
+
     def _is_full(self):
         return self.flows.open_count >= defaults.MAX_FLOWS_PER_SERVER
 
@@ -553,7 +564,9 @@
                 "busy" if self._exceeds_wait(forward.wait_ms / 1000) else ""
             )
         if reason:
-            return self._decline(balancer, segment.key, reason, segment.data)
+            return self._decline(
+                now, balancer, segment.key, reason, segment.data
+            )
         flow = hostedflows.Flow(
             segment.key,
             balancer,
@@ -565,10 +578,33 @@
         )
         self.flows.add(flow)
         return self._deliver(now, balancer, flow, segment) + [
-            steps.LogEvent("flow_accepted", segment.key, {"copy": segment.ack})
+            steps.LogEvent(
+                "flow_accepted",
+                segment.key,
+                {"copy": segment.ack, **self._report_fields(now, balancer)},
+            )
         ]
 
-    def _decline(self, balancer, key, reason, data):
+    def report_age_s(self, now):
+        """Return the time since the report in force; None without one."""
+        return None if self.report is None else now - self._reported_at
+
+    def _report_fields(self, now, balancer):
+        """Return the log fields of the report that a decision went by.
+
+        :param balancer: address of the balancer that sent the flow.
+        """
+        report = self.report
+        age_s = self.report_age_s(now)
+        return {
+            "server": report.server_id if report else "none",
+            "server_service": report.service if report else "none",
+            "service": self.service,
+            "report_age_s": "none" if age_s is None else round(age_s, 3),
+            "balancer": "%s:%d" % balancer if balancer else "none",
+        }
+
+    def _decline(self, now, balancer, key, reason, data):
         return [
             steps.SendToPeer(balancer, tunnel.Declined(reason, data)),
             steps.LogEvent(
@@ -577,6 +613,7 @@
                 {
                     "reason": reason,
                     "report": self.report.number if self.report else "none",
+                    **self._report_fields(now, balancer),
                 },
             ),
         ]
@@ -642,7 +679,7 @@
                 return []
             self.flows.remove(segment.key)
             return self._decline(
-                flow.balancer, segment.key, "server_refused", segment.data
+                now, flow.balancer, segment.key, "server_refused", segment.data
             )
         self.flows.remove(segment.key)
         if flow.is_held(segment.ack):
@@ -752,7 +789,11 @@
             self._unanswered_flows += 1
             self.flows.remove(flow.key)
             result += self._decline(
-                flow.balancer, flow.key, "server_silent", flow.first_segment
+                now,
+                flow.balancer,
+                flow.key,
+                "server_silent",
+                flow.first_segment,
             )
         return result
 
@@ -773,7 +814,7 @@
         return tunnel.LoadReport(
             self.incarnation,
             self._load_number,
-            not self.decline_reason(self._service_id),
+            self.is_accepting,
             self._warmed_up_at > now,
             report.slots if report else 1,
             self.flows.waiting_count,
--- a/src/limpetlift/state/knownagents.py
+++ b/src/limpetlift/state/knownagents.py
@@ -43,16 +43,20 @@
     def __attrs_post_init__(self):
         self.id_hash = hashing.id_hash(self.entry.process_id)
 
-    def event(self, name):
-        """Return the step that logs an event of this agent."""
-        return steps.LogEvent(
-            name,
-            fields={
-                "agent": self.entry.process_id,
-                "address": "%s:%d" % self.entry.address,
-                "service": self.entry.service,
-            },
-        )
+    def event(self, name, replaced=None):
+        """Return the step that logs an event of this agent.
+
+        :param replaced: the agent that was known at its address before.
+        """
+        fields = {
+            "agent": self.entry.process_id,
+            "address": "%s:%d" % self.entry.address,
+            "service": self.entry.service,
+        }
+        if replaced is not None:
+            fields["replaced"] = replaced.entry.process_id
+            fields["replaced_service"] = replaced.entry.service
+        return steps.LogEvent(name, fields=fields)
 
     @property
     def is_gone(self):
@@ -176,8 +180,9 @@
                 (agent.entry.process_id, agent.entry.service)
                 != (entry.process_id, entry.service)
             ):
+                replaced = agent
                 agent = KnownAgent(entry)
-                result.append(agent.event("agent_joined"))
+                result.append(agent.event("agent_joined", replaced))
             elif agent.has_left and entry.revision > agent.entry.revision:
                 # A later process has registered.
                 agent.has_left = False
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -64,6 +64,7 @@
     :param may_recover: whether one of them may accept flows again soon.
     :param busy_count: number of agents that declined it because their queues
         were too long.
+    :param known_at: since when it is known to be assigned to ``address``.
     """
 
     address: tuple
@@ -73,6 +74,9 @@
     tried: set = attrs.field(factory=set)
     may_recover: bool = False
     busy_count: int = 0
+    known_at: float = attrs.field(
+        default=attrs.Factory(lambda self: self.active_at, takes_self=True)
+    )
 
 
 @structs.define
@@ -344,7 +348,10 @@
         the flow is placed again.
         """
         if flow.is_open:
-            return [self._forward(flow, segment.data)]
+            return [
+                self._forward(flow, segment.data),
+                self._copy_forwarded(now, segment, flow, "known", now),
+            ]
         agent = self.agents.by_address.get(flow.address)
         if (
             agent is None
@@ -357,9 +364,47 @@
         asked = poll.widen(now)
         if asked:
             self._polls.add(poll)
-        return [self._forward(flow, segment.data)] + [
-            agent.ask(now) for agent in asked
-        ]
+        return [
+            self._forward(flow, segment.data),
+            self._copy_forwarded(now, segment, flow, "known", now),
+        ] + [agent.ask(now) for agent in asked]
+
+    def _copy_forwarded(self, now, segment, flow, way, received_at):
+        """Return the step that logs a forwarded copy of a first segment.
+
+        The service is logged by name only if the agent known at the address
+        is of the service that the flow was routed to.
+
+        :param way: how this balancer knew the agent: ``known`` before the
+            copy came, or ``learned`` from another balancer while it waited.
+        :param received_at: when the first copy that waited came.
+        """
+        agent = self.agents.by_address.get(flow.address)
+        if agent is not None and agent.entry.service_id == flow.service_id:
+            service = agent.entry.service
+        elif flow.service_id == tunnel.NO_SERVICE:
+            service = "unknown"
+        else:
+            service = flow.service_id.hex()
+        age_s = now - flow.known_at
+        waited_s = now - received_at
+        if self._is_catching_up:
+            waited_s += self._pause_s
+        return steps.LogEvent(
+            "copy_forwarded",
+            segment.key,
+            {
+                "agent": agent.entry.process_id if agent else "unknown",
+                "address": "%s:%d" % flow.address,
+                "service": service,
+                "copy": segment.ack,
+                "way": way,
+                "is_open": flow.is_open,
+                "age_s": round(age_s, 3),
+                "waited_s": round(waited_s, 3),
+                "is_late": max(age_s, waited_s) > defaults.OPENING_TIMEOUT_S,
+            },
+        )
 
     def _on_copy_polled(self, now, poll):
         """Place a flow again when its agent did not answer."""
@@ -430,14 +475,13 @@
         if route is None:
             return self._refuse(segment, "no_route")
         if flow.busy_count >= defaults.MAX_BUSY_TRIES:
-            return self._defer(now, segment, "overloaded", flow)
-        flow_hash = hashing.flow_hash(key)
+            return self._defer(now, segment, "overloaded", flow, route)
         poll = polling.Poll(
             segment,
             flow,
             now,
             route,
-            route.services_for(flow_hash / (1 << 64)),
+            _services_of(route, key),
             placeable_at=placeable_at,
         )
         poll.start_service(self._candidates_in_order(poll))
@@ -482,7 +526,7 @@
                 return result + self._assign(now, poll, *admitted)
             if available:
                 return result + self._defer(
-                    now, poll.segment, "overloaded", poll.flow
+                    now, poll.segment, "overloaded", poll.flow, poll.route
                 )
             if len(poll.services) == 1:
                 break
@@ -490,10 +534,10 @@
             poll.start_service(self._candidates_in_order(poll))
         if poll.flow.may_recover or poll.remaining:
             return result + self._defer(
-                now, poll.segment, "no_agent", poll.flow
+                now, poll.segment, "no_agent", poll.flow, poll.route
             )
         return result + self._refuse(
-            poll.segment, "no_agent", len(poll.flow.tried)
+            poll.segment, "no_agent", len(poll.flow.tried), poll.route
         )
 
     def _assign(self, now, poll, chosen, max_wait_s):
@@ -508,6 +552,7 @@
         agent.placement_times.append(now)
         poll.flow.address = address
         poll.flow.service_id = agent.entry.service_id
+        poll.flow.known_at = now
         self.flows_by_key[key] = poll.flow
         self._unsent_records.append(self._record(key))
         load = agent.load
@@ -519,6 +564,8 @@
                 key,
                 {
                     "agent": agent.entry.process_id,
+                    "address": "%s:%d" % address,
+                    "service": agent.entry.service,
                     "copy": poll.segment.ack,
                     "declined": len(poll.flow.tried),
                     "asked": len(poll.window),
@@ -592,7 +639,22 @@
             load.run_ms / 1000 if load else 0.0,
         )
 
-    def _defer(self, now, segment, reason, flow):
+    def _unplaced_fields(self, segment, reason, declined, route):
+        """Return the log fields of a new flow that is not placed.
+
+        :param route: the route of the flow, or None.
+        """
+        services = _services_of(route, segment.key) if route else []
+        return {
+            "reason": reason,
+            "copy": segment.ack,
+            "declined": declined,
+            "routes": self.routes.version,
+            "service": services[0] if services else "",
+            "known": len(self.agents.of_services(services)),
+        }
+
+    def _defer(self, now, segment, reason, flow, route):
         """Postpone a new flow until the next copy of its first segment.
 
         The caller sends copies after fixed delays if it gets no answer. After
@@ -601,6 +663,7 @@
         placed.
 
         :param reason: the reason, for the log and the reset.
+        :param route: the route of the flow.
         """
         key = segment.key
         self.flows_by_key.pop(key, None)
@@ -614,19 +677,14 @@
         log_event = steps.LogEvent(
             "flow_deferred",
             key,
-            {
-                "reason": reason,
-                "copy": segment.ack,
-                "declined": len(flow.tried),
-                "routes": self.routes.version,
-            },
+            self._unplaced_fields(segment, reason, len(flow.tried), route),
         )
         if len(deferral.copies) <= defaults.LAST_COPY_NUMBER:
             return [log_event]
         del self._deferrals_by_key[key]
         return [steps.Reset(key, 0, reason), log_event]
 
-    def _refuse(self, segment, reason, declined=0):
+    def _refuse(self, segment, reason, declined=0, route=None):
         """Refuse a new flow with a reset.
 
         A copy is dropped without a reset, because the first segment may have
@@ -634,18 +692,14 @@
 
         :param reason: the reason, for the log and the reset.
         :param declined: number of agents that declined the flow.
+        :param route: the route of the flow, or None.
         """
         key = segment.key
         self.flows_by_key.pop(key, None)
         log_event = steps.LogEvent(
             "flow_refused" if not segment.ack else "copy_dropped",
             key,
-            {
-                "reason": reason,
-                "copy": segment.ack,
-                "declined": declined,
-                "routes": self.routes.version,
-            },
+            self._unplaced_fields(segment, reason, declined, route),
         )
         if segment.ack:
             return [log_event]
@@ -843,6 +897,8 @@
                     or record.service != tunnel.NO_SERVICE
                 ):
                     known.service_id = record.service
+                if known.address != record.address:
+                    known.known_at = now
                 known.address = record.address
         return result
 
@@ -859,7 +915,12 @@
         poll = self._polls.end(key)
         if poll is not None:
             # Another balancer has placed the flow in the meantime.
-            result.append(self._forward(flow, poll.segment.data))
+            result += [
+                self._forward(flow, poll.segment.data),
+                self._copy_forwarded(
+                    now, poll.segment, flow, "learned", poll.flow.active_at
+                ),
+            ]
         return result + self._end_search(
             now, key, delivered_count=0, by="balancer"
         )
@@ -971,6 +1032,11 @@
                 del self._deferrals_by_key[key]
 
 
+def _services_of(route, key):
+    """Return the services of a flow's route in the order to try them."""
+    return route.services_for(hashing.flow_hash(key) / (1 << 64))
+
+
 def _record_messages(records):
     """Return the messages that carry flow records, as few as possible."""
     return [
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -4,6 +4,7 @@
 from limpetlift.coordination import directory as directories
 from limpetlift import defaults
 from limpetlift import exceptions
+from limpetlift import logs
 from limpetlift.protocol import segment as segments
 from limpetlift.state import hosting
 from limpetlift.state import steps
@@ -11,6 +12,8 @@
 from limpetlift.tasks import segmentprocess
 from limpetlift.transport import probing
 
+LOG = logs.EventLogger("agent")
+
 
 class SegmentAgent(segmentprocess.SegmentProcess):
     """Forwards segments between balancers and one backend server.
@@ -22,6 +25,12 @@
 
     kind = "agent"
 
+    def __init__(self, settings_path, deployment):
+        super().__init__(settings_path, deployment)
+        # Ids of the servers of other services whose reports were logged; the
+        # values are not used, but the order is.
+        self._other_server_ids = {}
+
     def start(self):
         """Open sockets and start timers and tasks."""
         settings = self.settings
@@ -76,12 +85,31 @@
             settings.
         """
         if report.service != self.settings.service:
+            self._log_other_service(report)
             raise exceptions.MalformedMessage(
                 "report of service %r to an agent of service %r"
                 % (report.service, self.settings.service)
             )
         self.perform(self.decisions.on_report(self.observe(), report))
 
+    def _log_other_service(self, report):
+        """Count a report of another service; log it once per server.
+
+        Only the last few servers are remembered.
+        """
+        self.count("report_other_service")
+        if report.server_id in self._other_server_ids:
+            return
+        self._other_server_ids[report.server_id] = None
+        if len(self._other_server_ids) > defaults.MAX_OTHER_SERVERS:
+            del self._other_server_ids[next(iter(self._other_server_ids))]
+        LOG.warning(
+            "report_other_service",
+            server=report.server_id,
+            service=report.service,
+            own_service=self.settings.service,
+        )
+
     def on_leave(self, server_id):
         """Handle the backend server's notice that it shuts down now."""
         self.perform(self.decisions.on_leave(clock.now(), server_id))
@@ -151,6 +179,9 @@
         return {
             **super().gauges(),
             "flows": len(self.decisions.flows.by_key),
+            "accepting": int(self.decisions.is_accepting),
+            "report_age_seconds": self.decisions.report_age_s(clock.now())
+            or 0.0,
         }
 
     async def stop(self):
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -28,6 +28,22 @@
 # Prefix of all keys that this project writes to the store.
 KEY_PREFIX = "limpetlift/"
 
+# Settings that a process reads at its start only.
+_FIELDS_READ_AT_START = frozenset(
+    (
+        "id",
+        "data_centre",
+        "ip",
+        "segments",
+        "probes",
+        "peer_port",
+        "reports",
+        "server_segments",
+        "service",
+        "report_interval_ms",
+    )
+)
+
 
 @structs.frozen
 class Deployment:
@@ -74,6 +90,7 @@
     def __init__(self, settings_path, deployment):
         self._settings_path = settings_path
         self.settings = segmentsettings.load(settings_path)
+        self._settings_at_start = self.settings
         self.deployment = deployment
         self.incarnation = int(time.time() * 1000)
         self.rng = random.Random()
@@ -291,15 +308,27 @@
             return
         if settings == self.settings:
             return
-        changed = [
-            field.name
-            for field in attrs.fields(segmentsettings.Settings)
-            if getattr(settings, field.name)
-            != getattr(self.settings, field.name)
-        ]
+        changed = _changed_fields(self.settings, settings)
         LOG.info("settings_changed", fields=",".join(changed))
+        not_in_force = [
+            name
+            for name in _changed_fields(self._settings_at_start, settings)
+            if name in _FIELDS_READ_AT_START
+        ]
+        if not_in_force:
+            self.count("settings_need_restart")
+            LOG.warning("settings_need_restart", fields=",".join(not_in_force))
         if "store" in changed:
             self.store.set_address(settings.store)
         # Sockets are bound only at the start, so a changed address of this
         # process takes effect after a restart.
         self.settings = settings
+
+
+def _changed_fields(old, new):
+    """Return the names of the fields in which two settings differ."""
+    return [
+        field.name
+        for field in attrs.fields(segmentsettings.Settings)
+        if getattr(old, field.name) != getattr(new, field.name)
+    ]
--- a/tests/segmentkit.py
+++ b/tests/segmentkit.py
@@ -135,6 +135,15 @@
     ]
 
 
+def log_fields(result, event):
+    """Return the fields of each log event of a name among steps."""
+    return [
+        step.fields
+        for step in result
+        if isinstance(step, steps.LogEvent) and step.event == event
+    ]
+
+
 def resets(result):
     """Return the resets among steps."""
     return [step for step in result if isinstance(step, steps.Reset)]
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -76,3 +76,70 @@
     ]
     assert _FLOW + "," in explaining.explain(texts, _FLOW)[0]
     assert longer + "," in explaining.explain(texts, longer)[0]
+
+
+def _events(texts):
+    return [
+        text.split()[3]
+        for text in explaining.explain(texts, _FLOW)[1:]
+        if text.split()[1] == "s"
+    ]
+
+
+def test_forwarded_copies_and_reused_addresses_are_shown():
+    """The story must tell that another agent took over the flow's address.
+
+    The agent that joined is not named by any line of the flow, and joined long
+    before it. Agents at other addresses do not belong to the story.
+    """
+    address = "10.0.0.1:70"
+    texts = [
+        _line(
+            1.0,
+            "edge-1",
+            "agent_joined",
+            agent="side-9",
+            address=address,
+            replaced="side-1",
+        ),
+        _line(
+            1.1,
+            "edge-1",
+            "agent_joined",
+            agent="side-8",
+            address="10.0.0.2:70",
+            replaced="side-2",
+        ),
+        _line(1.2, "edge-1", "agent_joined", agent="side-1", address=address),
+        _line(
+            30.0,
+            "edge-1",
+            "flow_placed",
+            flow=_FLOW,
+            agent="side-1",
+            address=address,
+        ),
+        _line(30.2, "edge-1", "copy_forwarded", flow=_FLOW, address=address),
+        _line(30.3, "edge-1", "agent_gone", agent="side-7", address=address),
+    ]
+    assert _events(texts) == [
+        "agent_joined",
+        "flow_placed",
+        "copy_forwarded",
+        "agent_gone",
+    ]
+
+
+@pytest.mark.parametrize(
+    "event", ["report_other_service", "settings_need_restart"]
+)
+def test_a_lasting_state_of_an_agent_is_shown(event):
+    """It is logged once, and may explain flows of a much later time."""
+    texts = [
+        _line(1.0, "side-1", event),
+        _line(1.0, "side-2", event),
+        _line(1.5, "side-1", "settings_changed"),
+        _line(40.0, "side-1", "flow_accepted", flow=_FLOW),
+        _line(50.0, "side-1", event),
+    ]
+    assert _events(texts) == [event, "flow_accepted"]
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -3,6 +3,7 @@
 import time
 import types
 
+import attrs
 import pytest
 import segmentkit as kit
 
@@ -883,3 +884,84 @@
         "server_silent"
     ]
     assert agent.decline_reason(_SERVICE_ID) == "server_silent"
+
+
+# Log events and gauges.
+
+
+def test_an_accepted_flow_is_logged_with_the_report_in_force():
+    """It must show which server got the flow, and how old the news of it was.
+
+    The server may have been replaced beside an agent that runs on.
+    """
+    agent = _agent()
+    result = _forward(agent, 7.25, 1, kit.SYN)
+    assert kit.log_fields(result, "flow_accepted") == [
+        {
+            "copy": 0,
+            "server": "s-1",
+            "server_service": "desk",
+            "service": "desk",
+            "report_age_s": 7.25,
+            "balancer": "10.9.0.1:80",
+        }
+    ]
+
+
+def test_a_flow_that_is_passed_on_is_logged_with_the_report_in_force():
+    """A decline must show by which report it was decided, or that by none."""
+    agent = _agent(report=False)
+    (fields,) = kit.log_fields(
+        _forward(agent, 1.0, 1, kit.SYN), "flow_passed_on"
+    )
+    assert fields == {
+        "reason": "server_unknown",
+        "report": "none",
+        "server": "none",
+        "server_service": "none",
+        "service": "desk",
+        "report_age_s": "none",
+        "balancer": "10.9.0.1:80",
+    }
+    agent.on_report(2.0, _report(5, reports.DRAINING))
+    (fields,) = kit.log_fields(
+        _forward(agent, 2.5, 2, kit.SYN), "flow_passed_on"
+    )
+    assert (fields["server"], fields["report"]) == ("s-1", 5)
+    assert fields["report_age_s"] == 0.5
+
+
+def test_an_accepted_flow_is_logged_with_the_service_of_the_server():
+    """It must show when the server is not of the agent's service."""
+    agent = _agent(report=False)
+    agent.on_report(0.0, attrs.evolve(_report(), service="maps"))
+    (fields,) = kit.log_fields(
+        _forward(agent, 1.0, 1, kit.SYN), "flow_accepted"
+    )
+    assert (fields["service"], fields["server_service"]) == ("desk", "maps")
+
+
+def test_a_flow_passed_on_later_is_logged_with_its_balancer():
+    """The server's refusal and its silence come without a message."""
+    agent = _agent()
+    _forward(agent, 0.0, 1, kit.SYN)
+    _forward(agent, 0.0, 2, kit.SYN, balancer=_OTHER_BALANCER)
+    result = agent.on_server_segment(0.01, kit.returned_segment(1, kit.SYN))
+    result += agent.tick(0.01 + defaults.SERVER_ANSWER_TIMEOUT_S)
+    assert [
+        (fields["reason"], fields["balancer"], fields["server"])
+        for fields in kit.log_fields(result, "flow_passed_on")
+    ] == [
+        ("server_refused", "10.9.0.1:80", "s-1"),
+        ("server_silent", "10.9.0.2:80", "s-1"),
+    ]
+
+
+def test_the_service_that_a_server_reports_is_logged():
+    """It must show whose server an agent goes by."""
+    agent = _agent(report=False)
+    result = agent.on_report(0.0, _report()) + agent.on_leave(1.0, "s-1")
+    assert [
+        (fields["service"], fields["state"])
+        for fields in kit.log_fields(result, "server_state")
+    ] == [("desk", reports.READY), ("desk", reports.GONE)]
--- /dev/null
+++ b/tests/test_segmentagent.py
@@ -0,0 +1,207 @@
+"""Tests of what an agent process logs and measures."""
+
+import logging
+
+import attrs
+import pytest
+
+from limpetlift import boundedlog
+from limpetlift import clock
+from limpetlift import defaults
+from limpetlift import exceptions
+from limpetlift.state import hosting
+from limpetlift.state import reports
+from limpetlift.state import segmentsettings
+from limpetlift.state import steps
+from limpetlift.tasks import segmentagent
+
+_SETTINGS = {
+    "id": "side-1",
+    "data_centre": "a",
+    "ip": "10.0.0.1",
+    "segments": "10.0.0.1:70",
+    "probes": "10.0.0.1:90",
+    "store": "10.0.0.8:2379",
+    "peer_port": 71,
+    "reports": "127.0.0.1:91",
+    "server_segments": "127.0.0.1:72",
+    "server": "127.0.0.1:80",
+    "service": "desk",
+    "report_interval_ms": 250,
+    "is_first_start": False,
+}
+
+
+class _Store:
+    """A client of the store that only notes its address."""
+
+    address = None
+
+    def set_address(self, address):
+        """Note the address."""
+        self.address = address
+
+
+def _write(path, **changes):
+    path.write_text(
+        "".join(
+            "%s = %s\n"
+            % (
+                name,
+                (
+                    str(value).lower()
+                    if isinstance(value, (bool, int))
+                    else '"%s"' % value
+                ),
+            )
+            for name, value in {**_SETTINGS, **changes}.items()
+        ),
+        "utf-8",
+    )
+
+
+@pytest.fixture(name="path")
+def _path(tmp_path):
+    path = tmp_path / "settings.toml"
+    _write(path)
+    return path
+
+
+@pytest.fixture(name="agent")
+def _agent(path, monkeypatch):
+    """Return an agent process that has opened no sockets."""
+    monkeypatch.setattr(boundedlog, "configure", lambda _process: None)
+    process = segmentagent.SegmentAgent(str(path), None)
+    process.store = _Store()
+    process.decisions = hosting.FlowHosting("desk", 1, None, True)
+    process.perform = lambda _steps: None
+    yield process
+    process.reactor.close()
+
+
+def _report(server_id="s-1", service="desk", number=1):
+    return reports.Report(
+        server_id, service, 1000, number, reports.READY, slots=2
+    )
+
+
+def _logged(caplog, event):
+    return [
+        (record.levelno, record.fields)
+        for record in caplog.records
+        if record.getMessage() == event
+    ]
+
+
+def _refuse(agent, *server_ids):
+    for server_id in server_ids:
+        with pytest.raises(exceptions.MalformedMessage):
+            agent.on_report(_report(server_id, "maps"))
+
+
+def test_a_report_of_another_service_is_logged_once_a_server(agent, caplog):
+    """The server that replaced the agent's own one goes on reporting.
+
+    The first line must tell of it, and the others must not fill the log.
+    """
+    _refuse(agent, "s-2", "s-2", "s-3", "s-2")
+    assert agent.decisions.report is None
+    assert agent.counts_by_event["report_other_service"] == 4
+    expected = {"service": "maps", "own_service": "desk"}
+    assert _logged(caplog, "report_other_service") == [
+        (logging.WARNING, {"server": server, **expected})
+        for server in ("s-2", "s-3")
+    ]
+
+
+def test_few_servers_of_other_services_are_remembered(agent, caplog):
+    """Memory must not grow with the ids that others send to the port."""
+    server_ids = ["s-%d" % n for n in range(defaults.MAX_OTHER_SERVERS + 1)]
+    _refuse(agent, *server_ids, server_ids[-1], server_ids[0])
+    assert [
+        fields["server"]
+        for _, fields in _logged(caplog, "report_other_service")
+    ] == server_ids + server_ids[:1]
+    assert len(agent._other_server_ids) == defaults.MAX_OTHER_SERVERS
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": "maps"},
+        {"id": "side-2"},
+        {"ip": "10.0.0.2", "segments": "10.0.0.2:70"},
+        {"data_centre": "b"},
+        {"peer_port": 73},
+        {"probes": "10.0.0.1:91"},
+        {"reports": "127.0.0.1:93"},
+        {"server_segments": "127.0.0.1:74"},
+        {"report_interval_ms": 500},
+    ],
+)
+def test_settings_that_are_not_in_force_are_logged(
+    agent, path, caplog, changes
+):
+    """An agent whose settings name another service serves the old one.
+
+    The line must come once a change, and not when the change is undone.
+    """
+    caplog.set_level(logging.INFO)
+    _write(path, store="10.0.0.9:2379", **changes)
+    for _ in range(2):
+        agent._reload()
+    assert agent.store.address == "10.0.0.9:2379"
+    (changed,) = _logged(caplog, "settings_changed")
+    assert set(changed[1]["fields"].split(",")) == {"store", *changes}
+    ((level, fields),) = _logged(caplog, "settings_need_restart")
+    assert level == logging.WARNING
+    assert set(fields["fields"].split(",")) == set(changes)
+    assert agent.counts_by_event["settings_need_restart"] == 1
+    _write(path)
+    agent._reload()
+    assert len(_logged(caplog, "settings_changed")) == 2
+    assert len(_logged(caplog, "settings_need_restart")) == 1
+
+
+@pytest.mark.parametrize(
+    "changes", [{"store": "10.0.0.9:2379"}, {"server": "127.0.0.1:81"}]
+)
+def test_settings_that_take_effect_need_no_restart(
+    agent, path, caplog, changes
+):
+    """A needless restart would interrupt the flows of the server."""
+    caplog.set_level(logging.INFO)
+    _write(path, **changes)
+    agent._reload()
+    assert len(_logged(caplog, "settings_changed")) == 1
+    assert not _logged(caplog, "settings_need_restart")
+
+
+def test_a_changed_address_of_the_server_takes_effect(path, agent):
+    """The agent would be sent segments for a server that is elsewhere."""
+    sent = []
+    agent._server_socket = None
+    agent.send = lambda _socket, data, address: sent.append((data, address))
+    _write(path, server="127.0.0.1:81")
+    agent._reload()
+    segmentagent.SegmentAgent.perform(agent, [steps.SendToServer(b"x")])
+    assert sent == [(b"x", ("127.0.0.1", 81))]
+
+
+def test_the_template_of_these_tests_has_every_setting():
+    """A new setting must be put under test with those above."""
+    fields = attrs.fields(segmentsettings.Settings)
+    assert {field.name for field in fields} == set(_SETTINGS)
+
+
+def test_the_age_of_the_report_and_acceptance_are_measured(agent, monkeypatch):
+    """Old news of a server must show before a request goes wrong."""
+    monkeypatch.setattr(clock, "now", lambda: 12.5)
+    gauges = agent.gauges()
+    assert (gauges["report_age_seconds"], gauges["accepting"]) == (0.0, 0)
+    agent.decisions.on_report(10.0, _report())
+    gauges = agent.gauges()
+    assert (gauges["report_age_seconds"], gauges["accepting"]) == (2.5, 1)
+    agent.decisions.on_leave(11.0, "s-1")
+    gauges = agent.gauges()
+    assert (gauges["report_age_seconds"], gauges["accepting"]) == (2.5, 0)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1036,3 +1036,203 @@
     ((_, forward),) = _forwards(result)
     decoded = tunnel.decode(forward.encode())
     assert decoded.wait_ms == tunnel.MAX_WAIT_MS
+
+
+# Log events.
+
+
+def test_the_service_and_address_of_a_placed_flow_are_logged():
+    """An id alone does not tell where a flow went once it is used again."""
+    balancer = _balancer(agents=1)
+    result = balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    (fields,) = kit.log_fields(result, "flow_placed")
+    assert (fields["service"], fields["address"]) == ("desk", "10.0.0.1:70")
+
+
+@pytest.mark.parametrize("copy", [0, 1])
+def test_a_refusal_tells_how_many_agents_are_known(copy):
+    """An unknown service must differ from one whose agents all declined."""
+    segment = kit.caller_segment(1, kit.SYN, ack=copy)
+    event = "copy_dropped" if copy else "flow_refused"
+    balancer = _balancer(agents=0)
+    balancer.on_entries(0.0, [kit.agent(1, "maps"), kit.agent(2, "maps")], [])
+    (fields,) = kit.log_fields(balancer.on_segment(0.0, segment), event)
+    assert fields["reason"] == "no_agent"
+    assert (fields["service"], fields["known"]) == ("desk", 0)
+
+    balancer = _balancer(agents=2)
+    result = balancer.on_segment(0.0, segment)
+    for _ in range(2):
+        ((address, _),) = _forwards(result)
+        result = balancer.on_message(
+            0.01, address, tunnel.Declined("draining", segment.data)
+        )
+    (fields,) = kit.log_fields(result, event)
+    assert (fields["service"], fields["known"]) == ("desk", 2)
+    assert fields["declined"] == 2
+
+
+def test_a_refusal_names_the_service_that_was_tried_first():
+    """A route may have several services, of which the last one is refused."""
+    balancer = _balancer(agents=0)
+    routes = kit.routes(2)
+    ((address, route),) = routes.routes_by_address.items()
+    weighted = tuple(
+        attrs.evolve(route.weighted_services[0], service=name, weight=weight)
+        for name, weight in (("desk", 1e-12), ("maps", 1.0))
+    )
+    routes.routes_by_address[address] = attrs.evolve(
+        route, weighted_services=weighted
+    )
+    balancer.on_routes(0.0, routes)
+    left = kit.agent(1, "desk")
+    balancer.on_entries(0.0, [left], [], [left.process_id])
+    balancer.on_message(0.0, left.address, tunnel.AgentLeft())
+    result = balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    (fields,) = kit.log_fields(result, "flow_refused")
+    assert (fields["service"], fields["known"]) == ("maps", 1)
+
+
+def test_a_refusal_without_a_route_names_no_service():
+    """The fields must be there too when there is nothing to tell."""
+    balancer = _balancer()
+    balancer.routes.routes_by_address.clear()
+    result = balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    (fields,) = kit.log_fields(result, "flow_refused")
+    assert (fields["service"], fields["known"]) == ("", 0)
+
+
+def test_a_deferral_tells_how_many_agents_are_known():
+    """It must show whether a flow waits for one agent or for many."""
+    balancer = _balancer(agents=1)
+    segment = kit.caller_segment(1, kit.SYN)
+    ((address, _),) = _forwards(balancer.on_segment(0.0, segment))
+    result = balancer.on_message(
+        0.01, address, tunnel.Declined("server_unknown", segment.data)
+    )
+    (fields,) = kit.log_fields(result, "flow_deferred")
+    assert (fields["service"], fields["known"]) == ("desk", 1)
+
+
+def test_a_forwarded_copy_is_logged():
+    """A copy reaches a server without another choice of the agent.
+
+    Nothing else tells that the balancer sent it there.
+    """
+    balancer = _balancer(agents=1)
+    placed = balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    assert not kit.log_fields(placed, "copy_forwarded")
+    copy = kit.caller_segment(1, kit.SYN, ack=1)
+    result = balancer.on_segment(0.2, copy)
+    assert len(_forwards(result)) == 1
+    assert kit.log_fields(result, "copy_forwarded") == [
+        {
+            "agent": "agent-1",
+            "address": "10.0.0.1:70",
+            "service": "desk",
+            "copy": 1,
+            "way": "known",
+            "is_open": False,
+            "age_s": 0.2,
+            "waited_s": 0.0,
+            "is_late": False,
+        }
+    ]
+    balancer.on_segment(0.3, kit.caller_segment(1, kit.ACK))
+    (fields,) = kit.log_fields(
+        balancer.on_segment(1.6, copy), "copy_forwarded"
+    )
+    assert fields["is_open"] and fields["is_late"]
+    assert fields["age_s"] == 1.6
+
+
+def test_a_copy_that_waited_for_a_record_is_logged():
+    """It must differ from a copy whose flow this balancer knew before.
+
+    Its service is that of the record. When the agent known at the address is
+    of another one, an id is logged that is the name of no known service.
+    """
+    desk = hashing.service_id("desk")
+    for service, expected in (
+        ("desk", "desk"),
+        ("maps", desk.hex()),
+    ):
+        balancer = _balancer(agents=1, is_fresh=False)
+        balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN, ack=1))
+        entry = attrs.evolve(kit.agent(1, service), process_id="agent-9")
+        balancer.on_entries(0.0, [entry], [])
+        record = tunnel.FlowRecord(kit.key_of(1), entry.address, True, desk)
+        result = balancer.on_message(
+            0.01, kit.balancer(2).address, tunnel.KeptRecords([record])
+        )
+        assert len(_forwards(result)) == 1
+        (fields,) = kit.log_fields(result, "copy_forwarded")
+        assert (fields["way"], fields["service"]) == ("learned", expected)
+        assert (fields["agent"], fields["copy"]) == ("agent-9", 1)
+        assert (fields["age_s"], fields["waited_s"]) == (0.0, 0.01)
+
+
+def test_the_age_of_a_moved_flow_counts_from_its_move():
+    """A flow that another balancer placed again is young at its agent."""
+    balancer = _balancer(agents=2)
+    segment = kit.caller_segment(1, kit.SYN)
+    ((address, _),) = _forwards(balancer.on_segment(0.0, segment))
+    other = next(
+        entry.address
+        for entry in (kit.agent(1), kit.agent(2))
+        if entry.address != address
+    )
+    desk = hashing.service_id("desk")
+    record = tunnel.FlowRecord(kit.key_of(1), other, True, desk)
+    for now in (0.5, 0.6):
+        balancer.on_message(
+            now, kit.balancer(2).address, tunnel.FlowRecords([record])
+        )
+    result = balancer.on_segment(0.7, kit.caller_segment(1, kit.SYN, ack=2))
+    (fields,) = kit.log_fields(result, "copy_forwarded")
+    assert fields["age_s"] == 0.2
+
+
+def test_the_age_of_a_placed_flow_counts_from_its_placing():
+    """A flow may wait for answers before it is placed."""
+    balancer = _balancer(agents=1, is_fresh=False)
+    balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    placed_at = defaults.POLL_TIMEOUT_S
+    assert _forwards(balancer.tick(placed_at))
+    _answer(balancer, placed_at, [kit.agent(1).address])
+    result = balancer.on_segment(
+        placed_at + 0.2, kit.caller_segment(1, kit.SYN, ack=1)
+    )
+    (fields,) = kit.log_fields(result, "copy_forwarded")
+    assert fields["age_s"] == 0.2
+
+
+def test_a_copy_from_a_pause_is_logged_as_old_as_the_pause():
+    """It must show that the caller may have given up in the meantime."""
+    balancer = _balancer(agents=1)
+    balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    balancer.on_segment(0.1, kit.caller_segment(1, kit.ACK))
+    balancer.on_pause(0.2, 3.0)
+    result = balancer.on_segment(0.2, kit.caller_segment(1, kit.SYN, ack=1))
+    (fields,) = kit.log_fields(result, "copy_forwarded")
+    assert fields["waited_s"] == 3.0 and fields["is_late"]
+
+
+def test_an_agent_that_replaces_another_one_is_logged_with_it():
+    """An address that is used again explains a request at a wrong server."""
+    balancer = _balancer(agents=2)
+    reused = attrs.evolve(kit.agent(1, "maps"), process_id="agent-9")
+    result = balancer.on_entries(1.0, [reused, kit.agent(2), kit.agent(3)], [])
+    joined = {
+        fields["agent"]: fields
+        for fields in kit.log_fields(result, "agent_joined")
+    }
+    assert joined["agent-9"] == {
+        "agent": "agent-9",
+        "address": "10.0.0.1:70",
+        "service": "maps",
+        "replaced": "agent-1",
+        "replaced_service": "desk",
+    }
+    assert set(joined) == {"agent-9", "agent-3"}
+    assert "replaced" not in joined["agent-3"]
