--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -8,6 +8,7 @@
 import segmentkit as kit
 
 from limpetlift import defaults
+from limpetlift import exceptions
 from limpetlift.protocol import hashing
 from limpetlift.protocol import tunnel
 from limpetlift.state import hosting
@@ -21,6 +22,8 @@
 
 
 _INTERVAL_S = defaults.REPORT_INTERVAL_S
+# The shortest time after which a server's address is given to another one.
+_REUSE_S = 2.0
 
 
 def _report(number=1, state=reports.READY, started_ms=1000, server_id="s-1"):
@@ -965,3 +968,92 @@
         (fields["service"], fields["state"])
         for fields in kit.log_fields(result, "server_state")
     ] == [("desk", reports.READY), ("desk", reports.GONE)]
+
+
+def _is_delivered(result):
+    return steps.SendToServer in kit.step_types(result)
+
+
+def _declined_reasons(result):
+    return [
+        message.reason for _, message in kit.messages(result, tunnel.Declined)
+    ]
+
+
+# Guards against requests that run at another service's server, which was
+# started at the address of the agent's server after that had ended.
+def test_a_server_without_reports_gets_no_first_segment():
+    """The address of a server that has ended is given to another service.
+
+    The agent runs on, and its balancers still send it flows of its service.
+    """
+    agent = _agent()
+    _run_timers(agent, _REUSE_S)
+    assert _is_delivered(_forward(agent, _REUSE_S - 0.01, 1, kit.SYN))
+    result = _forward(agent, _REUSE_S, 2, kit.SYN)
+    assert not _is_delivered(result)
+    assert _declined_reasons(result)
+    agent.on_report(_REUSE_S + 0.1, _report(2))
+    assert _is_delivered(_forward(agent, _REUSE_S + 0.2, 3, kit.SYN))
+
+
+# Guards against requests that run at another service's server by a copy of
+# a first segment that the earlier server had not answered.
+def test_a_copy_for_a_server_without_reports_is_not_delivered():
+    """The server ends before it answers, and another one takes its address.
+
+    A copy must not be delivered only because the agent knows its flow.
+    """
+    agent = _agent()
+    _forward(agent, 1.98, 1, kit.SYN)
+    result = _forward(agent, 2.01, 1, kit.SYN, ack=1)
+    assert not _is_delivered(result)
+    assert _declined_reasons(result)
+
+
+# Guards against requests that run at another service's server by a copy of
+# a first segment whose answer did not reach the caller.
+def test_a_copy_of_an_answered_first_segment_is_not_delivered_either():
+    """The earlier server has answered, but its answer was lost.
+
+    A server that was started at its address would answer the copy anew.
+    """
+    agent = _agent()
+    _open_flow(agent, 1.5, 1)
+    assert not _is_delivered(_forward(agent, 2.1, 1, kit.SYN, ack=2))
+
+
+# Guards against requests that run at another service's server after an agent
+# stood still while its server was replaced.
+def test_a_pause_counts_towards_the_age_of_a_report():
+    """An agent cannot know what became of its server while it stood still."""
+    agent = _agent()
+    agent.on_pause(5.0, 4.9)
+    agent.on_caught_up()
+    assert not _is_delivered(_forward(agent, 5.0, 1, kit.SYN))
+
+
+# Guards against requests that run at another service's server when agents
+# report that they accept flows for a server that may have been replaced.
+def test_a_server_without_reports_is_not_offered_to_balancers():
+    """Balancers choose agents by their load reports."""
+    agent = _agent()
+    result = agent.on_message(_REUSE_S, _BALANCER, tunnel.Hello(True))
+    ((_, load),) = kit.messages(result, tunnel.LoadReport)
+    assert not load.accepting
+
+
+# Guards against requests that run at another service's server beside an agent
+# whose settings file has been given that service while it runs.
+def test_an_agent_keeps_the_service_that_it_was_started_for():
+    """Its entry and its balancers still name the service of its start."""
+    process = object.__new__(segmentagent.SegmentAgent)
+    process.settings = types.SimpleNamespace(
+        service="maps", server=("10.0.2.1", 8080)
+    )
+    process.decisions = _agent(report=False)
+    process.observe = lambda: 0.5
+    process.perform = lambda _steps: None
+    with pytest.raises(exceptions.MalformedMessage):
+        process.on_report(attrs.evolve(_report(1), service="maps"))
+    assert not _is_delivered(_forward(process.decisions, 0.6, 1, kit.SYN))
