Hand a first segment from a pause back as such, whatever else is known

A paused agent that declined a first segment for another reason, such as a draining server, named that reason. A balancer that did not know the flow then took the segment for new and placed it again, although the flow may have been opened elsewhere during the pause: the request could be executed twice. The pause goes before other reasons now.

test_a_first_segment_from_a_pause_is_of_unknown_age got "draining" before.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -557,7 +557,8 @@
 
     def _accept_or_decline(self, now, balancer, forward, segment):
         reason = self.decline_reason(forward.service)
-        if not reason and self._is_catching_up:
+        if self._is_catching_up:
+            # The balancer has to know that the segment is of unknown age.
             reason = "paused"
         if not reason and forward.wait_ms:
             reason = (
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1057,3 +1057,16 @@
     with pytest.raises(exceptions.MalformedMessage):
         process.on_report(attrs.evolve(_report(1), service="maps"))
     assert not _is_delivered(_forward(process.decisions, 0.6, 1, kit.SYN))
+
+def test_a_first_segment_from_a_pause_is_of_unknown_age():
+    """Its balancer must not take it for new, whatever else the agent knows.
+
+    A balancer that does not know the flow would place it again.
+    """
+    agent = _agent()
+    agent.on_report(1.0, _report(2, reports.DRAINING))
+    agent.on_pause(5.0, 3.0)
+    result = _forward(agent, 5.0, 1, kit.SYN)
+    assert [
+        message.reason for _, message in kit.messages(result, tunnel.Declined)
+    ] == ["paused"]
