Decline first segments when the server's address may be another's

Callers' requests ran at a server of a service that no configuration allows. An agent went by the last report of its server for ever. The address of a server that has ended is given to another service's server after 2 s, and an agent that runs on sent that one every first segment of the earlier service: its balancers knew an agent of their service that accepts flows.

The service of an agent is that of its start: a settings file that names another one while the agent runs does not make the reports of that service valid.

Changed tests: one demanded that a first segment is accepted after a pause of 3 s without a report, which is the fault; it reports in between now. The segment that a refused probe hands back is declined earlier now, and the probe's own path has a test of its own.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -423,6 +423,12 @@
 HOSTING_TICK_S = 0.02
 # Interval of the reports of backend servers, unless the settings specify it.
 REPORT_INTERVAL_S = 1.2
+# Time after the end of a backend server from which on its address may belong
+# to a server of another service, unless the settings specify it; the bound of
+# the deployments.
+ADDRESS_REUSE_S = 2.0
+# Intervals after which a report is late.
+REPORT_LATE_INTERVALS = 1.5
 # Intervals after which two reports are certainly missing.
 SERVER_SILENT_INTERVALS = 2.5
 # An agent that has just started receives a report within this time, because
--- a/src/limpetlift/platform/documents.py
+++ b/src/limpetlift/platform/documents.py
@@ -91,6 +91,7 @@
             _STATE_BY_NAME[_typed_field(fields, "state", str)],
             int(_number(fields, "max_concurrency", kind=int)),
             _number(fields, "warmup_left_ms", 0, int) / 1000,
+            _typed_field(fields, "address", str, ""),
         )
     except _ERRORS as error:
         raise exceptions.MalformedMessage(
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -70,6 +70,7 @@
     "server_gone",
     "busy",
     "paused",
+    "server_unverified",
 )
 _CODE_BY_REASON = {reason: code for code, reason in enumerate(REASONS)}
 
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -40,6 +40,8 @@
         true, also for a later server, because every flow that opens after
         this agent's start passes through it.
     :param report_interval_s: seconds between two reports of the server.
+    :param address_reuse_s: seconds after a server's end from which on its
+        address may belong to a server of another service.
     :param report: the report of the server that is in force, or None.
     :param flows: the :class:`~limpetlift.state.hostedflows.FlowTable` of the
         server's flows.
@@ -53,6 +55,7 @@
     decode_segment: object
     knows_all_flows: bool = False
     report_interval_s: float = defaults.REPORT_INTERVAL_S
+    address_reuse_s: float = defaults.ADDRESS_REUSE_S
     report: object = None
     flows: hostedflows.FlowTable = attrs.field(factory=hostedflows.FlowTable)
     is_stopping: bool = False
@@ -61,6 +64,8 @@
     _stopping_at: float = float("inf")
     _warmed_up_at: float = 0.0
     _reported_at: float = float("-inf")
+    # Until then the server that listens is certainly the one that reported.
+    _verified_until: float = float("-inf")
     # Time of the last report or segment of the server.
     _last_heard_at: float = float("-inf")
     # Time of the last report or payload of the server. Other segments don't
@@ -148,6 +153,8 @@
         self._reported_at = self._last_heard_at = self._last_served_at = now
         self._unanswered_tentative_flows = 0
         self._older_report = None
+        if not self._is_catching_up:
+            self._verified_until = now + self._verification_s
         self._warmed_up_at = now + report.warmup_remaining_s
         # After a report the server is sent one more new flow, which shows
         # whether it answers.
@@ -177,6 +184,34 @@
             )
         return result
 
+    def unverify_server(self):
+        """Accept no flows until the next report.
+
+        Another server may listen at the address, since one of another service
+        has reported from there, or since the address has changed.
+        """
+        self._verified_until = float("-inf")
+
+    @property
+    def _verification_s(self):
+        """For how long a report shows which server listens at the address.
+
+        Where reports are rarer than addresses are used again, an agent has to
+        rely on each one until the next is late.
+        """
+        return max(
+            self.address_reuse_s,
+            self.report_interval_s * defaults.REPORT_LATE_INTERVALS,
+        )
+
+    def _is_verified(self, now):
+        """Whether the server at the address is the one that reported.
+
+        A server of another service at its address would accept the flows of
+        this agent's service.
+        """
+        return now < self._verified_until
+
     def _on_all_flows_known(self, reason):
         """Record that no flow of the server is unknown to this agent.
 
@@ -219,6 +254,7 @@
         if self.report.state == reports.GONE:
             return []
         self.report = attrs.evolve(self.report, state=reports.GONE)
+        self._verified_until = float("-inf")
         return [
             steps.LogEvent(
                 "server_state",
@@ -329,6 +365,7 @@
         if not self._may_be_absent(now):
             return []
         self._absent_until = now + defaults.SERVER_PROBE_INTERVAL_S
+        self._verified_until = float("-inf")
         self._unanswered_flows = defaults.MAX_SILENT_FLOWS
         result = [
             steps.LogEvent(
@@ -402,6 +439,8 @@
                     )
                 ]
             flow = self._add_tentative_flow(now, balancer, segment)
+        elif segment.opens_flow and not self._is_verified(now):
+            return self._decline_copy(now, balancer, flow, segment)
         elif flow.belongs_to_other_server(segment):
             return [
                 steps.SendToPeer(balancer, tunnel.UnknownFlow(segment.data)),
@@ -513,7 +552,7 @@
             )
         flow.is_awaiting_answer = False
 
-    def decline_reason(self, service_id):
+    def decline_reason(self, now, service_id):
         """Return why a new flow is declined; empty when it is accepted.
 
         :param service_id: id of the service that the flow was routed to.
@@ -530,14 +569,15 @@
             return "server_gone"
         if self._unanswered_flows >= defaults.MAX_SILENT_FLOWS:
             return "server_silent"
+        if not self._is_verified(now):
+            return "server_unverified"
         if self._is_full():
             return "too_many_flows"
         return ""
 
-    @property
-    def is_accepting(self):
+    def is_accepting(self, now):
         """Whether new flows of the own service are accepted."""
-        return not self.decline_reason(self._service_id)
+        return not self.decline_reason(now, self._service_id)
 
     def _is_full(self):
         return self.flows.open_count >= defaults.MAX_FLOWS_PER_SERVER
@@ -556,7 +596,7 @@
         return not queue.is_wait_within(wait_s)
 
     def _accept_or_decline(self, now, balancer, forward, segment):
-        reason = self.decline_reason(forward.service)
+        reason = self.decline_reason(now, forward.service)
         if self._is_catching_up:
             # The balancer has to know that the segment is of unknown age.
             reason = "paused"
@@ -605,6 +645,17 @@
             "balancer": "%s:%d" % balancer if balancer else "none",
         }
 
+    def _decline_copy(self, now, balancer, flow, segment):
+        """Decline a copy of the first segment of a known flow.
+
+        A flow that the server has answered may be open, and is kept.
+        """
+        if flow.server_initial_sequence is None:
+            self.flows.remove(segment.key)
+        return self._decline(
+            now, balancer, segment.key, "server_unverified", segment.data
+        )
+
     def _decline(self, now, balancer, key, reason, data):
         return [
             steps.SendToPeer(balancer, tunnel.Declined(reason, data)),
@@ -815,7 +866,7 @@
         return tunnel.LoadReport(
             self.incarnation,
             self._load_number,
-            self.is_accepting,
+            self.is_accepting(now),
             self._warmed_up_at > now,
             report.slots if report else 1,
             self.flows.waiting_count,
--- a/src/limpetlift/state/reports.py
+++ b/src/limpetlift/state/reports.py
@@ -25,6 +25,8 @@
     :param slots: number of requests that the server runs concurrently.
     :param warmup_remaining_s: time until the server reaches its usual speed
         after its start.
+    :param address: ``ip:port`` at which the server receives segments; empty
+        when the report does not contain it.
     """
 
     server_id: str
@@ -34,6 +36,7 @@
     state: str
     slots: int
     warmup_remaining_s: float = 0.0
+    address: str = ""
 
 
 def is_same_incarnation(first, second):
--- a/src/limpetlift/state/segmentsettings.py
+++ b/src/limpetlift/state/segmentsettings.py
@@ -31,6 +31,17 @@
     return ip, int(port)
 
 
+def _parse_address_reuse(value):
+    """Return a number of seconds, or the default for an empty text.
+
+    :raises ValueError: when the value is not a number, or not above 0.
+    """
+    seconds = float(value) if value != "" else defaults.ADDRESS_REUSE_S
+    if not 0 < seconds < float("inf"):
+        raise ValueError("address_reuse_s is %r, but must be above 0" % value)
+    return seconds
+
+
 _is_endpoint = validators.instance_of(tuple)
 
 
@@ -59,6 +70,9 @@
     :param is_first_start: whether the whole deployment starts for the first
         time.
     :param report_interval_ms: time between two reports of a backend server.
+    :param address_reuse_s: seconds after the end of a backend server from
+        which on its address may belong to a server of another service, as a
+        number or a text.
     """
 
     id: str = attrs.field(validator=_non_empty_text)
@@ -89,6 +103,9 @@
             validators.instance_of(int), validators.gt(0)
         ),
     )
+    address_reuse_s: float = attrs.field(
+        default=defaults.ADDRESS_REUSE_S, converter=_parse_address_reuse
+    )
 
 
 def decode(data):
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -41,6 +41,7 @@
         "stopping",
         "busy",
         "paused",
+        "server_unverified",
     )
 )
 
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -40,6 +40,7 @@
             self.decode_caller,
             settings.is_first_start,
             settings.report_interval_ms / 1000,
+            settings.address_reuse_s,
         )
         self._peer_socket = self.open_socket(
             settings.segments, self.on_datagram
@@ -81,14 +82,16 @@
         """Handle a report of the backend server.
 
         :param report: a :class:`~limpetlift.state.reports.Report`.
-        :raises MalformedMessage: when it names another service than the
-            settings.
+        :raises MalformedMessage: when it names another service than the one
+            that this agent was started for, which its entry names.
         """
-        if report.service != self.settings.service:
+        if report.service != self.decisions.service:
             self._log_other_service(report)
+            if report.address == "%s:%d" % self.settings.server:
+                self.decisions.unverify_server()
             raise exceptions.MalformedMessage(
                 "report of service %r to an agent of service %r"
-                % (report.service, self.settings.service)
+                % (report.service, self.decisions.service)
             )
         self.perform(self.decisions.on_report(self.observe(), report))
 
@@ -107,9 +110,14 @@
             "report_other_service",
             server=report.server_id,
             service=report.service,
-            own_service=self.settings.service,
+            own_service=self.decisions.service,
         )
 
+    def on_settings(self, changed):
+        """Handle settings that were put in force."""
+        if "server" in changed:
+            self.decisions.unverify_server()
+
     def on_leave(self, server_id):
         """Handle the backend server's notice that it shuts down now."""
         self.perform(self.decisions.on_leave(clock.now(), server_id))
@@ -176,12 +184,12 @@
 
     def gauges(self):
         """Return the current values of the gauges, by name."""
+        now = clock.now()
         return {
             **super().gauges(),
             "flows": len(self.decisions.flows.by_key),
-            "accepting": int(self.decisions.is_accepting),
-            "report_age_seconds": self.decisions.report_age_s(clock.now())
-            or 0.0,
+            "accepting": int(self.decisions.is_accepting(now)),
+            "report_age_seconds": self.decisions.report_age_s(now) or 0.0,
         }
 
     async def stop(self):
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -41,6 +41,7 @@
         "server_segments",
         "service",
         "report_interval_ms",
+        "address_reuse_s",
     )
 )
 
@@ -323,6 +324,13 @@
         # Sockets are bound only at the start, so a changed address of this
         # process takes effect after a restart.
         self.settings = settings
+        self.on_settings(changed)
+
+    def on_settings(self, changed):
+        """Handle settings that were put in force while this process runs.
+
+        :param changed: names of the fields that have changed.
+        """
 
 
 def _changed_fields(old, new):
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -8,7 +8,6 @@
 import segmentkit as kit
 
 from limpetlift import defaults
-from limpetlift import exceptions
 from limpetlift.protocol import hashing
 from limpetlift.protocol import tunnel
 from limpetlift.state import hosting
@@ -56,6 +55,16 @@
     )
 
 
+def _is_delivered(result):
+    return steps.SendToServer in kit.step_types(result)
+
+
+def _declined_reasons(result):
+    return [
+        message.reason for _, message in kit.messages(result, tunnel.Declined)
+    ]
+
+
 def _run_timers(agent, until):
     """Run the timers up to ``until``.
 
@@ -100,7 +109,7 @@
     agent = _agent()
     agent.on_report(1.0, _report(3, reports.DRAINING))
     agent.on_report(1.1, _report(2, reports.READY))
-    assert agent.decline_reason(_SERVICE_ID) == "draining"
+    assert agent.decline_reason(1.1, _SERVICE_ID) == "draining"
 
 
 def test_a_report_of_an_earlier_start_is_ignored():
@@ -113,7 +122,7 @@
         1.0, _report(1, reports.DRAINING, started_ms=2000, server_id="s-2")
     )
     agent.on_report(1.1, _report(9, reports.READY, started_ms=1000))
-    assert agent.decline_reason(_SERVICE_ID) == "draining"
+    assert agent.decline_reason(1.1, _SERVICE_ID) == "draining"
 
 
 def test_another_server_with_the_same_start_is_logged():
@@ -145,7 +154,7 @@
             later,
             _report(number, reports.DRAINING, 5000, server_id="s-2"),
         )
-    assert agent.decline_reason(_SERVICE_ID) == "draining"
+    assert agent.decline_reason(1.0, _SERVICE_ID) == "draining"
 
 
 def test_an_agent_without_a_report_declines_new_flows():
@@ -234,9 +243,9 @@
     for port in range(defaults.MAX_SILENT_FLOWS):
         _forward(agent, 0.0, port, kit.SYN)
     agent.tick(defaults.SERVER_ANSWER_TIMEOUT_S + 0.001)
-    assert agent.decline_reason(_SERVICE_ID) == "server_silent"
+    assert agent.decline_reason(0.0, _SERVICE_ID) == "server_silent"
     agent.on_report(1.0, _report(2))
-    assert agent.decline_reason(_SERVICE_ID) == ""
+    assert agent.decline_reason(1.0, _SERVICE_ID) == ""
 
 
 def test_a_flow_that_the_server_lost_is_reset():
@@ -400,6 +409,7 @@
     ] == ["paused"]
     assert steps.SendToServer not in kit.step_types(result)
     agent.on_caught_up()
+    agent.on_report(5.05, _report(2))
     result = _forward(agent, 5.1, 2, kit.SYN)
     assert steps.SendToServer in kit.step_types(result)
 
@@ -880,13 +890,11 @@
     late = _INTERVAL_S * defaults.REPORT_MISSING_INTERVALS + 0.1
     _run_timers(agent, late - 0.2)
     assert steps.ProbeServer in kit.step_types(agent.tick(late))
-    _forward(agent, late, 2, kit.SYN)
+    result = _forward(agent, late, 2, kit.SYN)
+    assert _declined_reasons(result) == ["server_unverified"]
     result = agent.on_server_absent(late + 0.01)
     assert [step.reason for step in kit.resets(result)] == ["server_gone"]
-    assert [m.reason for _, m in kit.messages(result, tunnel.Declined)] == [
-        "server_silent"
-    ]
-    assert agent.decline_reason(_SERVICE_ID) == "server_silent"
+    assert agent.decline_reason(late + 0.01, _SERVICE_ID) == "server_silent"
 
 
 # Log events and gauges.
@@ -898,14 +906,14 @@
     The server may have been replaced beside an agent that runs on.
     """
     agent = _agent()
-    result = _forward(agent, 7.25, 1, kit.SYN)
+    result = _forward(agent, 1.25, 1, kit.SYN)
     assert kit.log_fields(result, "flow_accepted") == [
         {
             "copy": 0,
             "server": "s-1",
             "server_service": "desk",
             "service": "desk",
-            "report_age_s": 7.25,
+            "report_age_s": 1.25,
             "balancer": "10.9.0.1:80",
         }
     ]
@@ -970,14 +978,17 @@
     ] == [("desk", reports.READY), ("desk", reports.GONE)]
 
 
-def _is_delivered(result):
-    return steps.SendToServer in kit.step_types(result)
-
-
-def _declined_reasons(result):
-    return [
-        message.reason for _, message in kit.messages(result, tunnel.Declined)
-    ]
+def test_a_first_segment_is_declined_when_the_port_has_no_listener():
+    """A crashed server does not answer it, and another server may."""
+    agent = _agent(knows_all_flows=False)
+    agent.tick(0.0)
+    for port in range(defaults.MAX_SILENT_TENTATIVE_FLOWS):
+        _forward_tentatively(agent, 0.3, port, ack=900)
+    agent.tick(0.3 + defaults.TENTATIVE_ANSWER_TIMEOUT_S)
+    assert _is_delivered(_forward(agent, 0.41, 100, kit.SYN))
+    result = agent.on_server_absent(0.42)
+    assert _declined_reasons(result) == ["server_silent"]
+    assert agent.decline_reason(0.42, _SERVICE_ID) == "server_silent"
 
 
 # Guards against requests that run at another service's server, which was
@@ -992,7 +1003,7 @@
     assert _is_delivered(_forward(agent, _REUSE_S - 0.01, 1, kit.SYN))
     result = _forward(agent, _REUSE_S, 2, kit.SYN)
     assert not _is_delivered(result)
-    assert _declined_reasons(result)
+    assert _declined_reasons(result) == ["server_unverified"]
     agent.on_report(_REUSE_S + 0.1, _report(2))
     assert _is_delivered(_forward(agent, _REUSE_S + 0.2, 3, kit.SYN))
 
@@ -1043,20 +1054,18 @@
     assert not load.accepting
 
 
-# Guards against requests that run at another service's server beside an agent
-# whose settings file has been given that service while it runs.
-def test_an_agent_keeps_the_service_that_it_was_started_for():
-    """Its entry and its balancers still name the service of its start."""
-    process = object.__new__(segmentagent.SegmentAgent)
-    process.settings = types.SimpleNamespace(
-        service="maps", server=("10.0.2.1", 8080)
+def test_rare_reports_do_not_stop_the_acceptance_between_them():
+    """Where reports are rarer than addresses are used again.
+
+    Otherwise the servers would get no new flow for most of the time.
+    """
+    agent = hosting.FlowHosting(
+        "desk", 1, kit.decode, True, report_interval_s=5.0
     )
-    process.decisions = _agent(report=False)
-    process.observe = lambda: 0.5
-    process.perform = lambda _steps: None
-    with pytest.raises(exceptions.MalformedMessage):
-        process.on_report(attrs.evolve(_report(1), service="maps"))
-    assert not _is_delivered(_forward(process.decisions, 0.6, 1, kit.SYN))
+    agent.on_report(0.0, _report())
+    assert agent.decline_reason(5.5, _SERVICE_ID) == ""
+    assert agent.decline_reason(7.5, _SERVICE_ID) == "server_unverified"
+
 
 def test_a_first_segment_from_a_pause_is_of_unknown_age():
     """Its balancer must not take it for new, whatever else the agent knows.
@@ -1067,6 +1076,4 @@
     agent.on_report(1.0, _report(2, reports.DRAINING))
     agent.on_pause(5.0, 3.0)
     result = _forward(agent, 5.0, 1, kit.SYN)
-    assert [
-        message.reason for _, message in kit.messages(result, tunnel.Declined)
-    ] == ["paused"]
+    assert _declined_reasons(result) == ["paused"]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -113,7 +113,14 @@
     """Guards against fields of a report that are mixed up or not converted."""
     found = documents.decode_report("i-1", json.dumps(_REPORT).encode())
     assert found == reports.Report(
-        "i-1", "desk", 1700000000000, 4, reports.READY, 3, 0.5
+        "i-1",
+        "desk",
+        1700000000000,
+        4,
+        reports.READY,
+        3,
+        0.5,
+        "10.1.0.9:8080",
     )
 
 
@@ -638,6 +645,7 @@
         "internal_port_range.0": "7720",
         "bootstrap|json": "true",
         "heartbeat_ms": "900",
+        "bounds.reuse_after_s": "2.5",
     }
     filled = re.sub(
         r"\{\{([^}]+)\}\}",
@@ -651,6 +659,7 @@
     assert found.server is None
     assert found.is_first_start
     assert found.report_interval_ms == 900
+    assert found.address_reuse_s == 2.5
 
 
 def test_invalid_settings_say_what_is_wrong(tmp_path):
@@ -665,6 +674,20 @@
     assert "settings.toml" in str(caught.value)
 
 
+@pytest.mark.parametrize("value", ['"x"', "0", '"-1"', '"inf"'])
+def test_an_invalid_time_of_address_reuse_is_refused(value):
+    """An agent would accept flows for ever, or never."""
+    with pytest.raises(exceptions.SettingsError):
+        segmentsettings.decode(
+            (
+                'id = "a"\ndata_centre = "b"\nip = "10.0.0.1"\n'
+                'segments = "10.0.0.1:1"\nprobes = "10.0.0.1:2"\n'
+                'store = "10.0.0.2:3"\npeer_port = 4\n'
+                "address_reuse_s = %s\n" % value
+            ).encode()
+        )
+
+
 def test_platform_names_occur_only_in_the_adapter():
     """Names of the platform outside the adapter would tie the rest to it."""
     words = re.compile(
--- a/tests/test_segmentagent.py
+++ b/tests/test_segmentagent.py
@@ -29,6 +29,7 @@
     "service": "desk",
     "report_interval_ms": 250,
     "is_first_start": False,
+    "address_reuse_s": 3.5,
 }
 
 
@@ -79,12 +80,22 @@
     process.reactor.close()
 
 
-def _report(server_id="s-1", service="desk", number=1):
+def _report(server_id="s-1", service="desk", number=1, address=""):
     return reports.Report(
-        server_id, service, 1000, number, reports.READY, slots=2
+        server_id,
+        service,
+        1000,
+        number,
+        reports.READY,
+        slots=2,
+        address=address,
     )
 
 
+def _is_accepting(agent, now):
+    return agent.decisions.is_accepting(now)
+
+
 def _logged(caplog, event):
     return [
         (record.levelno, record.fields)
@@ -137,6 +148,7 @@
         {"reports": "127.0.0.1:93"},
         {"server_segments": "127.0.0.1:74"},
         {"report_interval_ms": 500},
+        {"address_reuse_s": 4.5},
     ],
 )
 def test_settings_that_are_not_in_force_are_logged(
@@ -196,12 +208,62 @@
 
 def test_the_age_of_the_report_and_acceptance_are_measured(agent, monkeypatch):
     """Old news of a server must show before a request goes wrong."""
-    monkeypatch.setattr(clock, "now", lambda: 12.5)
+    monkeypatch.setattr(clock, "now", lambda: 11.5)
     gauges = agent.gauges()
     assert (gauges["report_age_seconds"], gauges["accepting"]) == (0.0, 0)
     agent.decisions.on_report(10.0, _report())
     gauges = agent.gauges()
-    assert (gauges["report_age_seconds"], gauges["accepting"]) == (2.5, 1)
-    agent.decisions.on_leave(11.0, "s-1")
+    assert (gauges["report_age_seconds"], gauges["accepting"]) == (1.5, 1)
+    monkeypatch.setattr(clock, "now", lambda: 12.5)
     gauges = agent.gauges()
     assert (gauges["report_age_seconds"], gauges["accepting"]) == (2.5, 0)
+    agent.decisions.on_report(12.4, _report(number=2))
+    assert agent.gauges()["accepting"] == 1
+    agent.decisions.on_leave(12.5, "s-1")
+    assert agent.gauges()["accepting"] == 0
+
+
+# Guards against requests that run at another service's server right after
+# that server has reported to the agent of the earlier one.
+def test_a_report_of_another_service_ends_the_acceptance_of_flows(agent):
+    """A server of another service reports to the agent that runs on."""
+    agent.decisions.on_report(0.0, _report())
+    assert _is_accepting(agent, 0.5)
+    with pytest.raises(exceptions.MalformedMessage):
+        agent.on_report(_report("m-1", "maps", address="127.0.0.1:80"))
+    assert not _is_accepting(agent, 0.6)
+    agent.decisions.on_report(0.7, _report(number=2))
+    assert _is_accepting(agent, 0.8)
+
+
+def test_a_report_from_another_address_ends_nothing(agent):
+    """Other writers report what they like; the server still serves."""
+    agent.decisions.on_report(0.0, _report())
+    for address in ("127.0.0.1:81", "", "x"):
+        with pytest.raises(exceptions.MalformedMessage):
+            agent.on_report(_report("m-1", "maps", address=address))
+    assert _is_accepting(agent, 0.6)
+
+
+# Guards against requests that run at another service's server beside an agent
+# whose settings file has been given that service while it runs.
+def test_an_agent_keeps_the_service_that_it_was_started_for(agent, path):
+    """Its entry and its balancers still name the service of its start."""
+    _write(path, service="maps")
+    agent._reload()
+    with pytest.raises(exceptions.MalformedMessage):
+        agent.on_report(_report("m-1", "maps"))
+    assert not _is_accepting(agent, clock.now())
+
+
+# Guards against requests that run at another service's server after the
+# address of the own one has been changed in the settings.
+def test_a_server_at_another_address_has_to_report_first(agent, path):
+    """What was reported before may not hold for the server at the address."""
+    now = clock.now()
+    agent.decisions.on_report(now, _report())
+    _write(path, server="127.0.0.1:81")
+    agent._reload()
+    assert not _is_accepting(agent, now)
+    agent.decisions.on_report(now, _report(number=2))
+    assert _is_accepting(agent, now)
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -21,8 +21,8 @@
 def _accept_flows_while_draining():
     decline_reason = hosting.FlowHosting.decline_reason
 
-    def ignore_draining(self, service_id):
-        reason = decline_reason(self, service_id)
+    def ignore_draining(self, now, service_id):
+        reason = decline_reason(self, now, service_id)
         return "" if reason == "draining" else reason
 
     hosting.FlowHosting.decline_reason = ignore_draining
