Open no known flow whose route was dropped

A balancer looked at the routes only for flows that it did not know. The first segment of a known flow went to its agent although a newer version had dropped the route: a copy that came after the change, whose earlier copies were lost, a first segment of a later flow between the same ports, and a copy of a flow that only the record of another balancer named. The request then ran with a dropped route, after the newer version had taken effect through the same balancer.

Such a segment is now dropped. It is not refused with a reset, since a server may hold the flow, whose other segments are forwarded as before. A balancer that has not read an added route yet drops copies that it knew from a record; the first segment it refused before, too.

--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -341,8 +341,12 @@
         """Handle a copy of the first segment of a known flow.
 
         Its agent gets the copy and has to answer a question. If it does not,
-        the flow is placed again.
+        the flow is placed again. The segment may also be that of a later flow
+        between the same ports. Without a route it opens nothing; it is not
+        refused with a reset, because a server may hold the flow.
         """
+        if self.routes.version and self._route(segment.key) is None:
+            return [self._not_placed("copy_dropped", segment, "no_route")]
         if flow.is_open:
             return [self._forward(flow, segment.data)]
         agent = self.agents.by_address.get(flow.address)
@@ -375,6 +379,10 @@
         flow.tried.add(address)
         return self._place(now, poll.segment, flow)
 
+    def _route(self, key):
+        """Return the route in force of a flow, or None."""
+        return self.routes.routes_by_address.get(segments.service_of(key))
+
     def _place_unknown(self, now, segment):
         """Place a flow that this balancer does not know.
 
@@ -413,7 +421,7 @@
             return [
                 steps.LogEvent("routes_unknown", key, {"copy": segment.ack})
             ]
-        route = self.routes.routes_by_address.get(segments.service_of(key))
+        route = self._route(key)
         if self._has_caller_given_up(now, flow):
             return self._drop_outdated(key)
         if route is None and self._are_routes_outdated(now):
@@ -565,7 +573,7 @@
 
         The agents at which the flow would be placed come first.
         """
-        route = self.routes.routes_by_address.get(segments.service_of(key))
+        route = self._route(key)
         if route is None:
             return []
         services = {weighted.service for weighted in route.weighted_services}
@@ -611,15 +619,8 @@
         if len(flow.tried) == flow.busy_count:
             # All agents tried were busy, so no server received this copy.
             deferral.copies.add(segment.ack)
-        log_event = steps.LogEvent(
-            "flow_deferred",
-            key,
-            {
-                "reason": reason,
-                "copy": segment.ack,
-                "declined": len(flow.tried),
-                "routes": self.routes.version,
-            },
+        log_event = self._not_placed(
+            "flow_deferred", segment, reason, len(flow.tried)
         )
         if len(deferral.copies) <= defaults.LAST_COPY_NUMBER:
             return [log_event]
@@ -637,9 +638,20 @@
         """
         key = segment.key
         self.flows_by_key.pop(key, None)
-        log_event = steps.LogEvent(
-            "flow_refused" if not segment.ack else "copy_dropped",
-            key,
+        if segment.ack:
+            return [
+                self._not_placed("copy_dropped", segment, reason, declined)
+            ]
+        return [
+            steps.Reset(key, 0, reason),
+            self._not_placed("flow_refused", segment, reason, declined),
+        ]
+
+    def _not_placed(self, event, segment, reason, declined=0):
+        """Return the step that logs why a first segment is not forwarded."""
+        return steps.LogEvent(
+            event,
+            segment.key,
             {
                 "reason": reason,
                 "copy": segment.ack,
@@ -647,9 +659,6 @@
                 "routes": self.routes.version,
             },
         )
-        if segment.ack:
-            return [log_event]
-        return [steps.Reset(key, 0, reason), log_event]
 
     def _search(self, now, segment, excluded=()):
         """Search for the flow of a segment at the agents.
