Open no known flow at the former service of its route

A route that was dropped and added again, or changed, with another service did not matter to flows that a balancer knew: their first segments, above all those of later flows between the same ports, went to an agent of the former service, which accepted them. A record of a keeper from before the change did the same for a flow that the balancer was placing.

A first segment of a flow whose service the route does not name any more is placed as that of an unknown flow, and such a record does not end the placing. A flow that is open at the former service is found there by a search if a late copy comes.

--- a/src/limpetlift/state/routing.py
+++ b/src/limpetlift/state/routing.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from limpetlift.protocol import hashing
 from limpetlift import structs
 
 
@@ -59,6 +60,14 @@
         chosen = self.weighted_services[first].service
         return [chosen] + [name for name in names if name != chosen]
 
+    def leads_to(self, service_id):
+        """Whether new flows may go to the service with an id.
+
+        :param service_id: as of
+            :func:`~limpetlift.protocol.hashing.service_id`.
+        """
+        return service_id in map(hashing.service_id, self.services_for(0.0))
+
 
 @structs.frozen
 class RouteTable:
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -347,6 +347,11 @@
         """
         if self.routes.version and self._route(segment.key) is None:
             return [self._not_placed("copy_dropped", segment, "no_route")]
+        if not self._may_open(segment.key, flow.service_id):
+            # A server of the route's former service may hold the flow. Its
+            # further segments then start a search.
+            del self.flows_by_key[segment.key]
+            return self._place(now, segment, _Flow((), now))
         if flow.is_open:
             return [self._forward(flow, segment.data)]
         agent = self.agents.by_address.get(flow.address)
@@ -383,6 +388,20 @@
         """Return the route in force of a flow, or None."""
         return self.routes.routes_by_address.get(segments.service_of(key))
 
+    def _may_open(self, key, service_id):
+        """Whether the routes let a new flow go to a service.
+
+        It may as long as the routes or the service are unknown. An agent
+        accepts no new flow of an unknown service.
+
+        :param service_id: id of the service, or
+            :data:`~limpetlift.protocol.tunnel.NO_SERVICE`.
+        """
+        if not self.routes.version or service_id == tunnel.NO_SERVICE:
+            return True
+        route = self._route(key)
+        return route is not None and route.leads_to(service_id)
+
     def _place_unknown(self, now, segment):
         """Place a flow that this balancer does not know.
 
@@ -858,6 +877,11 @@
     def _learn(self, now, record):
         """Add a flow from its record; forward what waited for it here."""
         key = record.key
+        poll = self._polls.end(key)
+        if poll is not None and not self._may_open(key, record.service):
+            # The record is from before a change of the route.
+            self._polls.add(poll)
+            return []
         flow = self.flows_by_key[key] = _Flow(
             record.address,
             now,
@@ -865,7 +889,6 @@
             not record.is_placed,
         )
         result = []
-        poll = self._polls.end(key)
         if poll is not None:
             # Another balancer has placed the flow in the meantime.
             result.append(self._forward(flow, poll.segment.data))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -15,6 +15,7 @@
 from limpetlift.state import steering
 
 _DESK = hashing.service_id("desk")
+_MAPS = hashing.service_id("maps")
 _AGENT = kit.agent(1)
 _PEER = kit.balancer(2).address
 
@@ -143,3 +144,38 @@
     record = tunnel.FlowRecord(kit.key_of(1), _AGENT.address, True, _DESK)
     balancer.on_message(1.1, _PEER, tunnel.FlowRecords([record]))
     assert not kit.step_types(balancer.on_segment(1.2, _syn(1, 1)))
+
+
+@pytest.mark.parametrize("is_open", [False, True])
+def test_a_first_segment_goes_to_the_new_service_of_its_route(is_open):
+    """A request must not run by the service that its route had before.
+
+    A known flow got every first segment with its key.
+    """
+    other = kit.agent(2, "maps")
+    balancer = _balancer(_AGENT, other)
+    _place(balancer, 1.0, 1)
+    if is_open:
+        balancer.on_segment(1.1, kit.caller_segment(1, kit.ACK, ack=501))
+    balancer.on_routes(1.2, kit.routes(8, "maps"))
+    result = balancer.on_segment(5.0, _syn(1))
+    result += balancer.on_message(
+        5.01, other.address, kit.load(9, service="maps")
+    )
+    assert _services(result) == {_MAPS}
+    assert balancer.flows_by_key[kit.key_of(1)].address == other.address
+
+
+def test_a_record_of_the_former_service_does_not_end_a_poll():
+    """A flow must not go to the former service because a keeper knows it."""
+    other = kit.agent(2, "maps")
+    balancer = _balancer(_AGENT, other)
+    balancer.on_routes(1.0, kit.routes(8, "maps"))
+    balancer.on_segment(5.0, _syn(1, 1))
+    record = tunnel.FlowRecord(kit.key_of(1), _AGENT.address, False, _DESK)
+    result = balancer.on_message(5.001, _PEER, tunnel.KeptRecords([record]))
+    result += balancer.on_message(
+        5.01, other.address, kit.load(9, service="maps")
+    )
+    result += balancer.tick(5.03)
+    assert _services(result) == {_MAPS}
