Give a service without weight no flow by rounding

The draw of a flow is its hash divided by the range of hashes, which is 1.0 for the highest 1,024 of them, and the weights are summed with rounding errors. What was left over selected the first service of the route even if its weight is 0. Now the last service with a weight is selected. The test failed before.

--- a/src/limpetlift/state/routing.py
+++ b/src/limpetlift/state/routing.py
@@ -46,18 +46,18 @@
             weighted.weight for weighted in self.weighted_services
         )
         remaining = draw * total_weight
-        first = 0
-        for index, weighted in enumerate(self.weighted_services):
-            if remaining < weighted.weight:
-                first = index
-                break
-            remaining -= weighted.weight
         names = [
             weighted.service
             for weighted in self.weighted_services
             if weighted.weight > 0
         ]
-        chosen = self.weighted_services[first].service
+        # Rounding may leave a draw over.
+        chosen = names[-1] if names else self.weighted_services[0].service
+        for weighted in self.weighted_services:
+            if remaining < weighted.weight:
+                chosen = weighted.service
+                break
+            remaining -= weighted.weight
         return [chosen] + [name for name in names if name != chosen]
 
     def leads_to(self, service_id):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -179,3 +179,22 @@
     )
     result += balancer.tick(5.03)
     assert _services(result) == {_MAPS}
+
+
+def test_a_service_without_weight_gets_no_flow_by_rounding():
+    """A draw that rounding leaves over must not select the first service.
+
+    It may have the weight 0. The hash of a flow divided by its range is 1.0
+    for the highest hashes, and sums of weights are rounded.
+    """
+    route = routing.Route(
+        "r",
+        ("198.18.0.1", 443),
+        (
+            routing.WeightedService("desk", 0.0),
+            routing.WeightedService("maps", 0.1),
+            routing.WeightedService("news", 0.7),
+            routing.WeightedService("mail", 0.0),
+        ),
+    )
+    assert route.services_for((2**64 - 1) / 2**64) == ["news", "maps"]
