Read a configuration that another change follows

Of the changes of one answer or message a balancer looked only at the last one. If that was unreadable, or of another key that begins like that of the configuration, the configuration before it was skipped and not read again until the next one. Now the newest readable one is put in force.

--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -192,13 +192,17 @@
                 self._on_routes(entry)
 
     def _on_route_changes(self, changes):
-        self._on_route_entries(
-            [change.entry for change in changes if change.entry is not None][
-                -1:
-            ]
-        )
+        """Put the newest version in force that can be read."""
+        for change in reversed(changes):
+            if (
+                change.key == self.deployment.routes_key
+                and change.entry is not None
+                and self._on_routes(change.entry)
+            ):
+                break
 
     def _on_routes(self, entry):
+        """Put a version in force; return whether it can be read."""
         try:
             routes = self.deployment.decode_routes(entry.value)
         except exceptions.ProtocolError as error:
@@ -206,8 +210,9 @@
             LOG.error(
                 "routes_unreadable", revision=entry.mod_revision, error=error
             )
-            return
+            return False
         self.perform(self.decisions.on_routes(clock.now(), routes))
+        return True
 
     def _on_entries(self, snapshot, revision):
         self._directory.on_snapshot(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Tests of the platform adapter and of the tasks that use its store."""
 
+import collections
 import json
 import pathlib
 import random
@@ -19,10 +20,13 @@
 from limpetlift.platform import packet
 from limpetlift.platform import store
 from limpetlift.protocol import segment as segments
+from limpetlift.protocol import tunnel
 from limpetlift.state import reports
 from limpetlift.state import segmentsettings
+from limpetlift.state import steering
 from limpetlift.tasks import announcing
 from limpetlift.tasks import following
+from limpetlift.tasks import segmentbalancer
 from limpetlift.transport import reactor as reactors
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -241,6 +245,41 @@
         documents.decode_routes(value)
 
 
+@pytest.mark.parametrize("key", ["op/config", "op/config-notes"])
+def test_a_configuration_followed_by_another_change_is_in_force(key):
+    """A version must not be lost because of a later change of the same read.
+
+    Only the last change was looked at, which may be unreadable, or of another
+    key with the same beginning. The version was not read again.
+    """
+    process = object.__new__(segmentbalancer.SegmentBalancer)
+    process.deployment = deployment.DEPLOYMENT
+    process.counts_by_event = collections.Counter()
+    process.decisions = steering.FlowSteering(
+        ("10.9.0.9", 80), "a", kit.decode
+    )
+    follower = following.Follower(
+        None,
+        None,
+        deployment.DEPLOYMENT.routes_key,
+        watching.Watch(1, ("10.9.0.9", 80)),
+        random.Random(1),
+        process._on_route_entries,
+        process._on_route_changes,
+        lambda: None,
+        lambda messages, addresses: None,
+        clock.now,
+    )
+    follower.watch.on_read(0.0, 0.0, None, 5)
+    changes = [
+        tunnel.KeyChange("op/config", _config(version=7), 6),
+        tunnel.KeyChange("op/config", _config(version=8), 7),
+        tunnel.KeyChange(key, b"{}", 8),
+    ]
+    follower.on_message(tunnel.StoreChanges(1, 5, 8, changes), False)
+    assert process.decisions.routes.version == 8
+
+
 # The store.
 
 
