Check the service of first segments of known flows too

An agent compared the service of a first segment with its own only for flows that it did not know. It also knows a flow because a balancer searched for it there, with a segment that the server has not returned yet, or because an earlier flow between the same ports was there. A balancer that knew the flow at a lost agent with this address then got a request of another service to this server.

A first segment for another service is now always declined. That includes those without a service, of flows that a search found: they are late copies, or belong to a later flow, whose service is not known.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -386,9 +386,11 @@
     def _on_forward(self, now, balancer, forward):
         segment = self.decode_segment(forward.data)
         flow = self.flows.by_key.get(segment.key)
+        if segment.opens_flow and (
+            flow is None or forward.service != self._service_id
+        ):
+            return self._accept_or_decline(now, balancer, forward, segment)
         if flow is None:
-            if segment.opens_flow:
-                return self._accept_or_decline(now, balancer, forward, segment)
             if self._knows_all_flows_at(now):
                 return [
                     steps.SendToPeer(
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -52,6 +52,13 @@
     )
 
 
+def _close_flow(agent, now, port):
+    _forward(agent, now, port, kit.FIN | kit.ACK, ack=501)
+    agent.on_server_segment(
+        now, kit.server_segment(port, kit.FIN | kit.ACK, sequence=501)
+    )
+
+
 def _run_timers(agent, until):
     """Run the timers up to ``until``.
 
@@ -168,6 +175,31 @@
     )
 
 
+@pytest.mark.parametrize("known", ["tentative", "open", "closed"])
+def test_a_known_flow_does_not_let_another_service_in(known):
+    """A first segment for another service must not reach this server.
+
+    The agent checked the service only of flows that it did not know. It knows
+    a flow also because a balancer searched for it here, or because an earlier
+    flow between the same ports was here.
+    """
+    agent = _agent(knows_all_flows=known != "tentative")
+    if known == "tentative":
+        _forward_tentatively(agent, 0.1, 1, ack=900)
+    else:
+        _open_flow(agent, 0.1, 1)
+    if known == "closed":
+        _close_flow(agent, 0.2, 1)
+    forward = tunnel.Forward(
+        hashing.service_id("maps"), kit.datagram(1, kit.SYN)
+    )
+    result = agent.on_message(0.3, _BALANCER, forward)
+    assert kit.messages(result, tunnel.Declined) == [
+        (_BALANCER, tunnel.Declined("other_service", forward.data))
+    ]
+    assert steps.SendToServer not in kit.step_types(result)
+
+
 def test_an_agent_declines_flows_that_would_wait_too_long():
     """Many balancers placed flows at the same time by the same old report.
 
