Take a later flow between the same ports for a new one

A first segment with the key of a closed flow was forwarded without a look at the server's state, and its flow was removed with the closed one 3 s after that had ended. An agent that knows all flows then denied a flow that was open, which lets a balancer tell the caller that it is lost; and a draining server got the new flow.

A first segment that its caller has not sent before now begins a new flow if the known one is closed.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -387,7 +387,10 @@
         segment = self.decode_segment(forward.data)
         flow = self.flows.by_key.get(segment.key)
         if segment.opens_flow and (
-            flow is None or forward.service != self._service_id
+            flow is None
+            or forward.service != self._service_id
+            # A later flow between the same ports, not a late copy.
+            or (flow.closed_at is not None and not segment.ack)
         ):
             return self._accept_or_decline(now, balancer, forward, segment)
         if flow is None:
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -200,6 +200,36 @@
     assert steps.SendToServer not in kit.step_types(result)
 
 
+def test_a_later_flow_between_the_same_ports_is_a_new_one():
+    """A flow must not be forgotten because an earlier one had its key.
+
+    It was taken for the earlier one, without regard to the server's state,
+    and was removed with it after 3 s. It then counted as lost while it was
+    open.
+    """
+    agent = _agent()
+    _open_flow(agent, 0.1, 1)
+    _close_flow(agent, 0.2, 1)
+    _open_flow(agent, 1.0, 1, sequence=9000)
+    _run_timers(agent, 0.2 + 2 * defaults.CLOSED_FLOW_RETENTION_S)
+    result = _forward(agent, 7.0, 1, kit.ACK, ack=9001)
+    assert kit.step_types(result) == [steps.SendToServer]
+
+
+def test_a_draining_server_gets_no_later_flow_between_the_same_ports():
+    """A server that drains must not get a new flow with the key of an old one.
+
+    The agent checks the state of the server for new flows only.
+    """
+    agent = _agent()
+    _open_flow(agent, 0.1, 1)
+    _close_flow(agent, 0.2, 1)
+    agent.on_report(0.3, _report(2, reports.DRAINING))
+    result = _forward(agent, 1.0, 1, kit.SYN)
+    assert kit.step_types(result) == [steps.SendToPeer]
+    assert kit.messages(result, tunnel.Declined)
+
+
 def test_an_agent_declines_flows_that_would_wait_too_long():
     """Many balancers placed flows at the same time by the same old report.
 
