Place a later flow between the same ports like any other

The first segment of a flow whose key a balancer knew from an earlier one went to the agent of that one. An agent that had been lost, or that was another service's by now, took none of its copies, and the caller waited in vain.

A first segment that its caller has not sent before, for a flow that is idle for longer than copies are sent, is taken for that of a later flow, unless the balancer reads what waited through a pause.

--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -302,6 +302,9 @@
     def on_segment(self, now, segment):
         """Handle a segment that the fabric delivered to this balancer."""
         flow = self.flows_by_key.get(segment.key)
+        if flow is not None and self._has_ended(now, segment, flow):
+            del self.flows_by_key[segment.key]
+            flow = None
         if flow is None:
             if segment.opens_flow:
                 # An earlier flow between the same ports has ended.
@@ -322,6 +325,20 @@
             del self.flows_by_key[segment.key]
         return [self._forward(flow, segment.data)]
 
+    def _has_ended(self, now, segment, flow):
+        """Whether a segment shows that a known flow has ended.
+
+        A caller that opens a flow between the same ports has ended the
+        earlier one. Within the time in which copies of a first segment are
+        sent, or after a pause, it may be a late one of the known flow.
+        """
+        return (
+            segment.opens_flow
+            and not segment.ack
+            and now - flow.active_at > defaults.OPENING_TIMEOUT_S
+            and not self._is_catching_up
+        )
+
     @staticmethod
     def _forward(flow, data, max_wait_s=math.inf):
         """Return the step that forwards a datagram to the agent of its flow.
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -198,3 +198,23 @@
         ),
     )
     assert route.services_for((2**64 - 1) / 2**64) == ["news", "maps"]
+
+
+@pytest.mark.parametrize("service", ["desk", "maps"])
+def test_a_later_flow_between_the_same_ports_is_placed(service):
+    """A new flow must not wait at the agent of an earlier one with its key.
+
+    It went to the agent that the earlier flow was at. If that was lost, or
+    another service's had its address, no copy of the first segment was placed.
+    """
+    other = kit.agent(2)
+    balancer = _balancer(_AGENT)
+    _place(balancer, 1.0, 1)
+    balancer.on_segment(1.1, kit.caller_segment(1, kit.ACK, ack=501))
+    late = balancer.on_segment(1.2, _syn(1))
+    assert [to for to, _ in _forwards(late)] == [_AGENT.address]
+    balancer.on_entries(5.0, [kit.agent(1, service), other], [])
+    result = balancer.on_segment(5.1, _syn(1))
+    result += balancer.on_message(5.11, other.address, kit.load(9))
+    result += balancer.tick(5.2)
+    assert [to for to, _ in _forwards(result)] == [other.address]
