Simulate changes of routes, agents and addresses together

A simulation of the deciding classes with late and lost messages in which addresses are used again by other services, routes are changed and dropped, and callers use ports again or not. It checks where each first segment ends up.

--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+import routesim
 import segmentkit as kit
 
 from limpetlift import defaults
@@ -218,3 +219,21 @@
     result += balancer.on_message(5.11, other.address, kit.load(9))
     result += balancer.tick(5.2)
     assert [to for to, _ in _forwards(result)] == [other.address]
+
+
+@pytest.mark.parametrize("port_count", [100, 10_000])
+def test_first_segments_reach_only_services_that_routes_name(port_count):
+    """A request must run only where the routes let it go.
+
+    Routes change and are dropped, agents are lost, and their addresses are
+    used by agents of other services, one of which no route ever names.
+    Callers use each port again after some seconds, or never.
+    """
+    request_count = 0
+    for seed in range(8):
+        simulation = routesim.Simulation(seed, port_count)
+        simulation.run(20.0)
+        assert not simulation.misrouted, "seed %d" % seed
+        assert not simulation.outdated, "seed %d" % seed
+        request_count += simulation.request_count
+    assert request_count > 1000
