Leave an open flow where it is when its route changes

A late copy of the first segment of an open flow was placed at the service that the route names now, and the balancer then sent the flow's segments there until a search found it. The copy is now dropped. The test failed before.

--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -365,8 +365,10 @@
         if self.routes.version and self._route(segment.key) is None:
             return [self._not_placed("copy_dropped", segment, "no_route")]
         if not self._may_open(segment.key, flow.service_id):
-            # A server of the route's former service may hold the flow. Its
-            # further segments then start a search.
+            if flow.is_open:
+                return [
+                    self._not_placed("copy_dropped", segment, "other_service")
+                ]
             del self.flows_by_key[segment.key]
             return self._place(now, segment, _Flow((), now))
         if flow.is_open:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -167,6 +167,20 @@
     assert balancer.flows_by_key[kit.key_of(1)].address == other.address
 
 
+def test_a_late_copy_does_not_move_an_open_flow():
+    """An open flow must stay where it is when its route changes.
+
+    A late copy of its first segment must not open it a second time.
+    """
+    balancer = _balancer(_AGENT, kit.agent(2, "maps"))
+    _place(balancer, 1.0, 1)
+    balancer.on_segment(1.1, kit.caller_segment(1, kit.ACK, ack=501))
+    balancer.on_routes(1.2, kit.routes(8, "maps"))
+    assert not kit.step_types(balancer.on_segment(1.3, _syn(1, 1)))
+    result = balancer.on_segment(1.4, kit.caller_segment(1, kit.ACK, ack=501))
+    assert [to for to, _ in _forwards(result)] == [_AGENT.address]
+
+
 def test_a_record_of_the_former_service_does_not_end_a_poll():
     """A flow must not go to the former service because a keeper knows it."""
     other = kit.agent(2, "maps")
