Merge the checks of routes for first segments of known flows

The agent checks a copy of a flow that it has accepted for the service and for the server's age, and a first segment of a flow that it only knows of like one of a new flow. Lines for first segments that are not forwarded come from one place.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -429,9 +429,17 @@
     def _on_forward(self, now, balancer, forward):
         segment = self.decode_segment(forward.data)
         flow = self.flows.by_key.get(segment.key)
+        if segment.opens_flow and (
+            flow is None
+            # A later flow between the same ports, not a late copy.
+            or (flow.closed_at is not None and not segment.ack)
+        ):
+            return self._accept_or_decline(now, balancer, forward, segment)
+        if segment.opens_flow:
+            reason = self._copy_decline_reason(now, forward.service, flow)
+            if reason:
+                return self._decline_copy(now, balancer, flow, segment, reason)
         if flow is None:
-            if segment.opens_flow:
-                return self._accept_or_decline(now, balancer, forward, segment)
             if self._knows_all_flows_at(now):
                 return [
                     steps.SendToPeer(
@@ -439,8 +447,6 @@
                     )
                 ]
             flow = self._add_tentative_flow(now, balancer, segment)
-        elif segment.opens_flow and not self._is_verified(now):
-            return self._decline_copy(now, balancer, flow, segment)
         elif flow.belongs_to_other_server(segment):
             return [
                 steps.SendToPeer(balancer, tunnel.UnknownFlow(segment.data)),
@@ -645,16 +651,29 @@
             "balancer": "%s:%d" % balancer if balancer else "none",
         }
 
-    def _decline_copy(self, now, balancer, flow, segment):
+    def _copy_decline_reason(self, now, service_id, flow):
+        """Return why a copy of a known flow's first segment is declined.
+
+        What was accepted stays accepted while the server is the same one. A
+        flow that the server may hold has not been accepted by this agent.
+
+        :returns: the reason; empty when the server may receive the copy.
+        """
+        if not flow.is_accepted:
+            return self.decline_reason(now, service_id)
+        if service_id != self._service_id:
+            return "other_service"
+        return "" if self._is_verified(now) else "server_unverified"
+
+    def _decline_copy(self, now, balancer, flow, segment, reason):
         """Decline a copy of the first segment of a known flow.
 
-        A flow that the server has answered may be open, and is kept.
+        A flow that the server has answered, or that it may have held before,
+        is kept.
         """
-        if flow.server_initial_sequence is None:
+        if flow.is_accepted and flow.server_initial_sequence is None:
             self.flows.remove(segment.key)
-        return self._decline(
-            now, balancer, segment.key, "server_unverified", segment.data
-        )
+        return self._decline(now, balancer, segment.key, reason, segment.data)
 
     def _decline(self, now, balancer, key, reason, data):
         return [
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -307,6 +307,9 @@
     def on_segment(self, now, segment):
         """Handle a segment that the fabric delivered to this balancer."""
         flow = self.flows_by_key.get(segment.key)
+        if flow is not None and self._has_ended(now, segment, flow):
+            del self.flows_by_key[segment.key]
+            flow = None
         if flow is None:
             if segment.opens_flow:
                 # An earlier flow between the same ports has ended.
@@ -327,6 +330,20 @@
             del self.flows_by_key[segment.key]
         return [self._forward(flow, segment.data)]
 
+    def _has_ended(self, now, segment, flow):
+        """Whether a segment shows that a known flow has ended.
+
+        A caller that opens a flow between the same ports has ended the
+        earlier one. Within the time in which copies of a first segment are
+        sent, or after a pause, it may be a late one of the known flow.
+        """
+        return (
+            segment.opens_flow
+            and not segment.ack
+            and now - flow.active_at > defaults.OPENING_TIMEOUT_S
+            and not self._is_catching_up
+        )
+
     @staticmethod
     def _forward(flow, data, max_wait_s=math.inf):
         """Return the step that forwards a datagram to the agent of its flow.
@@ -346,8 +363,19 @@
         """Handle a copy of the first segment of a known flow.
 
         Its agent gets the copy and has to answer a question. If it does not,
-        the flow is placed again.
+        the flow is placed again. The segment may also be that of a later flow
+        between the same ports. Without a route it opens nothing; it is not
+        refused with a reset, because a server may hold the flow.
         """
+        if self.routes.version and self._route(segment.key) is None:
+            return [self._not_placed("copy_dropped", segment, "no_route")]
+        if not self._may_open(segment.key, flow.service_id):
+            if flow.is_open:
+                return [
+                    self._not_placed("copy_dropped", segment, "other_service")
+                ]
+            del self.flows_by_key[segment.key]
+            return self._place(now, segment, _Flow((), now))
         if flow.is_open:
             return [
                 self._forward(flow, segment.data),
@@ -421,6 +449,24 @@
         flow.tried.add(address)
         return self._place(now, poll.segment, flow)
 
+    def _route(self, key):
+        """Return the route in force of a flow, or None."""
+        return self.routes.routes_by_address.get(segments.service_of(key))
+
+    def _may_open(self, key, service_id):
+        """Whether the routes let a new flow go to a service.
+
+        It may as long as the routes or the service are unknown. An agent
+        accepts no new flow of an unknown service.
+
+        :param service_id: id of the service, or
+            :data:`~limpetlift.protocol.tunnel.NO_SERVICE`.
+        """
+        if not self.routes.version or service_id == tunnel.NO_SERVICE:
+            return True
+        route = self._route(key)
+        return route is not None and route.leads_to(service_id)
+
     def _place_unknown(self, now, segment):
         """Place a flow that this balancer does not know.
 
@@ -459,7 +505,7 @@
             return [
                 steps.LogEvent("routes_unknown", key, {"copy": segment.ack})
             ]
-        route = self.routes.routes_by_address.get(segments.service_of(key))
+        route = self._route(key)
         if self._has_caller_given_up(now, flow):
             return self._drop_outdated(key)
         if route is None and self._are_routes_outdated(now):
@@ -476,7 +522,7 @@
         if route is None:
             return self._refuse(segment, "no_route")
         if flow.busy_count >= defaults.MAX_BUSY_TRIES:
-            return self._defer(now, segment, "overloaded", flow, route)
+            return self._defer(now, segment, "overloaded", flow)
         poll = polling.Poll(
             segment,
             flow,
@@ -527,7 +573,7 @@
                 return result + self._assign(now, poll, *admitted)
             if available:
                 return result + self._defer(
-                    now, poll.segment, "overloaded", poll.flow, poll.route
+                    now, poll.segment, "overloaded", poll.flow
                 )
             if len(poll.services) == 1:
                 break
@@ -535,10 +581,10 @@
             poll.start_service(self._candidates_in_order(poll))
         if poll.flow.may_recover or poll.remaining:
             return result + self._defer(
-                now, poll.segment, "no_agent", poll.flow, poll.route
+                now, poll.segment, "no_agent", poll.flow
             )
         return result + self._refuse(
-            poll.segment, "no_agent", len(poll.flow.tried), poll.route
+            poll.segment, "no_agent", len(poll.flow.tried)
         )
 
     def _assign(self, now, poll, chosen, max_wait_s):
@@ -613,7 +659,7 @@
 
         The agents at which the flow would be placed come first.
         """
-        route = self.routes.routes_by_address.get(segments.service_of(key))
+        route = self._route(key)
         if route is None:
             return []
         services = {weighted.service for weighted in route.weighted_services}
@@ -640,22 +686,7 @@
             load.run_ms / 1000 if load else 0.0,
         )
 
-    def _unplaced_fields(self, segment, reason, declined, route):
-        """Return the log fields of a new flow that is not placed.
-
-        :param route: the route of the flow, or None.
-        """
-        services = _services_of(route, segment.key) if route else []
-        return {
-            "reason": reason,
-            "copy": segment.ack,
-            "declined": declined,
-            "routes": self.routes.version,
-            "service": services[0] if services else "",
-            "known": len(self.agents.of_services(services)),
-        }
-
-    def _defer(self, now, segment, reason, flow, route):
+    def _defer(self, now, segment, reason, flow):
         """Postpone a new flow until the next copy of its first segment.
 
         The caller sends copies after fixed delays if it gets no answer. After
@@ -664,7 +695,6 @@
         placed.
 
         :param reason: the reason, for the log and the reset.
-        :param route: the route of the flow.
         """
         key = segment.key
         self.flows_by_key.pop(key, None)
@@ -675,17 +705,15 @@
         if len(flow.tried) == flow.busy_count:
             # All agents tried were busy, so no server received this copy.
             deferral.copies.add(segment.ack)
-        log_event = steps.LogEvent(
-            "flow_deferred",
-            key,
-            self._unplaced_fields(segment, reason, len(flow.tried), route),
+        log_event = self._not_placed(
+            "flow_deferred", segment, reason, len(flow.tried)
         )
         if len(deferral.copies) <= defaults.LAST_COPY_NUMBER:
             return [log_event]
         del self._deferrals_by_key[key]
         return [steps.Reset(key, 0, reason), log_event]
 
-    def _refuse(self, segment, reason, declined=0, route=None):
+    def _refuse(self, segment, reason, declined=0):
         """Refuse a new flow with a reset.
 
         A copy is dropped without a reset, because the first segment may have
@@ -693,18 +721,34 @@
 
         :param reason: the reason, for the log and the reset.
         :param declined: number of agents that declined the flow.
-        :param route: the route of the flow, or None.
         """
         key = segment.key
         self.flows_by_key.pop(key, None)
-        log_event = steps.LogEvent(
-            "flow_refused" if not segment.ack else "copy_dropped",
-            key,
-            self._unplaced_fields(segment, reason, declined, route),
-        )
         if segment.ack:
-            return [log_event]
-        return [steps.Reset(key, 0, reason), log_event]
+            return [
+                self._not_placed("copy_dropped", segment, reason, declined)
+            ]
+        return [
+            steps.Reset(key, 0, reason),
+            self._not_placed("flow_refused", segment, reason, declined),
+        ]
+
+    def _not_placed(self, event, segment, reason, declined=0):
+        """Return the step that logs why a first segment is not forwarded."""
+        route = self._route(segment.key)
+        services = _services_of(route, segment.key) if route else []
+        return steps.LogEvent(
+            event,
+            segment.key,
+            {
+                "reason": reason,
+                "copy": segment.ack,
+                "declined": declined,
+                "routes": self.routes.version,
+                "service": services[0] if services else "",
+                "known": len(self.agents.of_services(services)),
+            },
+        )
 
     def _search(self, now, segment, excluded=()):
         """Search for the flow of a segment at the agents.
@@ -906,6 +950,11 @@
     def _learn(self, now, record):
         """Add a flow from its record; forward what waited for it here."""
         key = record.key
+        poll = self._polls.end(key)
+        if poll is not None and not self._may_open(key, record.service):
+            # The record is from before a change of the route.
+            self._polls.add(poll)
+            return []
         flow = self.flows_by_key[key] = _Flow(
             record.address,
             now,
@@ -913,7 +962,6 @@
             not record.is_placed,
         )
         result = []
-        poll = self._polls.end(key)
         if poll is not None:
             # Another balancer has placed the flow in the meantime.
             result += [
