Name the process that left in its leave

A balancer reset flows that a running agent's server held. The leave of an earlier agent at the same address came late, from its grace time or from a full link: the later agent counted as one without flows, which completed the proof, and counted as gone once the store had taken its entry away.

Cause: a leave named its process by the address alone. It carries the incarnation now, as load reports do, and is ignored when the agent known at the address has reported another one. A leave without it, of the version before, counts as before; so does one when no report of the address is known.

Cost: a leave is ignored where the last report known is that of an earlier process at the address. Searches then wait there for the removal of the entry.

Evidence: the two new tests, with a leave as encoded before, failed with the reset flow_lost and with the agent among those gone; they pass now. The tests that compare leaves name the incarnation.

--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -80,6 +80,7 @@
 _LOAD_REPORT = struct.Struct("!QIBBHHHH8s")
 _RECORD = struct.Struct("!12s4sHB8s")
 _KEY = struct.Struct("!12s")
+_AGENT_LEFT = struct.Struct("!Q")
 _QUERY = struct.Struct("!12sI")
 _VERDICT = struct.Struct("!12sB")
 _STORE_CHANGES = struct.Struct("!BQQ")
@@ -389,11 +390,18 @@
     """Message of an agent that stops after its backend server has ended.
 
     The server holds no flow any more.
+
+    :param incarnation: start time of the agent in Unix milliseconds, as in its
+        load reports; 0 from an agent of an earlier version.
     """
 
+    incarnation: int = 0
+
     def encode(self):
         """Return the datagram."""
-        return _HEADER.pack(_VERSION, AGENT_LEFT)
+        return _HEADER.pack(_VERSION, AGENT_LEFT) + _AGENT_LEFT.pack(
+            self.incarnation
+        )
 
 
 @structs.frozen
@@ -676,5 +684,7 @@
 
 
 @registry.register(decoders_by_kind, AGENT_LEFT)
-def _decode_agent_left(_body):
-    return AgentLeft()
+def _decode_agent_left(body):
+    if not body:
+        return AgentLeft()
+    return AgentLeft(*_AGENT_LEFT.unpack_from(body))
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -315,7 +315,7 @@
             if flow.balancer
         )
         return [
-            steps.SendToPeer(address, tunnel.AgentLeft())
+            steps.SendToPeer(address, tunnel.AgentLeft(self.incarnation))
             for address in sorted(addresses)
         ] + [
             steps.LogEvent(
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -877,13 +877,20 @@
         return self.searches.on_absent(now, address, not_held.key)
 
     @registry.register(_handlers_by_type, tunnel.AgentLeft)
-    def _on_agent_left(self, now, address, _left):
+    def _on_agent_left(self, now, address, left):
         agent = self.agents.by_address.get(address)
         if agent is None:
             return []
         if self._is_catching_up:
             # A later process may have started there during the pause.
             return [agent.event("agent_left_outdated")]
+        if (
+            left.incarnation
+            and agent.load is not None
+            and agent.load.incarnation != left.incarnation
+        ):
+            # Another process has reported from there.
+            return [agent.event("agent_left_outdated")]
         agent.has_left = True
         self._delete_flows_at(address)
         result = [agent.event("agent_left")]
--- a/tests/decoderfuzz.py
+++ b/tests/decoderfuzz.py
@@ -91,7 +91,7 @@
         tunnel.FlowRecordsRequest(),
         tunnel.RecordsQuery([_KEY] * 3),
         tunnel.KeptRecords([tunnel.FlowRecord(_KEY, _ADDRESS)] * 2),
-        tunnel.AgentLeft(),
+        tunnel.AgentLeft(7),
         tunnel.UnlistedAgentsRequest(),
         tunnel.UnlistedAgents(
             True,
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -423,7 +423,7 @@
     assert agent.has_server_ended(late)
     agent.on_message(0.1, _BALANCER, tunnel.Hello())
     assert kit.messages(agent.leave(), tunnel.AgentLeft) == [
-        (_BALANCER, tunnel.AgentLeft())
+        (_BALANCER, tunnel.AgentLeft(agent.incarnation))
     ]
 
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1236,3 +1236,48 @@
     }
     assert set(joined) == {"agent-9", "agent-3"}
     assert "replaced" not in joined["agent-3"]
+
+
+def _replaced(balancer, incarnation=2):
+    """Let a later process of the same service register for agent 2.
+
+    It has the address of the earlier one and has told its load.
+    """
+    later = attrs.evolve(kit.agent(2), process_id="agent-9", revision=9)
+    balancer.on_entries(4.0, [kit.agent(1), later], [])
+    balancer.on_message(4.0, later.address, kit.load(incarnation=incarnation))
+    return later
+
+
+def _earlier_left():
+    """Return the leave of the process that agent 2 was at first."""
+    return tunnel.decode(tunnel.AgentLeft(1).encode())
+
+
+def test_a_late_leave_does_not_prove_flows_of_a_later_process_lost():
+    """A live flow must not be reset on the word of an earlier process.
+
+    The leave of a lost agent was still on its way, or its process still in
+    its grace time, when the later one had its address.
+    """
+    balancer = _balancer()
+    later = _replaced(balancer)
+    balancer.on_segment(5.0, kit.caller_segment(1, kit.ACK, ack=5))
+    _deny(balancer, 5.01, 1)
+    result = balancer.on_message(5.02, later.address, _earlier_left())
+    result += balancer.on_directory_read(5.04, 5.03)
+    assert not kit.resets(result)
+
+
+def test_a_late_leave_does_not_count_a_later_process_as_gone():
+    """An agent must not count as gone because an earlier one left late.
+
+    Nothing but a newer entry or a restart ended that. When the store took
+    the entry of the later process away, its flows were reset as lost.
+    """
+    balancer = _balancer()
+    later = _replaced(balancer)
+    balancer.on_message(5.0, later.address, _earlier_left())
+    balancer.on_message(5.1, later.address, kit.load(2, incarnation=2))
+    balancer.on_entries(6.0, [kit.agent(1), later], [], {later.process_id})
+    assert later.address not in balancer.agents.gone()
