Take from the record of a confirmed flow that it is open

A copy of the first segment reached a second server although an agent had confirmed that its server holds the flow: the balancer that had placed the flow took the agent's address from the record, but still counted the flow as not open, and placed the copy anew, as the record names no service.

Cause: _on_flow_records changed the address of a known flow only. A record of a flow that is not just placed opens it now, as it does for an unknown flow.

Evidence: the new test failed with a first segment at a third agent.

--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -952,6 +952,7 @@
                 if known.address != record.address:
                     known.known_at = now
                 known.address = record.address
+                known.is_open = known.is_open or not record.is_placed
         return result
 
     def _learn(self, now, record):
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1281,3 +1281,27 @@
     balancer.on_message(5.1, later.address, kit.load(2, incarnation=2))
     balancer.on_entries(6.0, [kit.agent(1), later], [], {later.process_id})
     assert later.address not in balancer.agents.gone()
+
+
+def test_a_flow_that_an_agent_has_confirmed_is_not_placed_again():
+    """A copy of the first segment must not reach a second server.
+
+    Another balancer had found the flow by a search. The balancer that had
+    placed it took the agent from the record, but not that the flow is open.
+    """
+    balancer = _balancer(agents=3)
+    result = balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    ((placed, _),) = _forwards(result)
+    holder = next(
+        address for address in balancer.agents.by_address if address != placed
+    )
+    record = tunnel.FlowRecord(kit.key_of(1), holder)
+    balancer.on_message(
+        0.1, kit.balancer(2).address, tunnel.FlowRecords([record])
+    )
+    result = balancer.on_segment(0.2, kit.caller_segment(1, kit.SYN, ack=1))
+    result += _answer(balancer, 0.2, list(balancer.agents.by_address))
+    result += balancer.tick(0.3)
+    assert {address for address, _ in _forwards(result)} <= {holder}
+    flow = balancer.flows_by_key[kit.key_of(1)]
+    assert flow.is_open and flow.address == holder
