Compare the start in a server's notice that it leaves

The late notice of an earlier start of a server ended the one that runs under the same id: the agent declined flows until the next report, and reset the open ones when it was stopped before that.

Cause: the body of the notice, which contains the start time like all that a server says of itself, was not read. A notice of another start is ignored now. One without a start time counts as before.

--- a/src/limpetlift/platform/documents.py
+++ b/src/limpetlift/platform/documents.py
@@ -99,6 +99,24 @@
         ) from None
 
 
+def decode_leave(body):
+    """Return the start time in the notice of a server that it leaves.
+
+    :param body: body of the HTTP request, as JSON bytes; may be empty.
+    :returns: Unix milliseconds, or 0 when the notice does not contain it.
+    :raises MalformedMessage: when the body is neither empty nor a JSON object,
+        or the field has another type.
+    """
+    if not body:
+        return 0
+    try:
+        return _typed_field(json.loads(body), "born", int, 0)
+    except _ERRORS as error:
+        raise exceptions.MalformedMessage(
+            "cannot decode the notice of a backend server: %r" % error
+        ) from None
+
+
 def _typed_field(fields, name, kind, default=None):
     value = fields.get(name, default)
     # bool is a subclass of int.
--- a/src/limpetlift/platform/web.py
+++ b/src/limpetlift/platform/web.py
@@ -18,7 +18,8 @@
     :param reactor: the event loop.
     :param address: ``(ip, port)``.
     :param process: an object with ``is_ready()`` and ``metrics()``; an agent
-        also has ``on_report(report)`` and ``on_leave(server_id)``.
+        also has ``on_report(report)`` and
+        ``on_leave(server_id, started_ms)``.
     :returns: a :class:`~limpetlift.transport.http1.Server`.
     """
 
@@ -41,7 +42,7 @@
 def _handle_report(process, server_id, action, body):
     try:
         if action == "leave":
-            process.on_leave(server_id)
+            process.on_leave(server_id, documents.decode_leave(body))
         else:
             process.on_report(documents.decode_report(server_id, body))
     except exceptions.ProtocolError as error:
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -245,11 +245,22 @@
             and report.number > older_report.number
         )
 
-    def on_leave(self, now, server_id):
-        """Handle the server's message that it is leaving."""
-        if self.report is None or self.report.server_id != server_id:
+    def on_leave(self, now, server_id, started_ms=0):
+        """Handle the server's message that it is leaving.
+
+        :param started_ms: start time of the server, as in its reports; 0 when
+            the message does not contain it.
+        """
+        if (
+            self.report is None
+            or self.report.server_id != server_id
+            or (started_ms and started_ms != self.report.started_ms)
+        ):
             return [
-                steps.LogEvent("leave_ignored", fields={"server": server_id})
+                steps.LogEvent(
+                    "leave_ignored",
+                    fields={"server": server_id, "started_ms": started_ms},
+                )
             ]
         if self.report.state == reports.GONE:
             return []
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -118,9 +118,14 @@
         if "server" in changed:
             self.decisions.unverify_server()
 
-    def on_leave(self, server_id):
-        """Handle the backend server's notice that it shuts down now."""
-        self.perform(self.decisions.on_leave(clock.now(), server_id))
+    def on_leave(self, server_id, started_ms=0):
+        """Handle the backend server's notice that it shuts down now.
+
+        :param started_ms: start time of the server; 0 when it is not known.
+        """
+        self.perform(
+            self.decisions.on_leave(clock.now(), server_id, started_ms)
+        )
 
     def perform(self, next_steps):
         """Carry out the steps of a decision."""
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -8,12 +8,18 @@
 import segmentkit as kit
 
 from limpetlift import defaults
+
+
+
+from limpetlift import exceptions
+from limpetlift.platform import web
 from limpetlift.protocol import hashing
 from limpetlift.protocol import tunnel
 from limpetlift.state import hosting
 from limpetlift.state import reports
 from limpetlift.state import steps
 from limpetlift.tasks import segmentagent
+from limpetlift.transport import http1
 
 _BALANCER = ("10.9.0.1", 80)
 _OTHER_BALANCER = ("10.9.0.2", 80)
@@ -1139,3 +1145,40 @@
     agent.on_pause(5.0, 3.0)
     result = _forward(agent, 5.0, 1, kit.SYN)
     assert _declined_reasons(result) == ["paused"]
+
+
+    process._reload()
+    assert process.settings.service == "desk"
+    assert process.settings.server == ("10.0.0.1", 90)
+    assert addresses == ["10.0.0.8:80"]
+    process._reload()
+    process.reactor.close()
+    assert addresses == ["10.0.0.8:80"]
+
+
+def _leave(process, body):
+    """Let a server send its notice to an agent process over HTTP."""
+    handlers = []
+    http_server = http1.Server
+    try:
+        http1.Server = lambda _reactor, _address, handle: handlers.append(
+            handle
+        )
+        web.serve(None, None, process)
+    finally:
+        http1.Server = http_server
+    return handlers[0]("POST", "/-/instances/s-1/leave", body)
+
+
+def test_a_late_notice_of_an_earlier_start_does_not_end_the_server():
+    """The notice that a server leaves must not stand for a later start.
+
+    A server may start again under its id. The agent declined its flows, and
+    reset the open ones when it was stopped then.
+    """
+    agent = _agent()
+    _open_flow(agent, 0.0, 1)
+    process = _agent_process(agent)
+    _leave(process, b'{"born": 900, "service": "desk"}')
+    assert agent.report.state == reports.READY
+    assert not kit.resets(agent.stop(1.1))
