Ignore reports of a server's start that was said to end

A report that was delayed until after the server's notice that it leaves made the agent accept flows for a server that had ended.

Cause: only the number of a report was compared. Nothing that a start sends after its notice counts now. A notice without a start time does not have this effect, as it may be that of an earlier start.

Evidence: the new test failed with a first segment sent to the server.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -74,6 +74,8 @@
     _last_served_at: float = float("-inf")
     # The last report of a start that looks older than that of ``report``.
     _older_report: object = None
+    # ``(server_id, started_ms)`` of the last start that was said to end.
+    _ended: object = None
     # Consecutive new flows that the server did not answer.
     _unanswered_flows: int = 0
     # Consecutive tentative flows that the server neither accepted nor
@@ -231,6 +233,8 @@
         enough, because it may be a delayed one of an earlier server.
         """
         known_report = self.report
+        if (report.server_id, report.started_ms) == self._ended:
+            return False
         if reports.is_same_incarnation(report, known_report):
             return report.number > known_report.number
         if report.started_ms > known_report.started_ms:
@@ -266,6 +270,8 @@
             return []
         self.report = attrs.evolve(self.report, state=reports.GONE)
         self._verified_until = float("-inf")
+        if started_ms:
+            self._ended = (server_id, started_ms)
         return [
             steps.LogEvent(
                 "server_state",
