Detect a pause before the result of a probe is judged

The refusal of a probe could be the first event after a pause. The server's silence was then counted through the pause, although its segments were waiting in the socket, and all flows were reset as those of an absent server.

Cause: _on_probed took the time without looking for a pause.

Evidence: the new test failed with the reset server_gone.

--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -169,7 +169,7 @@
             steps.LogEvent("server_probed", fields={"outcome": outcome})
         )
         if outcome == probing.REFUSED:
-            self.perform(self.decisions.on_server_absent(clock.now()))
+            self.perform(self.decisions.on_server_absent(self.observe()))
 
     def _send_caller(self, key, data):
         ip, _ = segments.caller_of(key)
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -18,6 +18,7 @@
 from limpetlift.state import reports
 from limpetlift.state import steps
 from limpetlift.tasks import segmentagent
+from limpetlift.transport import probing
 from limpetlift.transport import http1
 
 _BALANCER = ("10.9.0.1", 80)
@@ -1198,3 +1199,20 @@
     agent.on_report(1.2, _report(2))
     result = _forward(agent, 1.3, 1, kit.SYN)
     assert steps.SendToServer not in kit.step_types(result)
+
+
+def test_a_probe_that_waited_through_a_pause_proves_nothing():
+    """The silence of a server counts only while its agent runs.
+
+    The result of a probe may be the first event after a pause. A health port
+    may refuse a connection while its server is alive.
+    """
+    agent = _agent()
+    _open_flow(agent, 0.0, 1)
+    process = _agent_process(agent)
+    process.observe = lambda: agent.on_pause(9.0, 8.0) or 9.0
+    process.log_event = lambda _step: None
+    performed = []
+    process.perform = performed.extend
+    process._on_probed(probing.REFUSED)
+    assert not kit.resets(performed)
