Ignore unknown entries in reads older than an expired one

An agent whose entry had been removed came back for good when an older read of the store was answered late, or waited through a pause of the balancer. As the watch had passed the removal, searches of this balancer waited for the agent, and flows were placed there when all others of the service were silent.

Cause: the revision of a removal is forgotten when the entry expires. The latest one is kept now, and a read from before it adds no unknown entry.

Evidence: the new test failed with the agent in the directory.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -134,6 +134,9 @@
     _tracked_by_key: dict = attrs.field(factory=dict)
     _store_reachable_since: float = float("-inf")
     _is_store_unreachable: bool = False
+    # The latest revision of an entry that expired. All changes up to it have
+    # been reported.
+    _expired_revision: int = 0
     # Error messages of entries that could not be decoded. The caller removes
     # those that it has logged.
     unreadable_by_key: dict = attrs.field(factory=dict)
@@ -150,7 +153,12 @@
         self.on_reachable(now)
         present_keys = {entry.key for entry in snapshot}
         for entry in snapshot:
-            self._put(now, entry)
+            # An unknown entry in an outdated read was removed since.
+            if (
+                revision >= self._expired_revision
+                or entry.key in self._tracked_by_key
+            ):
+                self._put(now, entry)
         for key in set(self._tracked_by_key) - present_keys:
             if self._tracked_by_key[key].revision <= revision:
                 self._remove(now, key)
@@ -240,7 +248,10 @@
             and not (tracked.kept_by_reports and is_reporting(tracked.entry))
         ]
         for key in expired_keys:
-            del self._tracked_by_key[key]
+            tracked = self._tracked_by_key.pop(key)
+            self._expired_revision = max(
+                self._expired_revision, tracked.revision
+            )
         return bool(expired_keys)
 
     def is_listed(self, key):
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -229,3 +229,18 @@
     assert agents_directory.unlisted() == {"agent-2"}
     assert agents_directory.expire(20.0, _never_reporting)
     assert _agent_ids(agents_directory) == ["agent-1"]
+
+
+def test_an_older_read_does_not_bring_back_an_entry_that_expired():
+    """A removed entry must not come back from a read that began before.
+
+    The read was answered late, or waited through a pause of the balancer.
+    The watch has passed the removal, so the agent stayed for good: searches
+    waited for it, and flows were placed there when all others were silent.
+    """
+    agents_directory = directory.Directory()
+    agents_directory.on_snapshot(0.0, [_store_entry(1, 5)], 5)
+    agents_directory.on_changes(10.0, [_removed(1, 8)])
+    assert agents_directory.expire(12.1, _never_reporting)
+    agents_directory.on_snapshot(12.2, [_store_entry(1, 5)], 7)
+    assert not _agent_ids(agents_directory)
