Test first segments that pass for those of another flow

An agent delivers a first segment unchecked when it knows the flow's key: from a later segment that it tries at its server, or from a flow that has closed. A balancer sends one to the agent of an earlier flow between the same ports, without a look at the routes, and drops it when that agent declines it. It also counts the age of a flow from the last copy, and of one that it does not know from the moment an agent declines it.

These tests, and that of a server which another service's replaces beside a running agent, fail on this code.

--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1216,3 +1216,57 @@
     process.perform = performed.extend
     process._on_probed(probing.REFUSED)
     assert not kit.resets(performed)
+
+
+@pytest.mark.parametrize("state", ["other_service", "draining", "stopping"])
+def test_a_first_segment_of_a_tentative_flow_is_declined(state):
+    """A first segment must not pass because a later segment came before it.
+
+    An agent that does not know all flows tries the later segment at its
+    server. The flow was then taken for the server's, and the first segment
+    was delivered whatever its service and the state of the server.
+    """
+    agent = _agent(knows_all_flows=False)
+    service = hashing.service_id(
+        "maps" if state == "other_service" else "desk"
+    )
+    data = kit.datagram(1, kit.ACK, ack=900, payload=b"book")
+    agent.on_message(0.1, _BALANCER, tunnel.Forward(service, data))
+    if state == "draining":
+        agent.on_report(0.2, _report(2, reports.DRAINING))
+    if state == "stopping":
+        agent.stop(0.2)
+    data = kit.datagram(1, kit.SYN, ack=1)
+    result = agent.on_message(0.3, _BALANCER, tunnel.Forward(service, data))
+    assert steps.SendToServer not in kit.step_types(result)
+
+
+def test_a_new_flow_between_the_ports_of_a_closed_one_is_checked():
+    """A draining server must not get a flow for its ports' earlier flow.
+
+    The agent keeps a closed flow for 3 s, and took a first segment with
+    another sequence number for a copy of the closed flow's.
+    """
+    agent = _agent()
+    _open_flow(agent, 0.0, 1)
+    _forward(agent, 0.1, 1, kit.ACK | kit.FIN, sequence=1, ack=501)
+    agent.on_server_segment(
+        0.1, kit.server_segment(1, kit.ACK | kit.FIN, sequence=501)
+    )
+    agent.on_report(0.2, _report(2, reports.DRAINING))
+    result = _forward(agent, 0.3, 1, kit.SYN, sequence=77_000)
+    assert steps.SendToServer not in kit.step_types(result)
+
+
+def test_a_server_of_another_service_ends_the_earlier_one():
+    """A first segment must not run at another service's server.
+
+    The server that reported was replaced at its address by one of another
+    service, while the agent ran on. Its last report stayed in force.
+    """
+    agent = _agent()
+    process = _agent_process(agent)
+    with contextlib.suppress(exceptions.MalformedMessage):
+        process.on_report(attrs.evolve(_report(), service="maps"))
+    result = _forward(agent, 1.1, 1, kit.SYN)
+    assert steps.SendToServer not in kit.step_types(result)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1305,3 +1305,69 @@
     assert {address for address, _ in _forwards(result)} <= {holder}
     flow = balancer.flows_by_key[kit.key_of(1)]
     assert flow.is_open and flow.address == holder
+
+
+@pytest.mark.parametrize("is_routed", [True, False])
+def test_a_new_flow_between_the_same_ports_follows_the_routes(is_routed):
+    """The record of an earlier flow must not decide about a later one.
+
+    The route's service changed, or the route was removed, between them. The
+    first segment went to the agent of the earlier flow, without a route.
+    """
+    balancer = _balancer(agents=1)
+    balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN, sequence=9))
+    balancer.on_segment(0.1, kit.caller_segment(1, kit.ACK, ack=5))
+    table = kit.routes(2, service="maps")
+    if not is_routed:
+        table.routes_by_address.clear()
+    balancer.on_routes(5.0, table)
+    balancer.on_entries(5.0, [kit.agent(1), kit.agent(3, "maps")], [])
+    result = balancer.on_segment(
+        9.0, kit.caller_segment(1, kit.SYN, sequence=77_000)
+    )
+    assert hashing.service_id("desk") not in _services(result)
+    assert is_routed or kit.resets(result)
+
+
+@pytest.mark.parametrize("is_open", [True, False])
+def test_an_agent_of_another_service_does_not_end_a_flow_silently(is_open):
+    """A flow that an agent declines as another service's is placed again.
+
+    It was dropped without a word if an earlier flow between the same ports
+    had been open, so that its caller timed out.
+    """
+    balancer = _balancer()
+    result = balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    ((address, _),) = _forwards(result)
+    if is_open:
+        balancer.on_segment(0.1, kit.caller_segment(1, kit.ACK, ack=5))
+    balancer.on_segment(5.0, kit.caller_segment(1, kit.SYN, sequence=77_000))
+    declined = tunnel.Declined(
+        "other_service", kit.datagram(1, kit.SYN, sequence=77_000)
+    )
+    result = balancer.on_message(5.01, address, declined)
+    result += _answer(balancer, 5.02, list(balancer.agents.by_address))
+    assert [to for to, _ in _forwards(result)] not in ([], [address])
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+def test_a_copy_does_not_make_its_flow_younger(is_known):
+    """A first segment must not reach a server after its caller gave up.
+
+    The caller gives up 1.4 s after the first copy. The age of its flow was
+    counted from the last copy, or from the moment an agent declined it.
+    """
+    balancer = _balancer(agents=4)
+    result = balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    ((address, _),) = _forwards(result)
+    _answer(balancer, 0.6, list(balancer.agents.by_address))
+    balancer.on_segment(0.6, kit.caller_segment(1, kit.SYN, ack=2))
+    if not is_known:
+        balancer.flows_by_key.clear()
+    declined = tunnel.Declined(
+        "server_silent", kit.datagram(1, kit.SYN, ack=2)
+    )
+    result = balancer.on_message(2.0, address, declined)
+    result += _answer(balancer, 2.01, list(balancer.agents.by_address))
+    result += balancer.tick(2.1)
+    assert not _forwards(result)
