Let open flows show that the server still runs

Another server at the address does not go on with a flow that it does not hold, so a segment that continues an open flow verifies the server like a report.

--- a/src/limpetlift/state/hostedflows.py
+++ b/src/limpetlift/state/hostedflows.py
@@ -136,6 +136,27 @@
             sent + _NUMBERS_BESIDES_PAYLOAD
         )
 
+    def is_continued_by(self, segment):
+        """Whether a segment shows that the server of this flow still runs.
+
+        Another server at its address does not hold the flow, and returns or
+        resets what comes for it.
+        """
+        if (
+            not self.is_known_from_start
+            or self.server_initial_sequence is None
+            or segment.is_syn
+            or segment.is_reset
+        ):
+            return False
+        behind = (
+            self.server_next_sequence - segment.sequence
+        ) & _SEQUENCE_MASK
+        sent = (
+            self.server_next_sequence - self.server_initial_sequence
+        ) & _SEQUENCE_MASK
+        return behind <= sent
+
     def belongs_to_other_server(self, segment):
         """Whether a caller's segment continues a flow of another server.
 
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -156,7 +156,7 @@
         self._unanswered_tentative_flows = 0
         self._older_report = None
         if not self._is_catching_up:
-            self._verified_until = now + self._verification_s
+            self._verify_server(now + self._verification_s)
         self._warmed_up_at = now + report.warmup_remaining_s
         # After a report the server is sent one more new flow, which shows
         # whether it answers.
@@ -186,6 +186,10 @@
             )
         return result
 
+    def _verify_server(self, until):
+        """Rely on the server at the address until a time."""
+        self._verified_until = max(self._verified_until, until)
+
     def unverify_server(self):
         """Accept no flows until the next report.
 
@@ -735,6 +739,8 @@
                 for balancer in flow.searched_by | {flow.balancer}
             ]
         if flow is not None:
+            if flow.is_continued_by(segment) and not self._is_catching_up:
+                self._verify_server(now + self.address_reuse_s)
             result += self._update_from_server(now, flow, segment)
         return result + [steps.SendToCaller(segment.key, segment.data)]
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1255,3 +1255,39 @@
     agent.on_report(0.2, _report(2, reports.DRAINING))
     result = _forward(agent, 0.3, 1, kit.SYN, sequence=77_000)
     assert steps.SendToServer not in kit.step_types(result)
+
+
+def test_an_open_flow_shows_that_the_server_still_runs():
+    """After a pause the next report may be a whole interval away.
+
+    Another server at the address would not go on with an open flow.
+    """
+    agent = _agent()
+    _open_flow(agent, 0.0, 1, sequence=500)
+    agent.on_pause(5.0, 4.9)
+    waiting = kit.server_segment(1, kit.ACK, sequence=501, payload=b"a")
+    agent.on_server_segment(5.0, waiting)
+    agent.on_caught_up()
+    assert not _is_delivered(_forward(agent, 5.01, 2, kit.SYN))
+    agent.on_server_segment(5.02, waiting)
+    assert _is_delivered(_forward(agent, 5.03, 3, kit.SYN))
+    assert not _is_delivered(_forward(agent, 5.02 + _REUSE_S, 4, kit.SYN))
+
+
+@pytest.mark.parametrize(
+    "segment",
+    [
+        kit.server_segment(1, kit.SYN | kit.ACK, sequence=500),
+        kit.server_segment(1, kit.RST, sequence=501),
+        kit.server_segment(1, kit.ACK, sequence=9_000_000, payload=b"a"),
+        kit.server_segment(1, kit.ACK, sequence=400, payload=b"a"),
+        kit.server_segment(2, kit.ACK, sequence=501, payload=b"a"),
+        kit.returned_segment(1, kit.ACK, ack=501),
+    ],
+)
+def test_what_another_server_may_send_verifies_nothing(segment):
+    """It may accept a copy, reset, return, or hold flows of its own."""
+    agent = _agent()
+    _open_flow(agent, 0.0, 1, sequence=500)
+    agent.on_server_segment(_REUSE_S + 0.1, segment)
+    assert not _is_delivered(_forward(agent, _REUSE_S + 0.2, 3, kit.SYN))
