Defer new flows while an agent waits for its server's next report

After a pause, or right after its start, an agent accepts no flows until its server reports, within 1.5 report intervals. When all agents of a service wait so, balancers refused new flows at once, and callers used up their tries within milliseconds. A load report now says that the agent is recovering, and the flow is left to the caller's copies. A server that is late otherwise, or drains, is refused at once as before.

--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -84,6 +84,9 @@
 _QUERY = struct.Struct("!12sI")
 _VERDICT = struct.Struct("!12sB")
 _STORE_CHANGES = struct.Struct("!BQQ")
+# Flags of a load report.
+_ACCEPTING = 1
+_RECOVERING = 2
 # Whether the sender is complete, and the number of agents.
 _UNLISTED_AGENTS = struct.Struct("!BH")
 # Revision, length of the key and length of the value.
@@ -217,6 +220,8 @@
         have to wait for a slot; 0 when it is not known.
     :param service: :func:`~limpetlift.protocol.hashing.service_id` of the
         agent's service.
+    :param is_recovering: whether the agent accepts no flows now, but most
+        likely will before callers have sent all copies of a first segment.
     """
 
     incarnation: int
@@ -228,13 +233,14 @@
     flows: int
     run_ms: int
     service: bytes
+    is_recovering: bool = False
 
     def encode(self):
         """Return the datagram."""
         return _HEADER.pack(_VERSION, LOAD_REPORT) + _LOAD_REPORT.pack(
             self.incarnation,
             self.number,
-            self.accepting,
+            _ACCEPTING * self.accepting | _RECOVERING * self.is_recovering,
             self.is_warming,
             min(self.slots, 0xFFFF),
             min(self.busy, 0xFFFF),
@@ -571,9 +577,14 @@
 
 @registry.register(decoders_by_kind, LOAD_REPORT)
 def _decode_load_report(body):
-    incarnation, number, accepting, warming, *rest = _LOAD_REPORT.unpack(body)
+    incarnation, number, flags, warming, *rest = _LOAD_REPORT.unpack(body)
     return LoadReport(
-        incarnation, number, bool(accepting), bool(warming), *rest
+        incarnation,
+        number,
+        bool(flags & _ACCEPTING),
+        bool(warming),
+        *rest,
+        is_recovering=bool(flags & _RECOVERING),
     )
 
 
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -20,6 +20,9 @@
 
 _handlers_by_type = {}
 
+# Reasons to decline new flows that end with the server's next report.
+_RECOVERING_REASONS = frozenset(("server_unknown", "server_unverified"))
+
 # Number of the first report after a server's start.
 _FIRST_REPORT_NUMBER = 1
 
@@ -72,6 +75,9 @@
     # show that it serves: a server that has left still returns, resets and
     # acknowledges segments for a while.
     _last_served_at: float = float("-inf")
+    # When the next report of a running server has come, counted from the start
+    # of this agent or from the end of its last pause.
+    _report_due_at: float = float("-inf")
     # The last report of a start that looks older than that of ``report``.
     _older_report: object = None
     # ``(server_id, started_ms)`` of the last start that was said to end.
@@ -107,6 +113,7 @@
         :param pause_s: how long the process did not run, in seconds.
         """
         self._is_catching_up = True
+        self._report_due_at = now + self._report_wait_s
         # The server's silence counts only while the agent itself runs.
         self._last_heard_at = self._last_served_at = now
         self.flows.extend_answer_times(now + defaults.SERVER_ANSWER_TIMEOUT_S)
@@ -205,10 +212,12 @@
         Where reports are rarer than addresses are used again, an agent has to
         rely on each one until the next is late.
         """
-        return max(
-            self.address_reuse_s,
-            self.report_interval_s * defaults.REPORT_LATE_INTERVALS,
-        )
+        return max(self.address_reuse_s, self._report_wait_s)
+
+    @property
+    def _report_wait_s(self):
+        """The time in which a running server certainly reports."""
+        return self.report_interval_s * defaults.REPORT_LATE_INTERVALS
 
     def _is_verified(self, now):
         """Whether the server at the address is the one that reported.
@@ -606,6 +615,12 @@
         """Whether new flows of the own service are accepted."""
         return not self.decline_reason(now, self._service_id)
 
+    def _is_recovering(self, now):
+        """Whether new flows are declined only until the report that is due."""
+        return now < self._report_due_at and (
+            self.decline_reason(now, self._service_id) in _RECOVERING_REASONS
+        )
+
     def _is_full(self):
         return self.flows.open_count >= defaults.MAX_FLOWS_PER_SERVER
 
@@ -801,6 +816,7 @@
         """Run the timers that are due."""
         if self._started_at is None:
             self._started_at = now
+            self._report_due_at = now + self._report_wait_s
             # The server's silence counts from the start of this agent.
             self._last_heard_at = max(self._last_heard_at, now)
             self._last_served_at = max(self._last_served_at, now)
@@ -915,6 +931,7 @@
             self.flows.open_count,
             round(self._mean_run_s * 1000),
             self._service_id,
+            self._is_recovering(now),
         )
 
 
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -578,6 +578,11 @@
                 return result + self._defer(
                     now, poll.segment, "overloaded", poll.flow
                 )
+            if any(
+                agent.load and agent.load.is_recovering
+                for agent in poll.window
+            ):
+                poll.flow.may_recover = True
             if len(poll.services) == 1:
                 break
             poll.services = poll.services[1:]
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1291,3 +1291,37 @@
     _open_flow(agent, 0.0, 1, sequence=500)
     agent.on_server_segment(_REUSE_S + 0.1, segment)
     assert not _is_delivered(_forward(agent, _REUSE_S + 0.2, 3, kit.SYN))
+
+
+def _load_report(agent, now):
+    result = agent.on_message(now, _BALANCER, tunnel.Hello(True))
+    ((_, load),) = kit.messages(result, tunnel.LoadReport)
+    return tunnel.decode(load.encode())
+
+
+def test_an_agent_tells_that_it_waits_for_a_report_after_a_pause():
+    """Its server is most likely the same and reports within an interval."""
+    agent = _agent()
+    agent.tick(0.0)
+    agent.on_pause(5.0, 4.9)
+    load = _load_report(agent, 5.1)
+    assert (load.accepting, load.is_recovering) == (False, True)
+    agent.on_caught_up()
+    agent.on_report(5.5, _report(2))
+    load = _load_report(agent, 5.6)
+    assert (load.accepting, load.is_recovering) == (True, False)
+
+
+def test_an_agent_does_not_wait_for_a_server_that_is_late():
+    """Callers of a service without servers must be refused at once."""
+    agent = _agent()
+    agent.tick(0.0)
+    assert not _load_report(agent, _REUSE_S + 0.1).is_recovering
+    agent.on_report(3.0, _report(2, reports.DRAINING))
+    agent.on_pause(5.0, 1.0)
+    assert not _load_report(agent, 5.1).is_recovering
+    started = _agent(report=False)
+    started.tick(0.0)
+    assert _load_report(started, 0.1).is_recovering
+    late = _INTERVAL_S * defaults.REPORT_LATE_INTERVALS
+    assert not _load_report(started, late).is_recovering
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1371,3 +1371,31 @@
     result += _answer(balancer, 2.01, list(balancer.agents.by_address))
     result += balancer.tick(2.1)
     assert not _forwards(result)
+
+
+def test_a_flow_waits_for_agents_that_wait_for_a_report():
+    """All agents of a service stood still, or have just started.
+
+    After a refusal the caller tries again at once, and uses up its tries
+    before the servers have reported.
+    """
+    balancer = _balancer(agents=2)
+    for number, address in enumerate(list(balancer.agents.by_address)):
+        balancer.on_message(
+            1.0,
+            address,
+            kit.load(5, accepting=False, is_recovering=not number),
+        )
+    result = balancer.on_segment(1.0, kit.caller_segment(1, kit.SYN))
+    assert not kit.resets(result)
+    (fields,) = kit.log_fields(result, "flow_deferred")
+    assert fields["reason"] == "no_agent"
+
+
+def test_a_flow_is_refused_when_no_agent_waits_for_a_report():
+    """The caller must not wait for servers that are known to be gone."""
+    balancer = _balancer(agents=2)
+    for address in list(balancer.agents.by_address):
+        balancer.on_message(1.0, address, kit.load(5, accepting=False))
+    result = balancer.on_segment(1.0, kit.caller_segment(1, kit.SYN))
+    assert [step.reason for step in kit.resets(result)] == ["no_agent"]
