Give the soak two services and check which one runs a request

Requests ran at servers of a service that no configuration allows, and the soak could not see it: it had one service. Half of its servers and callers now belong to a second one with its own address. A server checks each flow that it opens and each request that it runs against the pairs of address and service of all configurations; a request also against its caller's address.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -19,6 +19,8 @@
   (P6);
 * no flow is reset while its server holds it (P1);
 * a removed route gets no new flow 3 s after the change (P8);
+* no flow is opened and no request runs at a server of a service to which no
+  configuration routed its address (P2);
 * after the faults every caller is answered again.
 """
 
@@ -37,6 +39,7 @@
 
 from limpetlift import clock
 from limpetlift.coordination import watching
+from limpetlift.protocol import segment as segments
 from limpetlift import registry
 from limpetlift.state import keeping
 from limpetlift.transport import reactor as reactors
@@ -103,11 +106,20 @@
         self.config_version = 0
         # Names of faults to inject before random ones.
         self.first_faults = []
-        self.route_ports = [443, soakstandins.REMOVED_ROUTE_ADDRESS[1]]
-        self._servers_by_request = {}
+        self._services_by_address = {
+            address: service
+            for service, address in soakstandins.ADDRESSES_BY_SERVICE.items()
+        }
+        self._services_by_address[soakstandins.REMOVED_ROUTE_ADDRESS] = (
+            soakstandins.SERVICES[0]
+        )
+        # Pairs of an address and a service of all configurations.
+        self._routed = set()
         self.store = platformstandin.StoreStandIn(self.reactor)
         self.servers = [
-            soakstandins.Server(self, number + 1)
+            soakstandins.Server(
+                self, number + 1, _alternate(soakstandins.SERVICES, number)
+            )
             for number in range(_SERVER_COUNT)
         ]
         balancer_count = _BALANCER_COUNT
@@ -150,7 +162,7 @@
             name,
             self.folder,
             soakstandins.agent_settings(
-                name, server.ip, self.store.address, False
+                name, server.ip, self.store.address, server.service
             ),
             self.disabled_protection,
         )
@@ -160,14 +172,15 @@
         self.config_version += self.traffic_rng.randrange(1, 4)
         routes = [
             {
-                "name": "r-%d" % port,
-                "host": "198.18.0.1",
+                "name": "r-%s-%d" % (service, port),
+                "host": ip,
                 "prefix": "/%d/" % port,
-                "service": "desk",
+                "service": service,
                 "aim_ms": 500,
             }
-            for port in self.route_ports
+            for (ip, port), service in self._services_by_address.items()
         ]
+        self._routed.update(self._services_by_address.items())
         value = {
             "version": self.config_version,
             "routes": routes,
@@ -182,13 +195,38 @@
         at = clock.now() - self._started_at
         self.violations.append("%.2f s: %s" % (at, text))
 
-    def on_request_executed(self, request):
-        """Check a request that a server has just executed."""
+    def check_route(self, server, address, key, event):
+        """Check that an address was ever routed to a server's service.
+
+        :param address: of the route, as ``(ip, port)``.
+        :param key: of the flow, for the message.
+        :param event: what the server did with the flow, for the message.
+        """
+        if (address, server.service) not in self._routed:
+            self.add_violation(
+                "server %s of service %s, to which %s:%d was never routed, "
+                "%s flow %s"
+                % (
+                    server.id,
+                    server.service,
+                    *address,
+                    event,
+                    segments.format_key(key),
+                )
+            )
+
+    def on_request_executed(self, server, key, request):
+        """Check a request that a server has just executed.
+
+        The caller's own address counts beside the one in the segment.
+
+        :param key: of the flow that carried it.
+        """
         server_numbers = {
-            server.number
-            for server in self.servers
+            other.number
+            for other in self.servers
             if any(
-                executed[0] == request for executed in server.executed_requests
+                executed[0] == request for executed in other.executed_requests
             )
         }
         if len(server_numbers) > 1:
@@ -197,10 +235,15 @@
                 % (request, sorted(server_numbers))
             )
         caller_ip = request.decode("ascii", "replace").partition("/")[0]
-        if caller_ip not in {caller.ip for caller in self.callers}:
+        callers = [c for c in self.callers if c.ip == caller_ip]
+        if not callers:
             self.add_violation(
                 "request %r ran, but no caller sent it" % request
             )
+        for caller in callers:
+            address = caller.route_address
+            if address != segments.service_of(key):
+                self.check_route(server, address, key, "ran %r of" % request)
 
     def find_holder(self, key, sequence):
         """Return the server that holds a flow, or None.
@@ -254,7 +297,12 @@
 
     def _open_callers(self):
         for number in range(_CALLER_COUNT):
-            soakstandins.Caller(self, number + 1, bool(number % 2))
+            soakstandins.Caller(
+                self,
+                number + 1,
+                _alternate(soakstandins.SERVICES, number // 2),
+                bool(number % 2),
+            )
         self.reactor.call_every(_CALLER_TICK_S, self._tick_callers)
 
     def _tick_callers(self):
@@ -319,7 +367,7 @@
             self.reactor.spawn(faults[name](self, duration_s))
             await self.reactor.sleep(self.fault_rng.uniform(0.3, 2.0))
         await self.reactor.sleep(_RECOVERY_S)
-        self.route_ports.remove(soakstandins.REMOVED_ROUTE_ADDRESS[1])
+        del self._services_by_address[soakstandins.REMOVED_ROUTE_ADDRESS]
         self.write_config()
         await self.reactor.sleep(_CONFIG_DELAY_S)
         check_started_at = clock.now()
@@ -334,6 +382,10 @@
         self.reactor.stop()
 
 
+def _alternate(values, number):
+    return values[number % len(values)]
+
+
 def _send_signal(programs, number):
     for program in programs:
         program.send_signal(number)
--- a/tests/soakstandins.py
+++ b/tests/soakstandins.py
@@ -28,7 +28,11 @@
 )
 _HEADER = struct.Struct("<H4s4sHHIIIIB")
 _SYN, _RST, _ACK, _BOUNCED, _FIN = 128, 64, 32, 16, 4
-_SERVICE_ADDRESS = ("198.18.0.1", 443)
+SERVICES = ("job-desk", "photo-intake")
+ADDRESSES_BY_SERVICE = {
+    "job-desk": ("198.18.0.1", 443),
+    "photo-intake": ("198.18.0.2", 443),
+}
 # The soak removes the route of this address before its final checks.
 REMOVED_ROUTE_ADDRESS = ("198.18.0.1", 444)
 
@@ -152,14 +156,17 @@
 class Server:
     """A backend server that reports to the agent on its address.
 
+    :param service: name of its service.
+
     ``first_sequences_by_key`` holds its open flows and the first sequence
     number that it chose for each. ``executed_requests`` lists the request
     and the id of the server for each execution since the run began.
     """
 
-    def __init__(self, soak_run, number):
+    def __init__(self, soak_run, number, service):
         self.soak_run = soak_run
         self.number = number
+        self.service = service
         self.ip = soak_run.ip(2, number)
         self.id = ""
         self.state = "down"
@@ -216,7 +223,7 @@
         self._sequence += 1
         state, server_id = self.state, self.id
         body = {
-            "service": "desk",
+            "service": self.service,
             "address": "%s:%d" % (self.ip, _APP_PORT),
             "zone": "a",
             "version": "v1",
@@ -246,17 +253,18 @@
     def _on_packet(self, data, _address):
         segment = packet.decode(data, True)
         key = segment.key
+        caller, route = segments.caller_of(key), segments.service_of(key)
         first_sequence = self.first_sequences_by_key.get(key)
         if key in self._ended_keys:
-            caller = segments.caller_of(key)
             if segment.is_final:
-                self._send(encode_packet(_SERVICE_ADDRESS, caller, _ACK, 2, 2))
+                self._send(encode_packet(route, caller, _ACK, 2, 2))
             elif segment.length:
-                self._send(encode_packet(_SERVICE_ADDRESS, caller, _RST, 2, 2))
+                self._send(encode_packet(route, caller, _RST, 2, 2))
             return
         if segment.opens_flow and first_sequence is None:
             self._check_not_drained(key)
-            if segments.service_of(key) == REMOVED_ROUTE_ADDRESS:
+            self.soak_run.check_route(self, route, key, "took")
+            if route == REMOVED_ROUTE_ADDRESS:
                 self.soak_run.add_violation(
                     "a new flow was opened on a removed route"
                 )
@@ -270,12 +278,9 @@
             bounced[-1 - segment.length] |= _BOUNCED
             self._send(bytes(bounced))
             return
-        caller = segments.caller_of(key)
         if segment.opens_flow:
             self._send(
-                encode_packet(
-                    _SERVICE_ADDRESS, caller, _SYN | _ACK, first_sequence, 1
-                )
+                encode_packet(route, caller, _SYN | _ACK, first_sequence, 1)
             )
         elif segment.is_reset or segment.is_final:
             del self.first_sequences_by_key[key]
@@ -283,7 +288,7 @@
             if segment.is_final:
                 self._send(
                     encode_packet(
-                        _SERVICE_ADDRESS,
+                        route,
                         caller,
                         _ACK | _FIN,
                         first_sequence + 1,
@@ -293,11 +298,12 @@
         elif segment.length:
             request = data[_HEADER.size :]
             self.executed_requests.append((request, self.id))
-            self.soak_run.on_request_executed(request)
+            self.soak_run.check_route(self, route, key, "ran a request of")
+            self.soak_run.on_request_executed(self, key, request)
             answer = b"answer to " + request
             self._send(
                 encode_packet(
-                    _SERVICE_ADDRESS,
+                    route,
                     caller,
                     _ACK,
                     first_sequence + 1,
@@ -323,13 +329,15 @@
 class Caller:
     """A caller that sends one request after the other.
 
+    :param service: name of the service that it calls.
     :param opens_flow_per_request: whether it opens a flow for each request;
         otherwise it keeps a flow until it is reset or lost.
     """
 
-    def __init__(self, soak_run, number, opens_flow_per_request):
+    def __init__(self, soak_run, number, service, opens_flow_per_request):
         self.soak_run = soak_run
         self.opens_flow_per_request = opens_flow_per_request
+        self.route_address = ADDRESSES_BY_SERVICE[service]
         self.ip = soak_run.ip(3, number)
         self._socket = datagram.DatagramSocket(
             soak_run.reactor, (self.ip, SEGMENTS_PORT), self._on_packet
@@ -347,11 +355,12 @@
 
     def _open_flow(self):
         self.port += 1
+        route_ip, route_port = self.route_address
         self.key = segments.pack_key(
-            bytes(int(part) for part in self.ip.split(".")),
+            _encode_ip(self.ip)[::-1],
             self.port,
-            bytes((198, 18, 0, 1)),
-            443,
+            _encode_ip(route_ip)[::-1],
+            route_port,
         )
         self._server_sequence = None
         self._pending_request = None
@@ -365,7 +374,7 @@
     def _send(self, flags, ack, payload=b""):
         data = encode_packet(
             (self.ip, self.port),
-            _SERVICE_ADDRESS,
+            self.route_address,
             flags,
             1,
             ack,
@@ -487,18 +496,19 @@
     }
 
 
-def agent_settings(name, ip, store, is_first_start):
+def agent_settings(name, ip, store, service):
     """Return the settings of an agent.
 
     :param store: ``ip:port`` of the store.
+    :param service: name of its backend server's service.
     """
     return {
         **program_settings(name, ip, store),
         "reports": "%s:%d" % (ip, _REPORTS_PORT),
         "server_segments": "%s:%d" % (ip, _OUTBOUND_PORT),
         "server": "%s:%d" % (ip, _APP_PORT),
-        "service": "desk",
-        "is_first_start": is_first_start,
+        "service": service,
+        "is_first_start": False,
     }
 
 
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -28,6 +28,16 @@
     hosting.FlowHosting.decline_reason = ignore_draining
 
 
+@registry.register(switches_by_name, "service")
+def _accept_flows_of_other_services():
+    decline_reason = hosting.FlowHosting.decline_reason
+
+    def ignore_service(self, _service_id):
+        return decline_reason(self, self._service_id)
+
+    hosting.FlowHosting.decline_reason = ignore_service
+
+
 @registry.register(switches_by_name, "proof")
 def _reset_without_proof():
     def reset_unknown(self, _now, segment, excluded=None):
