Reuse addresses of lost servers in the soak

The soak never gave an address to another service, as the platform does from 2 s after a server is gone. Each address is given back later. The faults are not among the ordinary ones: a seed stands for choices from these.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,14 +2,16 @@
 
     python tests/soak.py [--seed N] [--seconds S] [--runs N]
         [--without PROTECTION] [--keep FOLDER] [--freezes] [--keepers]
+        [--reuse [FAULT]]
 
 Balancers and agents run as processes; callers, backend servers, the fabric
 and the store are stand-ins in this process. Faults follow each other and
 overlap: processes are killed, stopped, paused or told to reload, and started
 again when they have ended; servers crash, drain and start again; the store
 refuses calls, ends leases, loses answers, removes entries or forgets its
-history; segments on the way to balancers are lost. The same seed gives the
-same faults at the same times.
+history; segments on the way to balancers are lost. With ``--reuse``, servers
+are lost for good and their addresses are given to servers of the other
+service. The same seed gives the same faults at the same times.
 
 The run checks what callers and servers observe:
 
@@ -25,6 +27,7 @@
 """
 
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -49,6 +52,10 @@
 freezes_by_name = {}
 # Faults of the balancers on which the others rely; used with ``keepers``.
 keeper_faults_by_name = {}
+# Faults that give the address of a lost server to the other service; used with
+# ``reuse``. They are not among the ordinary ones, as a seed stands for choices
+# from these.
+reuse_faults_by_name = {}
 
 _BALANCER_COUNT = 2
 # With more balancers than keepers, most of them do not know a flow.
@@ -59,6 +66,11 @@
 _PROBE_INTERVAL_S = 0.5
 # Pause between the last injected fault and the final checks.
 _RECOVERY_S = 4.0
+# With reused addresses, some callers use an open flow for longer than an
+# address is free.
+_LONG_TIMEOUT_S = 5.0
+# A lost server's address is given to another one after this time, in seconds.
+_REUSE_AFTER_S = (2.0, 3.0)
 # All balancers use a new configuration after this time.
 _CONFIG_DELAY_S = 3.0
 _CONFIG_KEY = "op/config"
@@ -75,6 +87,8 @@
     :param freezes: whether every second fault is a freeze of several programs.
     :param keepers: whether there are more balancers, and every second fault
         hits those that keep the record of a flow or wait at the store.
+    :param reuse: whether every second fault gives addresses of lost servers
+        to the other service; or the name of the only such fault.
     """
 
     def __init__(
@@ -85,12 +99,15 @@
         disabled_protection="",
         freezes=False,
         keepers=False,
+        reuse=False,
     ):
         self.disabled_protection = disabled_protection
+        self.reuse = reuse
         # Every second fault is one of these, if there are any.
         self._preferred_faults = {
             **(freezes_by_name if freezes else {}),
             **(keeper_faults_by_name if keepers else {}),
+            **_select_reuse_faults(reuse),
         }
         # Faults have a generator of their own: how often traffic draws numbers
         # depends on the speed of the machine and must not change the faults.
@@ -128,7 +145,10 @@
         self.balancers = [
             self._create_balancer(n + 1) for n in range(balancer_count)
         ]
-        self.agents = [self._create_agent(server) for server in self.servers]
+        self._agent_numbers = itertools.count(1)
+        self.agents = [self.create_agent(server) for server in self.servers]
+        # Numbers of the servers whose address the other service has, or gets.
+        self.reused_numbers = set()
         self.callers = []
         self._started_at = clock.now()
         self.write_config()
@@ -155,8 +175,9 @@
             self.disabled_protection,
         )
 
-    def _create_agent(self, server):
-        name = "agent-%d" % server.number
+    def create_agent(self, server):
+        """Return an agent of a server, with a new id; it is not started."""
+        name = "agent-%d" % next(self._agent_numbers)
         return soakstandins.Program(
             "agent",
             name,
@@ -302,6 +323,11 @@
                 number + 1,
                 _alternate(soakstandins.SERVICES, number // 2),
                 bool(number % 2),
+                (
+                    _LONG_TIMEOUT_S
+                    if self.reuse and number % 6 == 0
+                    else soakstandins.REQUEST_TIMEOUT_S
+                ),
             )
         self.reactor.call_every(_CALLER_TICK_S, self._tick_callers)
 
@@ -366,7 +392,11 @@
             self.injected_faults.append((name, round(duration_s, 1)))
             self.reactor.spawn(faults[name](self, duration_s))
             await self.reactor.sleep(self.fault_rng.uniform(0.3, 2.0))
-        await self.reactor.sleep(_RECOVERY_S)
+        while self.reused_numbers:
+            await self.reactor.sleep(0.1)
+        await self.reactor.sleep(
+            _RECOVERY_S + (_LONG_TIMEOUT_S if self.reuse else 0.0)
+        )
         del self._services_by_address[soakstandins.REMOVED_ROUTE_ADDRESS]
         self.write_config()
         await self.reactor.sleep(_CONFIG_DELAY_S)
@@ -382,6 +412,12 @@
         self.reactor.stop()
 
 
+def _select_reuse_faults(reuse):
+    if reuse in (False, True):
+        return reuse_faults_by_name if reuse else {}
+    return {reuse: registry.lookup(reuse_faults_by_name, reuse, "fault")}
+
+
 def _alternate(values, number):
     return values[number % len(values)]
 
@@ -544,6 +580,91 @@
         await soak_run.reactor.sleep(1.0)
 
 
+async def _reuse_addresses(soak_run, duration_s, lose, replace, is_wide=False):
+    """Give addresses to servers of the other service, and later back.
+
+    :param lose: called with the number of a server that is lost.
+    :param replace: called with the number of a server and the service of the
+        new one at its address.
+    :param is_wide: whether all servers of a service, or all servers, may be
+        lost at once.
+    """
+    rng = soak_run.fault_rng
+    first = rng.choice(soak_run.servers).number
+    steps = (len(soak_run.servers), len(soakstandins.SERVICES), 1)
+    step = rng.choice(steps if is_wide else steps[:1])
+    pauses_s = [rng.uniform(*_REUSE_AFTER_S) for _ in range(2)]
+    numbers = {
+        server.number
+        for server in soak_run.servers
+        if (server.number - first) % step == 0
+    } - soak_run.reused_numbers
+    soak_run.reused_numbers |= numbers
+    for is_return, pause_s in enumerate(pauses_s):
+        for number in numbers:
+            lose(number)
+        await soak_run.reactor.sleep(pause_s)
+        for number in numbers:
+            replace(
+                number,
+                _alternate(soakstandins.SERVICES, number - is_return),
+            )
+        if not is_return:
+            await soak_run.reactor.sleep(1.5 + duration_s)
+    soak_run.reused_numbers -= numbers
+
+
+@registry.register(reuse_faults_by_name, "reuse_machine")
+async def _reuse_machine(soak_run, duration_s):
+    """Lose an instance; a new one of the other service gets its address."""
+
+    def lose(number):
+        program = soak_run.agents[number - 1]
+        program.is_lost = True
+        program.kill()
+        soak_run.servers[number - 1].lose()
+
+    def replace(number, service):
+        server = soak_run.servers[number - 1]
+        server.replace(service)
+        soak_run.agents[number - 1] = soak_run.create_agent(server)
+        soak_run.agents[number - 1].start()
+
+    await _reuse_addresses(soak_run, duration_s, lose, replace, True)
+
+
+@registry.register(reuse_faults_by_name, "replace_server")
+async def _replace_server(soak_run, duration_s):
+    """Replace a server beside its agent, which runs on with its settings."""
+    await _reuse_addresses(
+        soak_run,
+        duration_s,
+        lambda number: soak_run.servers[number - 1].lose(),
+        lambda number, service: soak_run.servers[number - 1].replace(service),
+    )
+
+
+@registry.register(reuse_faults_by_name, "replace_server_and_settings")
+async def _replace_server_and_settings(soak_run, duration_s):
+    """Replace a server and rewrite the settings of its running agent."""
+    has_signal = soak_run.fault_rng.random() < 0.5
+
+    def replace(number, service):
+        program = soak_run.agents[number - 1]
+        program.settings["service"] = service
+        program.write_settings()
+        if has_signal:
+            program.send_signal(signal.SIGHUP)
+        soak_run.servers[number - 1].replace(service)
+
+    await _reuse_addresses(
+        soak_run,
+        duration_s,
+        lambda number: soak_run.servers[number - 1].lose(),
+        replace,
+    )
+
+
 @registry.register(faults_by_name, "server_crash")
 async def _crash_server(soak_run, duration_s):
     server = soak_run.fault_rng.choice(soak_run.servers)
@@ -637,6 +758,7 @@
     without="",
     freezes=False,
     keepers=False,
+    reuse=False,
 ):
     """Run the soak, print violations and exit with 1 if there are any.
 
@@ -648,6 +770,8 @@
     :param freezes: whether every second fault is a freeze of several programs.
     :param keepers: whether every second fault hits balancers that keep the
         record of a flow or wait at the store.
+    :param reuse: whether every second fault gives addresses of lost servers
+        to the other service; or the name of the only such fault.
     """
     first_seed = random.randrange(1 << 30) if seed is None else seed
     failed_runs = 0
@@ -660,6 +784,7 @@
                 without,
                 freezes=freezes,
                 keepers=keepers,
+                reuse=reuse,
             )
             requests_answered = sum(
                 caller.requests_answered for caller in soak_run.callers
--- a/tests/soakstandins.py
+++ b/tests/soakstandins.py
@@ -46,9 +46,7 @@
 REPORT_INTERVAL_S = 0.6
 # A draining server gets no new flow this long after its drain is acknowledged.
 DRAIN_GRACE_S = 3.0
-# A caller abandons a flow when a request on it has no answer after this time
-# and no server holds the flow.
-_REQUEST_TIMEOUT_S = 2.0
+REQUEST_TIMEOUT_S = 2.0
 
 
 def _encode_ip(ip):
@@ -98,19 +96,28 @@
     disabled_protection: str = ""
     process: object = None
     is_paused: bool = False
+    # Whether the instance is lost, so that the process never starts again.
+    is_lost: bool = False
 
-    def start(self):
-        """Start the process unless it is running."""
-        if self.is_running:
-            return
+    def write_settings(self):
+        """Write the settings file in one step; return its path."""
         path = self.folder / (self.name + ".toml")
-        path.write_text(
+        new_path = path.with_suffix(".new")
+        new_path.write_text(
             "".join(
                 "%s = %s\n" % (name, json.dumps(value))
                 for name, value in self.settings.items()
             ),
             encoding="utf-8",
         )
+        new_path.replace(path)
+        return path
+
+    def start(self):
+        """Start the process unless it is running or its instance is lost."""
+        if self.is_running or self.is_lost:
+            return
+        path = self.write_settings()
         arguments = ["-m", "limpetlift.platform." + self.module]
         if self.disabled_protection:
             arguments = [
@@ -156,6 +163,9 @@
 class Server:
     """A backend server that reports to the agent on its address.
 
+    A lost server and the one that replaces it at its address share this
+    object.
+
     :param service: name of its service.
 
     ``first_sequences_by_key`` holds its open flows and the first sequence
@@ -170,6 +180,8 @@
         self.ip = soak_run.ip(2, number)
         self.id = ""
         self.state = "down"
+        # Whether it is lost, so that it never starts again.
+        self.is_lost = False
         self.drain_acknowledged_at = None
         self.first_sequences_by_key = {}
         self._ended_keys = set()
@@ -181,7 +193,9 @@
         self._is_reporting = False
 
     def start(self):
-        """Start serving with a new id and without flows."""
+        """Start serving with a new id and without flows, unless lost."""
+        if self.is_lost:
+            return
         self.id = "s-%d-%d" % (self.number, len(self.soak_run.injected_faults))
         self.state = "ready"
         self.drain_acknowledged_at = None
@@ -208,6 +222,17 @@
             self._socket = None
             self._http_server.close()
 
+    def lose(self):
+        """Stop serving for good."""
+        self.crash()
+        self.is_lost = True
+
+    def replace(self, service):
+        """Start a new server of ``service`` at the address of the lost one."""
+        self.is_lost = False
+        self.service = service
+        self.start()
+
     def drain(self):
         """Report state ``draining`` from now on."""
         if self.state == "ready":
@@ -332,10 +357,20 @@
     :param service: name of the service that it calls.
     :param opens_flow_per_request: whether it opens a flow for each request;
         otherwise it keeps a flow until it is reset or lost.
+    :param timeout_s: it abandons a flow when a request on it has no answer
+        after this time and no server holds the flow.
     """
 
-    def __init__(self, soak_run, number, service, opens_flow_per_request):
+    def __init__(
+        self,
+        soak_run,
+        number,
+        service,
+        opens_flow_per_request,
+        timeout_s=REQUEST_TIMEOUT_S,
+    ):
         self.soak_run = soak_run
+        self._timeout_s = timeout_s
         self.opens_flow_per_request = opens_flow_per_request
         self.route_address = ADDRESSES_BY_SERVICE[service]
         self.ip = soak_run.ip(3, number)
@@ -470,7 +505,7 @@
         elif now - self._last_sent_at < 0.2:
             return
         elif (
-            now - self._request_started_at > _REQUEST_TIMEOUT_S
+            now - self._request_started_at > self._timeout_s
             and self._find_holder() is None
         ):
             self._send(_RST, self._server_sequence + 1)
