--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,6 +43,32 @@
     assert not soak_run.violations
 
 
+def test_no_promise_breaks_when_addresses_are_reused(tmp_path):
+    """No flow or request may reach a server of a service it is not routed to.
+
+    Half of the faults lose an instance, all those of a service, or all. The
+    new ones at their addresses belong to the other service.
+    """
+    soak_run = soak.run_once(1, 12.0, tmp_path, reuse="reuse_machine")
+    assert soak_run.injected_faults
+    assert not soak_run.violations
+
+
+def test_soak_detects_flows_of_another_service(tmp_path):
+    """Agents that take flows of any service must break a promise.
+
+    Entries of lost agents lead balancers to new ones of the other service.
+    """
+    soak_run = soak.SoakRun(
+        3, _SECONDS, tmp_path, "service", reuse="reuse_machine"
+    )
+    # All instances are lost at least once.
+    soak_run.first_faults = 4 * ["reuse_machine"]
+    violations = soak_run.run()
+    assert any("was never routed, took" in text for text in violations)
+    assert any("was never routed, ran" in text for text in violations)
+
+
 @pytest.mark.parametrize("protection", ["drain", "proof", "routes", "search"])
 def test_soak_detects_disabled_protection(protection, tmp_path):
     """A soak that passes without a protection does not test it.
