--- a/tests/soakstandins.py
+++ b/tests/soakstandins.py
@@ -28,7 +28,11 @@
 )
 _HEADER = struct.Struct("<H4s4sHHIIIIB")
 _SYN, _RST, _ACK, _BOUNCED, _FIN = 128, 64, 32, 16, 4
-_SERVICE_ADDRESS = ("198.18.0.1", 443)
+SERVICES = ("job-desk", "photo-intake")
+ADDRESSES_BY_SERVICE = {
+    "job-desk": ("198.18.0.1", 443),
+    "photo-intake": ("198.18.0.2", 443),
+}
 # The soak removes the route of this address before its final checks.
 REMOVED_ROUTE_ADDRESS = ("198.18.0.1", 444)
 
@@ -42,9 +46,7 @@
 REPORT_INTERVAL_S = 0.6
 # A draining server gets no new flow this long after its drain is acknowledged.
 DRAIN_GRACE_S = 3.0
-# A caller abandons a flow when a request on it has no answer after this time
-# and no server holds the flow.
-_REQUEST_TIMEOUT_S = 2.0
+REQUEST_TIMEOUT_S = 2.0
 
 
 def _encode_ip(ip):
@@ -94,19 +96,28 @@
     disabled_protection: str = ""
     process: object = None
     is_paused: bool = False
+    # Whether the instance is lost, so that the process never starts again.
+    is_lost: bool = False
 
-    def start(self):
-        """Start the process unless it is running."""
-        if self.is_running:
-            return
+    def write_settings(self):
+        """Write the settings file in one step; return its path."""
         path = self.folder / (self.name + ".toml")
-        path.write_text(
+        new_path = path.with_suffix(".new")
+        new_path.write_text(
             "".join(
                 "%s = %s\n" % (name, json.dumps(value))
                 for name, value in self.settings.items()
             ),
             encoding="utf-8",
         )
+        new_path.replace(path)
+        return path
+
+    def start(self):
+        """Start the process unless it is running or its instance is lost."""
+        if self.is_running or self.is_lost:
+            return
+        path = self.write_settings()
         arguments = ["-m", "limpetlift.platform." + self.module]
         if self.disabled_protection:
             arguments = [
@@ -152,17 +163,25 @@
 class Server:
     """A backend server that reports to the agent on its address.
 
+    A lost server and the one that replaces it at its address share this
+    object.
+
+    :param service: name of its service.
+
     ``first_sequences_by_key`` holds its open flows and the first sequence
     number that it chose for each. ``executed_requests`` lists the request
     and the id of the server for each execution since the run began.
     """
 
-    def __init__(self, soak_run, number):
+    def __init__(self, soak_run, number, service):
         self.soak_run = soak_run
         self.number = number
+        self.service = service
         self.ip = soak_run.ip(2, number)
         self.id = ""
         self.state = "down"
+        # Whether it is lost, so that it never starts again.
+        self.is_lost = False
         self.drain_acknowledged_at = None
         self.first_sequences_by_key = {}
         self._ended_keys = set()
@@ -174,7 +193,9 @@
         self._is_reporting = False
 
     def start(self):
-        """Start serving with a new id and without flows."""
+        """Start serving with a new id and without flows, unless lost."""
+        if self.is_lost:
+            return
         self.id = "s-%d-%d" % (self.number, len(self.soak_run.injected_faults))
         self.state = "ready"
         self.drain_acknowledged_at = None
@@ -201,6 +222,17 @@
             self._socket = None
             self._http_server.close()
 
+    def lose(self):
+        """Stop serving for good."""
+        self.crash()
+        self.is_lost = True
+
+    def replace(self, service):
+        """Start a new server of ``service`` at the address of the lost one."""
+        self.is_lost = False
+        self.service = service
+        self.start()
+
     def drain(self):
         """Report state ``draining`` from now on."""
         if self.state == "ready":
@@ -216,7 +248,7 @@
         self._sequence += 1
         state, server_id = self.state, self.id
         body = {
-            "service": "desk",
+            "service": self.service,
             "address": "%s:%d" % (self.ip, _APP_PORT),
             "zone": "a",
             "version": "v1",
@@ -246,17 +278,18 @@
     def _on_packet(self, data, _address):
         segment = packet.decode(data, True)
         key = segment.key
+        caller, route = segments.caller_of(key), segments.service_of(key)
         first_sequence = self.first_sequences_by_key.get(key)
         if key in self._ended_keys:
-            caller = segments.caller_of(key)
             if segment.is_final:
-                self._send(encode_packet(_SERVICE_ADDRESS, caller, _ACK, 2, 2))
+                self._send(encode_packet(route, caller, _ACK, 2, 2))
             elif segment.length:
-                self._send(encode_packet(_SERVICE_ADDRESS, caller, _RST, 2, 2))
+                self._send(encode_packet(route, caller, _RST, 2, 2))
             return
         if segment.opens_flow and first_sequence is None:
             self._check_not_drained(key)
-            if segments.service_of(key) == REMOVED_ROUTE_ADDRESS:
+            self.soak_run.check_route(self, route, key, "took")
+            if route == REMOVED_ROUTE_ADDRESS:
                 self.soak_run.add_violation(
                     "a new flow was opened on a removed route"
                 )
@@ -270,12 +303,9 @@
             bounced[-1 - segment.length] |= _BOUNCED
             self._send(bytes(bounced))
             return
-        caller = segments.caller_of(key)
         if segment.opens_flow:
             self._send(
-                encode_packet(
-                    _SERVICE_ADDRESS, caller, _SYN | _ACK, first_sequence, 1
-                )
+                encode_packet(route, caller, _SYN | _ACK, first_sequence, 1)
             )
         elif segment.is_reset or segment.is_final:
             del self.first_sequences_by_key[key]
@@ -283,7 +313,7 @@
             if segment.is_final:
                 self._send(
                     encode_packet(
-                        _SERVICE_ADDRESS,
+                        route,
                         caller,
                         _ACK | _FIN,
                         first_sequence + 1,
@@ -293,11 +323,12 @@
         elif segment.length:
             request = data[_HEADER.size :]
             self.executed_requests.append((request, self.id))
-            self.soak_run.on_request_executed(request)
+            self.soak_run.check_route(self, route, key, "ran a request of")
+            self.soak_run.on_request_executed(self, key, request)
             answer = b"answer to " + request
             self._send(
                 encode_packet(
-                    _SERVICE_ADDRESS,
+                    route,
                     caller,
                     _ACK,
                     first_sequence + 1,
@@ -323,13 +354,25 @@
 class Caller:
     """A caller that sends one request after the other.
 
+    :param service: name of the service that it calls.
     :param opens_flow_per_request: whether it opens a flow for each request;
         otherwise it keeps a flow until it is reset or lost.
+    :param timeout_s: it abandons a flow when a request on it has no answer
+        after this time and no server holds the flow.
     """
 
-    def __init__(self, soak_run, number, opens_flow_per_request):
+    def __init__(
+        self,
+        soak_run,
+        number,
+        service,
+        opens_flow_per_request,
+        timeout_s=REQUEST_TIMEOUT_S,
+    ):
         self.soak_run = soak_run
+        self._timeout_s = timeout_s
         self.opens_flow_per_request = opens_flow_per_request
+        self.route_address = ADDRESSES_BY_SERVICE[service]
         self.ip = soak_run.ip(3, number)
         self._socket = datagram.DatagramSocket(
             soak_run.reactor, (self.ip, SEGMENTS_PORT), self._on_packet
@@ -347,11 +390,12 @@
 
     def _open_flow(self):
         self.port += 1
+        route_ip, route_port = self.route_address
         self.key = segments.pack_key(
-            bytes(int(part) for part in self.ip.split(".")),
+            _encode_ip(self.ip)[::-1],
             self.port,
-            bytes((198, 18, 0, 1)),
-            443,
+            _encode_ip(route_ip)[::-1],
+            route_port,
         )
         self._server_sequence = None
         self._pending_request = None
@@ -365,7 +409,7 @@
     def _send(self, flags, ack, payload=b""):
         data = encode_packet(
             (self.ip, self.port),
-            _SERVICE_ADDRESS,
+            self.route_address,
             flags,
             1,
             ack,
@@ -461,7 +505,7 @@
         elif now - self._last_sent_at < 0.2:
             return
         elif (
-            now - self._request_started_at > _REQUEST_TIMEOUT_S
+            now - self._request_started_at > self._timeout_s
             and self._find_holder() is None
         ):
             self._send(_RST, self._server_sequence + 1)
@@ -487,18 +531,19 @@
     }
 
 
-def agent_settings(name, ip, store, is_first_start):
+def agent_settings(name, ip, store, service):
     """Return the settings of an agent.
 
     :param store: ``ip:port`` of the store.
+    :param service: name of its backend server's service.
     """
     return {
         **program_settings(name, ip, store),
         "reports": "%s:%d" % (ip, _REPORTS_PORT),
         "server_segments": "%s:%d" % (ip, _OUTBOUND_PORT),
         "server": "%s:%d" % (ip, _APP_PORT),
-        "service": "desk",
-        "is_first_start": is_first_start,
+        "service": service,
+        "is_first_start": False,
     }
 
 
