Pass the time to the decisions of the soak without checks of the service

The signature of decline_reason has the time since reports expire, and the protection that the soak switches off still had the old one, so the run without it would have ended with a TypeError. tests/test_soak.py passes.

--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -32,8 +32,8 @@
 def _accept_flows_of_other_services():
     decline_reason = hosting.FlowHosting.decline_reason
 
-    def ignore_service(self, _service_id):
-        return decline_reason(self, self._service_id)
+    def ignore_service(self, now, _service_id):
+        return decline_reason(self, now, self._service_id)
 
     hosting.FlowHosting.decline_reason = ignore_service
 
