Test what a server's end takes from its last report

Two conditions of had no test: a server's notice that it leaves, and a refused probe, end the time for which its report shows who listens. Without the first, a copy of an accepted first segment went to whatever listens until the report was 2 s old. Without the second, a segment of the server that listens next let first segments pass.

Each test fails without its condition.

--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1089,6 +1089,33 @@
     assert _declined_reasons(result)
 
 
+# Guards against requests that run at another service's server by a copy of
+# a first segment whose server has left.
+def test_a_copy_for_a_server_that_left_is_not_delivered():
+    """A server that said that it leaves ends before its report is old."""
+    agent = _agent()
+    _forward(agent, 0.1, 1, kit.SYN)
+    agent.on_leave(0.2, "s-1", 1000)
+    result = _forward(agent, 0.3, 1, kit.SYN, ack=1)
+    assert not _is_delivered(result)
+    assert _declined_reasons(result)
+
+
+# Guards against requests that run at another service's server whose first
+# segment of its own shows that a server listens again.
+def test_a_segment_does_not_show_which_server_listens():
+    """The probe found no server, so that which listens now has to report."""
+    agent = _agent(knows_all_flows=False)
+    agent.tick(0.0)
+    for port in range(defaults.MAX_SILENT_TENTATIVE_FLOWS):
+        _forward_tentatively(agent, 0.3, port, ack=900)
+    agent.tick(0.3 + defaults.TENTATIVE_ANSWER_TIMEOUT_S)
+    agent.on_server_absent(0.42)
+    agent.on_server_segment(0.5, kit.returned_segment(1, kit.ACK))
+    result = _forward(agent, 0.6, 100, kit.SYN)
+    assert _declined_reasons(result) == ["server_unverified"]
+
+
 # Guards against requests that run at another service's server by a copy of
 # a first segment whose answer did not reach the caller.
 def test_a_copy_of_an_answered_first_segment_is_not_delivered_either():
