Ignore a replaced server's late report for who listens

A report that arrives after one of another service from the same address made the agent accept flows for 2 s more, at the other service's server.

A report of a start before that of the other service's server shows nothing now while the other server goes on reporting; as clocks may be set back, it counts again when that one is silent for 2.5 intervals.

Evidence: the new test failed with flows accepted.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -78,6 +78,10 @@
     # When the next report of a running server has come, counted from the start
     # of this agent or from the end of its last pause.
     _report_due_at: float = float("-inf")
+    # Start time and last report time of a server of another service at the
+    # address.
+    _other_started_ms: int = 0
+    _other_reported_at: float = float("-inf")
     # The last report of a start that looks older than that of ``report``.
     _older_report: object = None
     # ``(server_id, started_ms)`` of the last start that was said to end.
@@ -162,7 +166,7 @@
         self._reported_at = self._last_heard_at = self._last_served_at = now
         self._unanswered_tentative_flows = 0
         self._older_report = None
-        if not self._is_catching_up:
+        if not self._is_catching_up and not self._is_replaced(now, report):
             self._verify_server(now + self._verification_s)
         self._warmed_up_at = now + report.warmup_remaining_s
         # After a report the server is sent one more new flow, which shows
@@ -200,11 +204,32 @@
     def unverify_server(self):
         """Accept no flows until the next report.
 
-        Another server may listen at the address, since one of another service
-        has reported from there, or since the address has changed.
+        Another server may listen at the address.
         """
         self._verified_until = float("-inf")
 
+    def on_other_service(self, now, started_ms):
+        """Handle a report of another service from the server's address.
+
+        :param started_ms: start time of the server that reported.
+        """
+        self.unverify_server()
+        self._other_started_ms = started_ms
+        self._other_reported_at = now
+
+    def _is_replaced(self, now, report):
+        """Whether a report is a late one of a server that was replaced.
+
+        A server of another service that started after it reports from its
+        address. As start times are wall-clock times, this counts only while
+        that server goes on reporting.
+        """
+        return (
+            report.started_ms < self._other_started_ms
+            and now - self._other_reported_at
+            <= self.report_interval_s * defaults.SERVER_SILENT_INTERVALS
+        )
+
     @property
     def _verification_s(self):
         """For how long a report shows which server listens at the address.
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -88,7 +88,9 @@
         if report.service != self.decisions.service:
             self._log_other_service(report)
             if report.address == "%s:%d" % self.settings.server:
-                self.decisions.unverify_server()
+                self.decisions.on_other_service(
+                    self.observe(), report.started_ms
+                )
             raise exceptions.MalformedMessage(
                 "report of service %r to an agent of service %r"
                 % (report.service, self.decisions.service)
--- a/tests/test_segmentagent.py
+++ b/tests/test_segmentagent.py
@@ -236,6 +236,28 @@
     assert _is_accepting(agent, 0.8)
 
 
+# Guards against requests that run at another service's server after a late
+# report of the earlier one, whose address it has.
+def test_a_late_report_does_not_undo_that_of_another_service(
+    agent, monkeypatch
+):
+    """A report may be delayed until a later server has reported.
+
+    The clock of the later one may be behind, so the earlier one counts as
+    running when the later one reports no more.
+    """
+    agent.decisions.on_report(0.0, _report())
+    other = _report("m-1", "maps", address="127.0.0.1:80")
+    monkeypatch.setattr(clock, "now", lambda: 0.5)
+    with pytest.raises(exceptions.MalformedMessage):
+        agent.on_report(attrs.evolve(other, started_ms=5000))
+    agent.decisions.on_report(0.7, _report(number=2))
+    assert not _is_accepting(agent, 0.8)
+    silent_s = defaults.REPORT_INTERVAL_S * defaults.SERVER_SILENT_INTERVALS
+    agent.decisions.on_report(0.6 + silent_s, _report(number=3))
+    assert _is_accepting(agent, 0.7 + silent_s)
+
+
 def test_a_report_from_another_address_ends_nothing(agent):
     """Other writers report what they like; the server still serves."""
     agent.decisions.on_report(0.0, _report())
