Count a report that waited through a pause from the pause's start

A report that waited in its connection while its agent stood still was taken for a current one: the agent has caught up once its datagrams are read, and connections are accepted and read in later rounds of the event loop. The agent then accepted flows for 2 s more by the report of a server that may have been replaced during the pause. On the other hand, a report that was read in time counted for nothing, so that an agent with many short pauses accepted no flow.

For three ticks after a pause a report counts from the begin of the pause. Changed test: one that expects flows to be accepted after a pause runs the agent's timers before the next report now, as the process does.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -427,6 +427,10 @@
 # to a server of another service, unless the settings specify it; the bound of
 # the deployments.
 ADDRESS_REUSE_S = 2.0
+# Ticks after a pause, once the datagrams of the pause have been read, in which
+# a report may have waited through it: its connection is accepted and read in
+# later rounds of the event loop, of which each has one tick at most.
+OUTDATED_REPORT_TICKS = 3
 # Intervals after which a report is late.
 REPORT_LATE_INTERVALS = 1.5
 # Intervals after which two reports are certainly missing.
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -64,6 +64,10 @@
     is_stopping: bool = False
     # Whether messages that waited through a pause are being handled.
     _is_catching_up: bool = False
+    # When the last pause began, and the number of ticks for which a report
+    # may still be one that waited through it.
+    _pause_began_at: float = float("-inf")
+    _outdated_ticks: int = 0
     _stopping_at: float = float("inf")
     _warmed_up_at: float = 0.0
     _reported_at: float = float("-inf")
@@ -118,6 +122,9 @@
         """
         self._is_catching_up = True
         self._report_due_at = now + self._report_wait_s
+        if not self._outdated_ticks:
+            self._pause_began_at = now - pause_s
+        self._outdated_ticks = defaults.OUTDATED_REPORT_TICKS
         # The server's silence counts only while the agent itself runs.
         self._last_heard_at = self._last_served_at = now
         self.flows.extend_answer_times(now + defaults.SERVER_ANSWER_TIMEOUT_S)
@@ -166,8 +173,10 @@
         self._reported_at = self._last_heard_at = self._last_served_at = now
         self._unanswered_tentative_flows = 0
         self._older_report = None
-        if not self._is_catching_up and not self._is_replaced(now, report):
-            self._verify_server(now + self._verification_s)
+        if not self._is_replaced(now, report):
+            # A report that waited through a pause came when it began or later.
+            came_at = self._pause_began_at if self._outdated_ticks else now
+            self._verify_server(came_at + self._verification_s)
         self._warmed_up_at = now + report.warmup_remaining_s
         # After a report the server is sent one more new flow, which shows
         # whether it answers.
@@ -839,6 +848,8 @@
 
     def tick(self, now):
         """Run the timers that are due."""
+        if self._outdated_ticks and not self._is_catching_up:
+            self._outdated_ticks -= 1
         if self._started_at is None:
             self._started_at = now
             self._report_due_at = now + self._report_wait_s
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -70,6 +70,11 @@
     ]
 
 
+def _tick_until_reports_are_current(agent, now):
+    for _ in range(defaults.OUTDATED_REPORT_TICKS):
+        agent.tick(now)
+
+
 def _close_flow(agent, now, port):
     _forward(agent, now, port, kit.FIN | kit.ACK, ack=501)
     agent.on_server_segment(
@@ -476,6 +481,7 @@
     ] == ["paused"]
     assert steps.SendToServer not in kit.step_types(result)
     agent.on_caught_up()
+    _tick_until_reports_are_current(agent, 5.04)
     agent.on_report(5.05, _report(2))
     result = _forward(agent, 5.1, 2, kit.SYN)
     assert steps.SendToServer in kit.step_types(result)
@@ -1138,6 +1144,46 @@
     assert not _is_delivered(_forward(agent, 5.0, 1, kit.SYN))
 
 
+# Guards against requests that run at another service's server by a report
+# that waited through a pause in which the server was replaced.
+@pytest.mark.parametrize("ticks", [0, 1])
+def test_a_report_from_a_pause_is_as_old_as_the_pause(ticks):
+    """Reports are read after the segments that waited through the pause."""
+    agent = _agent()
+    agent.on_pause(5.0, 4.9)
+    agent.on_caught_up()
+    for _ in range(ticks):
+        agent.tick(5.0)
+    agent.on_report(5.0, _report(2))
+    assert not _is_delivered(_forward(agent, 5.0, 1, kit.SYN))
+    _tick_until_reports_are_current(agent, 5.1)
+    agent.on_report(6.2, _report(3))
+    assert _is_delivered(_forward(agent, 6.3, 2, kit.SYN))
+
+
+def test_a_report_from_one_of_two_pauses_is_as_old_as_the_first():
+    """A report may wait through two pauses in a row."""
+    agent = _agent()
+    agent.on_pause(5.0, 4.0)
+    agent.on_caught_up()
+    agent.on_pause(5.3, 0.2)
+    agent.on_caught_up()
+    agent.on_report(5.3, _report(2))
+    assert not _is_delivered(_forward(agent, 5.3, 1, kit.SYN))
+
+
+def test_reports_from_short_pauses_let_an_agent_accept_flows():
+    """A slow agent pauses often, and most reports come in its pauses."""
+    agent = _agent()
+    for number in range(2, 6):
+        now = number * _INTERVAL_S
+        agent.on_pause(now, 0.5)
+        agent.on_report(now, _report(number))
+        agent.on_caught_up()
+        _tick_until_reports_are_current(agent, now + 0.1)
+    assert _is_delivered(_forward(agent, now + 0.1, 1, kit.SYN))
+
+
 # Guards against requests that run at another service's server when agents
 # report that they accept flows for a server that may have been replaced.
 def test_a_server_without_reports_is_not_offered_to_balancers():
--- a/tests/test_segmentagent.py
+++ b/tests/test_segmentagent.py
@@ -1,6 +1,8 @@
 """Tests of what an agent process logs and measures."""
 
+import json
 import logging
+import socket
 
 import attrs
 import pytest
@@ -9,6 +11,7 @@
 from limpetlift import clock
 from limpetlift import defaults
 from limpetlift import exceptions
+from limpetlift.platform import web
 from limpetlift.state import hosting
 from limpetlift.state import reports
 from limpetlift.state import segmentsettings
@@ -289,3 +292,55 @@
     assert not _is_accepting(agent, now)
     agent.decisions.on_report(now, _report(number=2))
     assert _is_accepting(agent, now)
+
+
+def _report_over_http(server, number):
+    """Send a report to the server's socket; return the connection."""
+    body = json.dumps(
+        {
+            "service": "desk",
+            "address": "127.0.0.1:80",
+            "max_concurrency": 2,
+            "state": "ready",
+            "sequence": number,
+            "born": 1000,
+        }
+    )
+    connection = socket.create_connection(server.address)
+    connection.sendall(
+        (
+            "POST /-/instances/s-1/heartbeat HTTP/1.1\r\nHost: x\r\n"
+            "Content-Length: %d\r\n\r\n%s" % (len(body), body)
+        ).encode()
+    )
+    return connection
+
+
+def _run_rounds(reactor, count):
+    """Run some rounds of an event loop that wait for nothing."""
+    for _ in range(count):
+        reactor.call_at(clock.now(), reactor.stop)
+        reactor.run()
+
+
+# Guards against requests that run at another service's server by a report
+# that waited in its connection through a pause of the agent.
+def test_a_report_in_a_connection_is_as_old_as_a_pause(agent, monkeypatch):
+    """It is read after the datagrams, when the agent has caught up."""
+    now = [100.0]
+    monkeypatch.setattr(clock, "now", lambda: now[0])
+    agent._pauses.active_at = 100.0
+    agent.open_socket(("127.0.0.1", 0), agent.on_datagram)
+    server = web.serve(agent.reactor, ("127.0.0.1", 0), agent)
+    agent.stack.callback(server.close)
+    agent.call_every(defaults.HOSTING_TICK_S, agent.tick)
+    with agent.stack:
+        agent.decisions.on_report(100.0, _report())
+        for number, paused_s in ((2, 5.0), (3, 0.1)):
+            with _report_over_http(server, number):
+                now[0] += paused_s
+                for _ in range(5):
+                    _run_rounds(agent.reactor, 1)
+                    now[0] += defaults.HOSTING_TICK_S
+            assert agent.decisions.report.number == number
+            assert _is_accepting(agent, now[0]) == (paused_s < 1)
