Reset no open flow for a very late first segment

The first segment of an open flow that was idle for 1.5 s counts as that of a later flow. If it was only very late, and no agent accepted flows or the route was gone, the caller got a reset for a flow that its server held.

A first segment with the sequence number of the known flow's is not refused with a reset now, if this balancer placed the flow. It is still placed anew otherwise, as before; the flow is then found by a search.

Evidence: the new test failed with the reset no_agent.

--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -65,6 +65,10 @@
     :param may_recover: whether one of them may accept flows again soon.
     :param busy_count: number of agents that declined it because their queues
         were too long.
+    :param first_sequence: sequence number of the first segment that this
+        balancer placed; None when it did not place the flow.
+    :param may_be_open: whether it may be an open flow that was taken for an
+        ended one.
     :param known_at: since when it is known to be assigned to ``address``.
     :param began_at: when this balancer learned of the flow.
     """
@@ -76,6 +80,8 @@
     tried: set = attrs.field(factory=set)
     may_recover: bool = False
     busy_count: int = 0
+    first_sequence: object = None
+    may_be_open: bool = False
     known_at: float = attrs.field(init=False)
     began_at: float = attrs.field(init=False)
 
@@ -310,8 +316,13 @@
     def on_segment(self, now, segment):
         """Handle a segment that the fabric delivered to this balancer."""
         flow = self.flows_by_key.get(segment.key)
+        may_be_open = False
         if flow is not None and self._has_ended(now, segment, flow):
             del self.flows_by_key[segment.key]
+            # The same sequence number is most likely that of a late copy.
+            may_be_open = (
+                flow.is_open and flow.first_sequence == segment.sequence
+            )
             flow = None
         if flow is None:
             if segment.opens_flow:
@@ -319,7 +330,7 @@
                 self.searches.end(segment.key)
                 if self._polls.add_copy(segment):
                     return []
-                return self._place_unknown(now, segment)
+                return self._place_unknown(now, segment, may_be_open)
             if segment.is_reset:
                 # The caller abandoned a flow that is not known here.
                 self._polls.end(segment.key)
@@ -470,7 +481,7 @@
         route = self._route(key)
         return route is not None and route.leads_to(service_id)
 
-    def _place_unknown(self, now, segment):
+    def _place_unknown(self, now, segment, may_be_open):
         """Place a flow that this balancer does not know.
 
         Another balancer may have placed it when an earlier copy of its first
@@ -486,7 +497,10 @@
         if queries:
             placeable_at = now + defaults.RECORD_QUERY_TIMEOUT_S
         return queries + self._place(
-            now, segment, _Flow((), now), placeable_at
+            now,
+            segment,
+            _Flow((), now, may_be_open=may_be_open),
+            placeable_at,
         )
 
     def _query_keepers(self, key):
@@ -523,7 +537,7 @@
                 )
             ]
         if route is None:
-            return self._refuse(segment, "no_route")
+            return self._refuse(segment, "no_route", flow)
         if flow.busy_count >= defaults.MAX_BUSY_TRIES:
             return self._defer(now, segment, "overloaded", flow)
         poll = polling.Poll(
@@ -591,9 +605,7 @@
             return result + self._defer(
                 now, poll.segment, "no_agent", poll.flow
             )
-        return result + self._refuse(
-            poll.segment, "no_agent", len(poll.flow.tried)
-        )
+        return result + self._refuse(poll.segment, "no_agent", poll.flow)
 
     def _assign(self, now, poll, chosen, max_wait_s):
         """Forward the first segment of a flow to the chosen agent.
@@ -608,6 +620,7 @@
         poll.flow.address = address
         poll.flow.service_id = agent.entry.service_id
         poll.flow.known_at = now
+        poll.flow.first_sequence = poll.segment.sequence
         self.flows_by_key[key] = poll.flow
         self._unsent_records.append(self._record(key))
         load = agent.load
@@ -721,18 +734,19 @@
         del self._deferrals_by_key[key]
         return [steps.Reset(key, 0, reason), log_event]
 
-    def _refuse(self, segment, reason, declined=0):
+    def _refuse(self, segment, reason, flow):
         """Refuse a new flow with a reset.
 
         A copy is dropped without a reset, because the first segment may have
-        opened the flow through another balancer.
+        opened the flow through another balancer. So is a first segment that
+        may be a very late one of an open flow.
 
         :param reason: the reason, for the log and the reset.
-        :param declined: number of agents that declined the flow.
         """
         key = segment.key
+        declined = len(flow.tried)
         self.flows_by_key.pop(key, None)
-        if segment.ack:
+        if segment.ack or flow.may_be_open:
             return [
                 self._not_placed("copy_dropped", segment, reason, declined)
             ]
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1329,6 +1329,28 @@
     assert is_routed or kit.resets(result)
 
 
+def test_a_first_segment_that_is_very_late_does_not_reset_its_flow():
+    """The copy sent 200 ms later opened the flow, which has been idle since.
+
+    No agent accepts flows any more, so that the flow was refused with a reset
+    while its server held it.
+    """
+    balancer = _balancer(agents=1)
+    result = balancer.on_segment(0.2, kit.caller_segment(1, kit.SYN, ack=1))
+    result += _answer(balancer, 0.2, [kit.agent(1).address])
+    ((address, _),) = _forwards(result)
+    balancer.on_segment(0.6, kit.caller_segment(1, kit.ACK, ack=5))
+    _answer(balancer, 4.0, [address], accepting=False)
+    result = balancer.on_segment(4.0, kit.caller_segment(1, kit.SYN))
+    assert not kit.resets(result)
+    balancer.on_segment(4.1, kit.caller_segment(1, kit.ACK, ack=5))
+    balancer.tick(4.1)
+    result = balancer.on_message(
+        4.11, address, tunnel.LocateReply([(kit.key_of(1), tunnel.HELD)])
+    )
+    assert [to for to, _ in _forwards(result)] == [address]
+
+
 @pytest.mark.parametrize("is_open", [True, False])
 def test_an_agent_of_another_service_does_not_end_a_flow_silently(is_open):
     """A flow that an agent declines as another service's is placed again.
