Test what becomes of a declined copy and of an idle flow

Conditions of the last changes that could be taken out without a test failing: the reason server_unverified as one that passes, a copy with a number and a pause in the question whether a flow has ended, what an agent keeps and forgets when it declines a copy, the number of a copy of a closed flow, and a copy before the first routes. Each test fails without its condition.

--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1134,6 +1134,43 @@
     assert not _is_delivered(_forward(agent, 2.1, 1, kit.SYN, ack=2))
 
 
+def test_a_declined_copy_does_not_make_an_open_flow_unknown():
+    """An agent that knows all flows would deny it, and it would be reset."""
+    agent = _agent()
+    _open_flow(agent, 1.5, 1)
+    assert _declined_reasons(_forward(agent, 2.1, 1, kit.SYN, ack=2))
+    agent.on_report(2.2, _report(2))
+    result = _forward(agent, 2.3, 1, kit.ACK, ack=501)
+    assert kit.step_types(result) == [steps.SendToServer]
+
+
+def test_a_declined_copy_does_not_end_what_is_tried_at_the_server():
+    """The server's answer must still be matched with the search."""
+    agent = _agent(knows_all_flows=False)
+    _forward_tentatively(agent, 2.0, 1, ack=501)
+    assert _declined_reasons(_forward(agent, 2.1, 1, kit.SYN, ack=2))
+    result = agent.on_server_segment(2.2, kit.returned_segment(1, kit.ACK))
+    assert kit.messages(result, tunnel.NotHeld)
+
+
+def test_a_flow_is_handed_back_once_with_its_copy():
+    """A second decline would have the balancer place the flow twice."""
+    agent = _agent()
+    _forward(agent, 1.99, 1, kit.SYN)
+    assert _declined_reasons(_forward(agent, 2.01, 1, kit.SYN, ack=1))
+    result = agent.tick(2.01 + 2 * defaults.SERVER_ANSWER_TIMEOUT_S)
+    assert not _declined_reasons(result)
+
+
+def test_a_late_copy_of_a_closed_flow_begins_no_flow():
+    """A request that waits for it would count as work of the server."""
+    agent = _agent()
+    _open_flow(agent, 0.1, 1)
+    _close_flow(agent, 0.2, 1)
+    _forward(agent, 0.3, 1, kit.SYN, ack=1)
+    assert not agent.flows.waiting_count and not agent.flows.open_count
+
+
 # Guards against requests that run at another service's server after an agent
 # stood still while its server was replaced.
 def test_a_pause_counts_towards_the_age_of_a_report():
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -167,6 +167,63 @@
     assert [to for to, _ in _forwards(result)] == [first]
 
 
+
+
+
+def test_a_flow_waits_while_no_agent_accepts_for_a_moment():
+    """All agents of a service may wait for their servers' reports at once.
+
+    A caller that is refused retries at once and uses up its tries. An agent
+    that has not accepted flows for longer is not waited for.
+    """
+    balancer = _balancer()
+    addresses = [kit.agent(number).address for number in (1, 2)]
+    _answer(balancer, 1.0, addresses, accepting=False)
+    result = balancer.on_segment(1.0, kit.caller_segment(1, kit.SYN))
+    assert not kit.resets(result)
+    assert len(kit.log_fields(result, "flow_deferred")) == 1
+    _answer(balancer, 2.0, addresses, accepting=False)
+    result = balancer.on_segment(2.0, kit.caller_segment(2, kit.SYN))
+    assert [step.reason for step in kit.resets(result)] == ["no_agent"]
+
+
+def test_a_flow_waits_for_the_report_of_an_unverified_server():
+    """Its agent accepts flows again with the server's next report."""
+    balancer = _balancer(agents=1)
+    segment = kit.caller_segment(1, kit.SYN)
+    ((address, _),) = _forwards(balancer.on_segment(0.0, segment))
+    result = balancer.on_message(
+        0.01, address, tunnel.Declined("server_unverified", segment.data)
+    )
+    assert not kit.resets(result)
+    assert len(kit.log_fields(result, "flow_deferred")) == 1
+
+
+@pytest.mark.parametrize("is_paused", [False, True])
+def test_a_late_copy_does_not_end_an_idle_flow(is_paused):
+    """A segment that was sent before, or waited in a pause, tells nothing."""
+    balancer = _balancer()
+    balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    balancer.on_segment(0.1, kit.caller_segment(1, kit.ACK, ack=5))
+    if is_paused:
+        balancer.on_pause(5.0, 4.9)
+    copy = kit.caller_segment(1, kit.SYN, ack=0 if is_paused else 2)
+    balancer.on_segment(5.0, copy)
+    assert balancer.flows_by_key[kit.key_of(1)].is_open
+
+
+def test_a_copy_is_forwarded_before_the_routes_are_known():
+    """A balancer that has just started knows the flow from a keeper."""
+    balancer = steering.FlowSteering(_OWN_ADDRESS, "a", kit.decode)
+    address = kit.agent(1).address
+    record = tunnel.FlowRecord(kit.key_of(1), address)
+    balancer.on_message(
+        0.0, kit.balancer(2).address, tunnel.KeptRecords([record])
+    )
+    result = balancer.on_segment(0.1, kit.caller_segment(1, kit.SYN, ack=1))
+    assert [to for to, _ in _forwards(result)] == [address]
+
+
 def test_a_silent_agent_gets_no_new_flow():
     """An agent that does not answer must not get new flows.
 
