--- a/src/limpetlift/state/pauses.py
+++ b/src/limpetlift/state/pauses.py
@@ -10,6 +10,8 @@
   the caller has sent copies that may have opened the flow elsewhere.
 * A balancer asks agents for their loads before it places a flow, and drops a
   first segment whose caller has given up by now.
+* A report of a server that an agent reads just after a pause counts from the
+  begin of the pause, as its server may have been replaced since.
 * The silence of others counts from the end of the pause.
 * Nothing is refused by routes that may have changed during the pause.
 """
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -1198,6 +1198,16 @@
     assert _is_delivered(_forward(agent, 6.3, 2, kit.SYN))
 
 
+def test_a_report_is_read_after_a_long_catching_up():
+    """Many datagrams may have waited, and reports are read after them."""
+    agent = _agent()
+    agent.on_pause(5.0, 4.9)
+    _tick_until_reports_are_current(agent, 5.1)
+    agent.on_caught_up()
+    agent.on_report(5.1, _report(2))
+    assert not _is_delivered(_forward(agent, 5.1, 1, kit.SYN))
+
+
 def test_a_report_from_one_of_two_pauses_is_as_old_as_the_first():
     """A report may wait through two pauses in a row."""
     agent = _agent()
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -187,6 +187,16 @@
     assert [step.reason for step in kit.resets(result)] == ["no_agent"]
 
 
+def test_a_flow_does_not_wait_for_an_agent_that_left():
+    """It accepts no flow again, and a later process joins anew."""
+    balancer = _balancer(agents=1)
+    address = kit.agent(1).address
+    balancer.on_message(0.9, address, tunnel.AgentLeft(1))
+    _answer(balancer, 1.0, [address], accepting=False)
+    result = balancer.on_segment(1.0, kit.caller_segment(1, kit.SYN))
+    assert [step.reason for step in kit.resets(result)] == ["no_agent"]
+
+
 def test_a_flow_waits_for_the_report_of_an_unverified_server():
     """Its agent accepts flows again with the server's next report."""
     balancer = _balancer(agents=1)
