Ignore reports from a server's former address for who listens

After the settings named another address of the server, the next report of the earlier server made the agent accept flows for whatever listens at the new one. A report from the former address shows nothing of that one now. Settings without a server raised a TypeError when another service reported.

--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -30,6 +30,8 @@
         # Ids of the servers of other services whose reports were logged; the
         # values are not used, but the order is.
         self._other_server_ids = {}
+        # Address of the server by the settings before the last change of it.
+        self._former_server = None
 
     def start(self):
         """Open sockets and start timers and tasks."""
@@ -87,7 +89,7 @@
         """
         if report.service != self.decisions.service:
             self._log_other_service(report)
-            if report.address == "%s:%d" % self.settings.server:
+            if report.address == _format_endpoint(self.settings.server):
                 self.decisions.on_other_service(
                     self.observe(), report.started_ms
                 )
@@ -96,6 +98,9 @@
                 % (report.service, self.decisions.service)
             )
         self.perform(self.decisions.on_report(self.observe(), report))
+        if report.address and report.address == self._former_server:
+            # It shows nothing of the server at the address of the settings.
+            self.decisions.unverify_server()
 
     def _log_other_service(self, report):
         """Count a report of another service; log it once per server.
@@ -115,9 +120,10 @@
             own_service=self.decisions.service,
         )
 
-    def on_settings(self, changed):
+    def on_settings(self, changed, former):
         """Handle settings that were put in force."""
         if "server" in changed:
+            self._former_server = _format_endpoint(former.server)
             self.decisions.unverify_server()
 
     def on_leave(self, server_id, started_ms=0):
@@ -222,3 +228,8 @@
     def _has_work(self):
         has_ended = self.decisions.has_server_ended(clock.now())
         return has_ended is None or not (has_ended or self.decisions.is_idle)
+
+
+def _format_endpoint(endpoint):
+    """Return ``(ip, port)`` as in reports; None without an endpoint."""
+    return endpoint and "%s:%d" % endpoint
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -323,13 +323,14 @@
             self.store.set_address(settings.store)
         # Sockets are bound only at the start, so a changed address of this
         # process takes effect after a restart.
-        self.settings = settings
-        self.on_settings(changed)
+        former, self.settings = self.settings, settings
+        self.on_settings(changed, former)
 
-    def on_settings(self, changed):
+    def on_settings(self, changed, former):
         """Handle settings that were put in force while this process runs.
 
         :param changed: names of the fields that have changed.
+        :param former: the settings that were in force before.
         """
 
 
--- a/tests/test_segmentagent.py
+++ b/tests/test_segmentagent.py
@@ -294,6 +294,31 @@
     assert _is_accepting(agent, now)
 
 
+def test_an_agent_without_a_server_refuses_other_services(agent, path):
+    """Settings without a server must not end in an unhandled error."""
+    _write(path, server="")
+    agent._reload()
+    _refuse(agent, "m-1")
+    _write(path)
+    agent._reload()
+    assert agent.settings.server == ("127.0.0.1", 80)
+
+
+# Guards against requests that run at another service's server whose address
+# the settings name since, by a report of the earlier server.
+def test_a_report_from_the_former_address_does_not_count(agent, path):
+    """The earlier server may still report when the settings have changed."""
+    now = clock.now()
+    agent.on_report(_report(address="127.0.0.1:80"))
+    assert _is_accepting(agent, now)
+    _write(path, server="127.0.0.1:81")
+    agent._reload()
+    agent.on_report(_report(number=2, address="127.0.0.1:80"))
+    assert not _is_accepting(agent, now)
+    agent.on_report(_report(number=3, address="127.0.0.1:81"))
+    assert _is_accepting(agent, now)
+
+
 def _report_over_http(server, number):
     """Send a report to the server's socket; return the connection."""
     body = json.dumps(
