Allow for a stall that is no pause, and for bounds that do not apply

What an agent hears may have waited for up to 0.2 s in a stall that does not count as a pause, so the time for which a report verifies a server is that much shorter than the time after which its address is used again. The setting address_reuse_s may be 0 or the text false, as the platform's bounds may; both kept the processes from starting.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -246,7 +246,16 @@
         Where reports are rarer than addresses are used again, an agent has to
         rely on each one until the next is late.
         """
-        return max(self.address_reuse_s, self._report_wait_s)
+        return max(self._proof_s, self._report_wait_s)
+
+    @property
+    def _proof_s(self):
+        """For how long after a server was heard its address is its own.
+
+        What was heard may have waited for as long as a stall of this process
+        that does not count as a pause.
+        """
+        return self.address_reuse_s - defaults.PAUSE_MIN_S
 
     @property
     def _report_wait_s(self):
@@ -789,7 +798,7 @@
             ]
         if flow is not None:
             if flow.is_continued_by(segment) and not self._is_catching_up:
-                self._verify_server(now + self.address_reuse_s)
+                self._verify_server(now + self._proof_s)
             result += self._update_from_server(now, flow, segment)
         return result + [steps.SendToCaller(segment.key, segment.data)]
 
--- a/src/limpetlift/state/segmentsettings.py
+++ b/src/limpetlift/state/segmentsettings.py
@@ -32,13 +32,21 @@
 
 
 def _parse_address_reuse(value):
-    """Return a number of seconds, or the default for an empty text.
+    """Return a time in seconds.
 
-    :raises ValueError: when the value is not a number, or not above 0.
+    :param value: a number; or a text with a number, ``false`` when addresses
+        are not used again, or empty for the default.
+    :raises ValueError: when the value is none of these, or negative.
     """
-    seconds = float(value) if value != "" else defaults.ADDRESS_REUSE_S
-    if not 0 < seconds < float("inf"):
-        raise ValueError("address_reuse_s is %r, but must be above 0" % value)
+    if value == "":
+        return defaults.ADDRESS_REUSE_S
+    if value == "false":
+        return float("inf")
+    seconds = float(value)
+    if isinstance(value, bool) or not 0 <= seconds < float("inf"):
+        raise ValueError(
+            "address_reuse_s is %r, but must be 0 or above" % value
+        )
     return seconds
 
 
