--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -20,6 +20,9 @@
 
 _handlers_by_type = {}
 
+# Reasons to decline new flows that end with the server's next report.
+_RECOVERING_REASONS = frozenset(("server_unknown", "server_unverified"))
+
 # Number of the first report after a server's start.
 _FIRST_REPORT_NUMBER = 1
 
@@ -61,6 +64,10 @@
     is_stopping: bool = False
     # Whether messages that waited through a pause are being handled.
     _is_catching_up: bool = False
+    # When the last pause began, and the number of ticks for which a report
+    # may still be one that waited through it.
+    _pause_began_at: float = float("-inf")
+    _outdated_ticks: int = 0
     _stopping_at: float = float("inf")
     _warmed_up_at: float = 0.0
     _reported_at: float = float("-inf")
@@ -72,6 +79,13 @@
     # show that it serves: a server that has left still returns, resets and
     # acknowledges segments for a while.
     _last_served_at: float = float("-inf")
+    # When the next report of a running server has come, counted from the start
+    # of this agent or from the end of its last pause.
+    _report_due_at: float = float("-inf")
+    # Start time and last report time of a server of another service at the
+    # address.
+    _other_started_ms: int = 0
+    _other_reported_at: float = float("-inf")
     # The last report of a start that looks older than that of ``report``.
     _older_report: object = None
     # ``(server_id, started_ms)`` of the last start that was said to end.
@@ -107,6 +121,10 @@
         :param pause_s: how long the process did not run, in seconds.
         """
         self._is_catching_up = True
+        self._report_due_at = now + self._report_wait_s
+        if not self._outdated_ticks:
+            self._pause_began_at = now - pause_s
+        self._outdated_ticks = defaults.OUTDATED_REPORT_TICKS
         # The server's silence counts only while the agent itself runs.
         self._last_heard_at = self._last_served_at = now
         self.flows.extend_answer_times(now + defaults.SERVER_ANSWER_TIMEOUT_S)
@@ -155,8 +173,10 @@
         self._reported_at = self._last_heard_at = self._last_served_at = now
         self._unanswered_tentative_flows = 0
         self._older_report = None
-        if not self._is_catching_up:
-            self._verified_until = now + self._verification_s
+        if not self._is_replaced(now, report):
+            # A report that waited through a pause came when it began or later.
+            came_at = self._pause_began_at if self._outdated_ticks else now
+            self._verify_server(came_at + self._verification_s)
         self._warmed_up_at = now + report.warmup_remaining_s
         # After a report the server is sent one more new flow, which shows
         # whether it answers.
@@ -186,14 +206,39 @@
             )
         return result
 
+    def _verify_server(self, until):
+        """Rely on the server at the address until a time."""
+        self._verified_until = max(self._verified_until, until)
+
     def unverify_server(self):
         """Accept no flows until the next report.
 
-        Another server may listen at the address, since one of another service
-        has reported from there, or since the address has changed.
+        Another server may listen at the address.
         """
         self._verified_until = float("-inf")
 
+    def on_other_service(self, now, started_ms):
+        """Handle a report of another service from the server's address.
+
+        :param started_ms: start time of the server that reported.
+        """
+        self.unverify_server()
+        self._other_started_ms = started_ms
+        self._other_reported_at = now
+
+    def _is_replaced(self, now, report):
+        """Whether a report is a late one of a server that was replaced.
+
+        A server of another service that started after it reports from its
+        address. As start times are wall-clock times, this counts only while
+        that server goes on reporting.
+        """
+        return (
+            report.started_ms < self._other_started_ms
+            and now - self._other_reported_at
+            <= self.report_interval_s * defaults.SERVER_SILENT_INTERVALS
+        )
+
     @property
     def _verification_s(self):
         """For how long a report shows which server listens at the address.
@@ -201,10 +246,21 @@
         Where reports are rarer than addresses are used again, an agent has to
         rely on each one until the next is late.
         """
-        return max(
-            self.address_reuse_s,
-            self.report_interval_s * defaults.REPORT_LATE_INTERVALS,
-        )
+        return max(self._proof_s, self._report_wait_s)
+
+    @property
+    def _proof_s(self):
+        """For how long after a server was heard its address is its own.
+
+        What was heard may have waited for as long as a stall of this process
+        that does not count as a pause.
+        """
+        return self.address_reuse_s - defaults.PAUSE_MIN_S
+
+    @property
+    def _report_wait_s(self):
+        """The time in which a running server certainly reports."""
+        return self.report_interval_s * defaults.REPORT_LATE_INTERVALS
 
     def _is_verified(self, now):
         """Whether the server at the address is the one that reported.
@@ -602,6 +658,12 @@
         """Whether new flows of the own service are accepted."""
         return not self.decline_reason(now, self._service_id)
 
+    def _is_recovering(self, now):
+        """Whether new flows are declined only until the report that is due."""
+        return now < self._report_due_at and (
+            self.decline_reason(now, self._service_id) in _RECOVERING_REASONS
+        )
+
     def _is_full(self):
         return self.flows.open_count >= defaults.MAX_FLOWS_PER_SERVER
 
@@ -735,6 +797,8 @@
                 for balancer in flow.searched_by | {flow.balancer}
             ]
         if flow is not None:
+            if flow.is_continued_by(segment) and not self._is_catching_up:
+                self._verify_server(now + self._proof_s)
             result += self._update_from_server(now, flow, segment)
         return result + [steps.SendToCaller(segment.key, segment.data)]
 
@@ -793,8 +857,11 @@
 
     def tick(self, now):
         """Run the timers that are due."""
+        if self._outdated_ticks and not self._is_catching_up:
+            self._outdated_ticks -= 1
         if self._started_at is None:
             self._started_at = now
+            self._report_due_at = now + self._report_wait_s
             # The server's silence counts from the start of this agent.
             self._last_heard_at = max(self._last_heard_at, now)
             self._last_served_at = max(self._last_served_at, now)
@@ -909,6 +976,7 @@
             self.flows.open_count,
             round(self._mean_run_s * 1000),
             self._service_id,
+            self._is_recovering(now),
         )
 
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -26,8 +26,9 @@
 
 
 _INTERVAL_S = defaults.REPORT_INTERVAL_S
-# The shortest time after which a server's address is given to another one.
-_REUSE_S = 2.0
+# The shortest time after which a server's address is given to another one,
+# less the longest stall that an agent does not notice.
+_REUSE_S = defaults.ADDRESS_REUSE_S - defaults.PAUSE_MIN_S
 
 
 def _report(number=1, state=reports.READY, started_ms=1000, server_id="s-1"):
@@ -70,6 +71,11 @@
     ]
 
 
+def _tick_until_reports_are_current(agent, now):
+    for _ in range(defaults.OUTDATED_REPORT_TICKS):
+        agent.tick(now)
+
+
 def _close_flow(agent, now, port):
     _forward(agent, now, port, kit.FIN | kit.ACK, ack=501)
     agent.on_server_segment(
@@ -476,6 +482,7 @@
     ] == ["paused"]
     assert steps.SendToServer not in kit.step_types(result)
     agent.on_caught_up()
+    _tick_until_reports_are_current(agent, 5.04)
     agent.on_report(5.05, _report(2))
     result = _forward(agent, 5.1, 2, kit.SYN)
     assert steps.SendToServer in kit.step_types(result)
@@ -1089,6 +1096,33 @@
     assert _declined_reasons(result)
 
 
+# Guards against requests that run at another service's server by a copy of
+# a first segment whose server has left.
+def test_a_copy_for_a_server_that_left_is_not_delivered():
+    """A server that said that it leaves ends before its report is old."""
+    agent = _agent()
+    _forward(agent, 0.1, 1, kit.SYN)
+    agent.on_leave(0.2, "s-1", 1000)
+    result = _forward(agent, 0.3, 1, kit.SYN, ack=1)
+    assert not _is_delivered(result)
+    assert _declined_reasons(result)
+
+
+# Guards against requests that run at another service's server whose first
+# segment of its own shows that a server listens again.
+def test_a_segment_does_not_show_which_server_listens():
+    """The probe found no server, so that which listens now has to report."""
+    agent = _agent(knows_all_flows=False)
+    agent.tick(0.0)
+    for port in range(defaults.MAX_SILENT_TENTATIVE_FLOWS):
+        _forward_tentatively(agent, 0.3, port, ack=900)
+    agent.tick(0.3 + defaults.TENTATIVE_ANSWER_TIMEOUT_S)
+    agent.on_server_absent(0.42)
+    agent.on_server_segment(0.5, kit.returned_segment(1, kit.ACK))
+    result = _forward(agent, 0.6, 100, kit.SYN)
+    assert _declined_reasons(result) == ["server_unverified"]
+
+
 # Guards against requests that run at another service's server by a copy of
 # a first segment whose answer did not reach the caller.
 def test_a_copy_of_an_answered_first_segment_is_not_delivered_either():
@@ -1101,6 +1135,43 @@
     assert not _is_delivered(_forward(agent, 2.1, 1, kit.SYN, ack=2))
 
 
+def test_a_declined_copy_does_not_make_an_open_flow_unknown():
+    """An agent that knows all flows would deny it, and it would be reset."""
+    agent = _agent()
+    _open_flow(agent, 1.5, 1)
+    assert _declined_reasons(_forward(agent, 2.1, 1, kit.SYN, ack=2))
+    agent.on_report(2.2, _report(2))
+    result = _forward(agent, 2.3, 1, kit.ACK, ack=501)
+    assert kit.step_types(result) == [steps.SendToServer]
+
+
+def test_a_declined_copy_does_not_end_what_is_tried_at_the_server():
+    """The server's answer must still be matched with the search."""
+    agent = _agent(knows_all_flows=False)
+    _forward_tentatively(agent, 2.0, 1, ack=501)
+    assert _declined_reasons(_forward(agent, 2.1, 1, kit.SYN, ack=2))
+    result = agent.on_server_segment(2.2, kit.returned_segment(1, kit.ACK))
+    assert kit.messages(result, tunnel.NotHeld)
+
+
+def test_a_flow_is_handed_back_once_with_its_copy():
+    """A second decline would have the balancer place the flow twice."""
+    agent = _agent()
+    _forward(agent, 1.99, 1, kit.SYN)
+    assert _declined_reasons(_forward(agent, 2.01, 1, kit.SYN, ack=1))
+    result = agent.tick(2.01 + 2 * defaults.SERVER_ANSWER_TIMEOUT_S)
+    assert not _declined_reasons(result)
+
+
+def test_a_late_copy_of_a_closed_flow_begins_no_flow():
+    """A request that waits for it would count as work of the server."""
+    agent = _agent()
+    _open_flow(agent, 0.1, 1)
+    _close_flow(agent, 0.2, 1)
+    _forward(agent, 0.3, 1, kit.SYN, ack=1)
+    assert not agent.flows.waiting_count and not agent.flows.open_count
+
+
 # Guards against requests that run at another service's server after an agent
 # stood still while its server was replaced.
 def test_a_pause_counts_towards_the_age_of_a_report():
@@ -1111,6 +1182,56 @@
     assert not _is_delivered(_forward(agent, 5.0, 1, kit.SYN))
 
 
+# Guards against requests that run at another service's server by a report
+# that waited through a pause in which the server was replaced.
+@pytest.mark.parametrize("ticks", [0, 1])
+def test_a_report_from_a_pause_is_as_old_as_the_pause(ticks):
+    """Reports are read after the segments that waited through the pause."""
+    agent = _agent()
+    agent.on_pause(5.0, 4.9)
+    agent.on_caught_up()
+    for _ in range(ticks):
+        agent.tick(5.0)
+    agent.on_report(5.0, _report(2))
+    assert not _is_delivered(_forward(agent, 5.0, 1, kit.SYN))
+    _tick_until_reports_are_current(agent, 5.1)
+    agent.on_report(6.2, _report(3))
+    assert _is_delivered(_forward(agent, 6.3, 2, kit.SYN))
+
+
+def test_a_report_is_read_after_a_long_catching_up():
+    """Many datagrams may have waited, and reports are read after them."""
+    agent = _agent()
+    agent.on_pause(5.0, 4.9)
+    _tick_until_reports_are_current(agent, 5.1)
+    agent.on_caught_up()
+    agent.on_report(5.1, _report(2))
+    assert not _is_delivered(_forward(agent, 5.1, 1, kit.SYN))
+
+
+def test_a_report_from_one_of_two_pauses_is_as_old_as_the_first():
+    """A report may wait through two pauses in a row."""
+    agent = _agent()
+    agent.on_pause(5.0, 4.0)
+    agent.on_caught_up()
+    agent.on_pause(5.3, 0.2)
+    agent.on_caught_up()
+    agent.on_report(5.3, _report(2))
+    assert not _is_delivered(_forward(agent, 5.3, 1, kit.SYN))
+
+
+def test_reports_from_short_pauses_let_an_agent_accept_flows():
+    """A slow agent pauses often, and most reports come in its pauses."""
+    agent = _agent()
+    for number in range(2, 6):
+        now = number * _INTERVAL_S
+        agent.on_pause(now, 0.5)
+        agent.on_report(now, _report(number))
+        agent.on_caught_up()
+        _tick_until_reports_are_current(agent, now + 0.1)
+    assert _is_delivered(_forward(agent, now + 0.1, 1, kit.SYN))
+
+
 # Guards against requests that run at another service's server when agents
 # report that they accept flows for a server that may have been replaced.
 def test_a_server_without_reports_is_not_offered_to_balancers():
@@ -1255,3 +1376,75 @@
     agent.on_report(0.2, _report(2, reports.DRAINING))
     result = _forward(agent, 0.3, 1, kit.SYN, sequence=77_000)
     assert steps.SendToServer not in kit.step_types(result)
+
+
+def test_an_open_flow_shows_that_the_server_still_runs():
+    """After a pause the next report may be a whole interval away.
+
+    Another server at the address would not go on with an open flow.
+    """
+    agent = _agent()
+    _open_flow(agent, 0.0, 1, sequence=500)
+    agent.on_pause(5.0, 4.9)
+    waiting = kit.server_segment(1, kit.ACK, sequence=501, payload=b"a")
+    agent.on_server_segment(5.0, waiting)
+    agent.on_caught_up()
+    assert not _is_delivered(_forward(agent, 5.01, 2, kit.SYN))
+    agent.on_server_segment(5.02, waiting)
+    assert _is_delivered(_forward(agent, 5.03, 3, kit.SYN))
+    assert not _is_delivered(_forward(agent, 5.02 + _REUSE_S, 4, kit.SYN))
+
+
+@pytest.mark.parametrize(
+    "segment",
+    [
+        kit.server_segment(1, kit.SYN | kit.ACK, sequence=500),
+        kit.server_segment(1, kit.RST, sequence=501),
+        kit.server_segment(1, kit.ACK, sequence=9_000_000, payload=b"a"),
+        kit.server_segment(1, kit.ACK, sequence=400, payload=b"a"),
+        kit.server_segment(2, kit.ACK, sequence=501, payload=b"a"),
+        kit.returned_segment(1, kit.ACK, ack=501),
+    ],
+)
+def test_what_another_server_may_send_verifies_nothing(segment):
+    """It may accept a copy, reset, return, or hold flows of its own."""
+    agent = _agent()
+    _open_flow(agent, 0.0, 1, sequence=500)
+    agent.on_server_segment(_REUSE_S + 0.1, segment)
+    assert not _is_delivered(_forward(agent, _REUSE_S + 0.2, 3, kit.SYN))
+
+
+def _load_report(agent, now):
+    result = agent.on_message(now, _BALANCER, tunnel.Hello(True))
+    ((_, load),) = kit.messages(result, tunnel.LoadReport)
+    return tunnel.decode(load.encode())
+
+
+def test_an_agent_tells_that_it_waits_for_a_report_after_a_pause():
+    """Its server is most likely the same and reports within an interval."""
+    agent = _agent()
+    agent.tick(0.0)
+    agent.on_pause(5.0, 4.9)
+    load = _load_report(agent, 5.1)
+    assert (load.accepting, load.is_recovering) == (False, True)
+    agent.on_caught_up()
+    for tick in range(defaults.OUTDATED_REPORT_TICKS):
+        agent.tick(5.1 + tick * defaults.HOSTING_TICK_S)
+    agent.on_report(5.5, _report(2))
+    load = _load_report(agent, 5.6)
+    assert (load.accepting, load.is_recovering) == (True, False)
+
+
+def test_an_agent_does_not_wait_for_a_server_that_is_late():
+    """Callers of a service without servers must be refused at once."""
+    agent = _agent()
+    agent.tick(0.0)
+    assert not _load_report(agent, _REUSE_S + 0.1).is_recovering
+    agent.on_report(3.0, _report(2, reports.DRAINING))
+    agent.on_pause(5.0, 1.0)
+    assert not _load_report(agent, 5.1).is_recovering
+    started = _agent(report=False)
+    started.tick(0.0)
+    assert _load_report(started, 0.1).is_recovering
+    late = _INTERVAL_S * defaults.REPORT_LATE_INTERVALS
+    assert not _load_report(started, late).is_recovering
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -167,6 +167,53 @@
     assert [to for to, _ in _forwards(result)] == [first]
 
 
+def test_a_flow_does_not_wait_for_an_agent_that_left():
+    """It accepts no flow again, and a later process joins anew."""
+    balancer = _balancer(agents=1)
+    address = kit.agent(1).address
+    balancer.on_message(0.9, address, tunnel.AgentLeft(1))
+    _answer(balancer, 1.0, [address], accepting=False)
+    result = balancer.on_segment(1.0, kit.caller_segment(1, kit.SYN))
+    assert [step.reason for step in kit.resets(result)] == ["no_agent"]
+
+
+def test_a_flow_waits_for_the_report_of_an_unverified_server():
+    """Its agent accepts flows again with the server's next report."""
+    balancer = _balancer(agents=1)
+    segment = kit.caller_segment(1, kit.SYN)
+    ((address, _),) = _forwards(balancer.on_segment(0.0, segment))
+    result = balancer.on_message(
+        0.01, address, tunnel.Declined("server_unverified", segment.data)
+    )
+    assert not kit.resets(result)
+    assert len(kit.log_fields(result, "flow_deferred")) == 1
+
+
+@pytest.mark.parametrize("is_paused", [False, True])
+def test_a_late_copy_does_not_end_an_idle_flow(is_paused):
+    """A segment that was sent before, or waited in a pause, tells nothing."""
+    balancer = _balancer()
+    balancer.on_segment(0.0, kit.caller_segment(1, kit.SYN))
+    balancer.on_segment(0.1, kit.caller_segment(1, kit.ACK, ack=5))
+    if is_paused:
+        balancer.on_pause(5.0, 4.9)
+    copy = kit.caller_segment(1, kit.SYN, ack=0 if is_paused else 2)
+    balancer.on_segment(5.0, copy)
+    assert balancer.flows_by_key[kit.key_of(1)].is_open
+
+
+def test_a_copy_is_forwarded_before_the_routes_are_known():
+    """A balancer that has just started knows the flow from a keeper."""
+    balancer = steering.FlowSteering(_OWN_ADDRESS, "a", kit.decode)
+    address = kit.agent(1).address
+    record = tunnel.FlowRecord(kit.key_of(1), address)
+    balancer.on_message(
+        0.0, kit.balancer(2).address, tunnel.KeptRecords([record])
+    )
+    result = balancer.on_segment(0.1, kit.caller_segment(1, kit.SYN, ack=1))
+    assert [to for to, _ in _forwards(result)] == [address]
+
+
 def test_a_silent_agent_gets_no_new_flow():
     """An agent that does not answer must not get new flows.
 
@@ -1329,6 +1376,28 @@
     assert is_routed or kit.resets(result)
 
 
+def test_a_first_segment_that_is_very_late_does_not_reset_its_flow():
+    """The copy sent 200 ms later opened the flow, which has been idle since.
+
+    No agent accepts flows any more, so that the flow was refused with a reset
+    while its server held it.
+    """
+    balancer = _balancer(agents=1)
+    result = balancer.on_segment(0.2, kit.caller_segment(1, kit.SYN, ack=1))
+    result += _answer(balancer, 0.2, [kit.agent(1).address])
+    ((address, _),) = _forwards(result)
+    balancer.on_segment(0.6, kit.caller_segment(1, kit.ACK, ack=5))
+    _answer(balancer, 4.0, [address], accepting=False)
+    result = balancer.on_segment(4.0, kit.caller_segment(1, kit.SYN))
+    assert not kit.resets(result)
+    balancer.on_segment(4.1, kit.caller_segment(1, kit.ACK, ack=5))
+    balancer.tick(4.1)
+    result = balancer.on_message(
+        4.11, address, tunnel.LocateReply([(kit.key_of(1), tunnel.HELD)])
+    )
+    assert [to for to, _ in _forwards(result)] == [address]
+
+
 @pytest.mark.parametrize("is_open", [True, False])
 def test_an_agent_of_another_service_does_not_end_a_flow_silently(is_open):
     """A flow that an agent declines as another service's is placed again.
@@ -1371,3 +1440,31 @@
     result += _answer(balancer, 2.01, list(balancer.agents.by_address))
     result += balancer.tick(2.1)
     assert not _forwards(result)
+
+
+def test_a_flow_waits_for_agents_that_wait_for_a_report():
+    """All agents of a service stood still, or have just started.
+
+    After a refusal the caller tries again at once, and uses up its tries
+    before the servers have reported.
+    """
+    balancer = _balancer(agents=2)
+    for number, address in enumerate(list(balancer.agents.by_address)):
+        balancer.on_message(
+            1.0,
+            address,
+            kit.load(5, accepting=False, is_recovering=not number),
+        )
+    result = balancer.on_segment(1.0, kit.caller_segment(1, kit.SYN))
+    assert not kit.resets(result)
+    (fields,) = kit.log_fields(result, "flow_deferred")
+    assert fields["reason"] == "no_agent"
+
+
+def test_a_flow_is_refused_when_no_agent_waits_for_a_report():
+    """The caller must not wait for servers that are known to be gone."""
+    balancer = _balancer(agents=2)
+    for address in list(balancer.agents.by_address):
+        balancer.on_message(1.0, address, kit.load(5, accepting=False))
+    result = balancer.on_segment(1.0, kit.caller_segment(1, kit.SYN))
+    assert [step.reason for step in kit.resets(result)] == ["no_agent"]
