Test servers replaced beside a running agent in the soak

An agent kept the report of its lost server in force and forwarded first segments to the new one at its address; and new settings reached the check of reports, but not the decision on new flows.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -54,6 +54,20 @@
     assert not soak_run.violations
 
 
+@pytest.mark.parametrize(
+    "fault", ["replace_server", "replace_server_and_settings"]
+)
+def test_no_promise_breaks_when_a_server_is_replaced(fault, tmp_path):
+    """An agent must not forward flows to a server of another service.
+
+    The agent runs on when a server of the other service gets the address of
+    its lost one, with its settings as they are or rewritten meanwhile.
+    """
+    soak_run = soak.run_once(1, 12.0, tmp_path, reuse=fault)
+    assert soak_run.injected_faults
+    assert not soak_run.violations
+
+
 def test_soak_detects_flows_of_another_service(tmp_path):
     """Agents that take flows of any service must break a promise.
 
