Move the verification of an agent's server to a module of its own

FlowHosting had six fields and nine methods for the question whether the server at its address is still the one that reported. They are a class with this one job now; no behaviour changes, and no test does.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -16,6 +16,7 @@
 from limpetlift.state import hostedflows
 from limpetlift.state import reports
 from limpetlift.state import steps
+from limpetlift.state import verification
 from limpetlift import structs
 
 _handlers_by_type = {}
@@ -64,28 +65,15 @@
     is_stopping: bool = False
     # Whether messages that waited through a pause are being handled.
     _is_catching_up: bool = False
-    # When the last pause began, and the number of ticks for which a report
-    # may still be one that waited through it.
-    _pause_began_at: float = float("-inf")
-    _outdated_ticks: int = 0
     _stopping_at: float = float("inf")
     _warmed_up_at: float = 0.0
     _reported_at: float = float("-inf")
-    # Until then the server that listens is certainly the one that reported.
-    _verified_until: float = float("-inf")
     # Time of the last report or segment of the server.
     _last_heard_at: float = float("-inf")
     # Time of the last report or payload of the server. Other segments don't
     # show that it serves: a server that has left still returns, resets and
     # acknowledges segments for a while.
     _last_served_at: float = float("-inf")
-    # When the next report of a running server has come, counted from the start
-    # of this agent or from the end of its last pause.
-    _report_due_at: float = float("-inf")
-    # Start time and last report time of a server of another service at the
-    # address.
-    _other_started_ms: int = 0
-    _other_reported_at: float = float("-inf")
     # The last report of a start that looks older than that of ``report``.
     _older_report: object = None
     # ``(server_id, started_ms)`` of the last start that was said to end.
@@ -109,9 +97,13 @@
     _started_at: object = None
     _last_sweep_at: float = float("-inf")
     _service_id: bytes = attrs.field(init=False)
+    _verification: verification.ServerVerification = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self._service_id = hashing.service_id(self.service)
+        self._verification = verification.ServerVerification(
+            self.report_interval_s, self.address_reuse_s
+        )
 
     # Pauses.
 
@@ -121,10 +113,7 @@
         :param pause_s: how long the process did not run, in seconds.
         """
         self._is_catching_up = True
-        self._report_due_at = now + self._report_wait_s
-        if not self._outdated_ticks:
-            self._pause_began_at = now - pause_s
-        self._outdated_ticks = defaults.OUTDATED_REPORT_TICKS
+        self._verification.on_pause(now, pause_s)
         # The server's silence counts only while the agent itself runs.
         self._last_heard_at = self._last_served_at = now
         self.flows.extend_answer_times(now + defaults.SERVER_ANSWER_TIMEOUT_S)
@@ -173,10 +162,7 @@
         self._reported_at = self._last_heard_at = self._last_served_at = now
         self._unanswered_tentative_flows = 0
         self._older_report = None
-        if not self._is_replaced(now, report):
-            # A report that waited through a pause came when it began or later.
-            came_at = self._pause_began_at if self._outdated_ticks else now
-            self._verify_server(came_at + self._verification_s)
+        self._verification.on_report(now, report)
         self._warmed_up_at = now + report.warmup_remaining_s
         # After a report the server is sent one more new flow, which shows
         # whether it answers.
@@ -206,69 +192,19 @@
             )
         return result
 
-    def _verify_server(self, until):
-        """Rely on the server at the address until a time."""
-        self._verified_until = max(self._verified_until, until)
-
     def unverify_server(self):
         """Accept no flows until the next report.
 
         Another server may listen at the address.
         """
-        self._verified_until = float("-inf")
+        self._verification.end()
 
     def on_other_service(self, now, started_ms):
         """Handle a report of another service from the server's address.
 
         :param started_ms: start time of the server that reported.
         """
-        self.unverify_server()
-        self._other_started_ms = started_ms
-        self._other_reported_at = now
-
-    def _is_replaced(self, now, report):
-        """Whether a report is a late one of a server that was replaced.
-
-        A server of another service that started after it reports from its
-        address. As start times are wall-clock times, this counts only while
-        that server goes on reporting.
-        """
-        return (
-            report.started_ms < self._other_started_ms
-            and now - self._other_reported_at
-            <= self.report_interval_s * defaults.SERVER_SILENT_INTERVALS
-        )
-
-    @property
-    def _verification_s(self):
-        """For how long a report shows which server listens at the address.
-
-        Where reports are rarer than addresses are used again, an agent has to
-        rely on each one until the next is late.
-        """
-        return max(self._proof_s, self._report_wait_s)
-
-    @property
-    def _proof_s(self):
-        """For how long after a server was heard its address is its own.
-
-        What was heard may have waited for as long as a stall of this process
-        that does not count as a pause.
-        """
-        return self.address_reuse_s - defaults.PAUSE_MIN_S
-
-    @property
-    def _report_wait_s(self):
-        """The time in which a running server certainly reports."""
-        return self.report_interval_s * defaults.REPORT_LATE_INTERVALS
-
-    def _is_verified(self, now):
-        """Whether the server at the address is the one that reported.
-
-        A server of another service at its address would accept the flows of
-        this agent's service.
-        """
-        return now < self._verified_until
+        self._verification.on_other_service(now, started_ms)
 
     def _on_all_flows_known(self, reason):
         """Record that no flow of the server is unknown to this agent.
@@ -325,7 +261,7 @@
         if self.report.state == reports.GONE:
             return []
         self.report = attrs.evolve(self.report, state=reports.GONE)
-        self._verified_until = float("-inf")
+        self._verification.end()
         if started_ms:
             self._ended = (server_id, started_ms)
         return [
@@ -438,7 +374,7 @@
         if not self._may_be_absent(now):
             return []
         self._absent_until = now + defaults.SERVER_PROBE_INTERVAL_S
-        self._verified_until = float("-inf")
+        self._verification.end()
         self._unanswered_flows = defaults.MAX_SILENT_FLOWS
         result = [
             steps.LogEvent(
@@ -648,7 +584,7 @@
             return "server_gone"
         if self._unanswered_flows >= defaults.MAX_SILENT_FLOWS:
             return "server_silent"
-        if not self._is_verified(now):
+        if not self._verification.is_verified(now):
             return "server_unverified"
         if self._is_full():
             return "too_many_flows"
@@ -660,7 +596,7 @@
 
     def _is_recovering(self, now):
         """Whether new flows are declined only until the report that is due."""
-        return now < self._report_due_at and (
+        return self._verification.is_report_awaited(now) and (
             self.decline_reason(now, self._service_id) in _RECOVERING_REASONS
         )
 
@@ -742,7 +678,8 @@
             return self.decline_reason(now, service_id)
         if service_id != self._service_id:
             return "other_service"
-        return "" if self._is_verified(now) else "server_unverified"
+        is_verified = self._verification.is_verified(now)
+        return "" if is_verified else "server_unverified"
 
     def _decline_copy(self, now, balancer, flow, segment, reason):
         """Decline a copy of the first segment of a known flow.
@@ -798,7 +735,7 @@
             ]
         if flow is not None:
             if flow.is_continued_by(segment) and not self._is_catching_up:
-                self._verify_server(now + self._proof_s)
+                self._verification.on_continued_flow(now)
             result += self._update_from_server(now, flow, segment)
         return result + [steps.SendToCaller(segment.key, segment.data)]
 
@@ -857,11 +794,11 @@
 
     def tick(self, now):
         """Run the timers that are due."""
-        if self._outdated_ticks and not self._is_catching_up:
-            self._outdated_ticks -= 1
+        if not self._is_catching_up:
+            self._verification.tick()
         if self._started_at is None:
             self._started_at = now
-            self._report_due_at = now + self._report_wait_s
+            self._verification.on_start(now)
             # The server's silence counts from the start of this agent.
             self._last_heard_at = max(self._last_heard_at, now)
             self._last_served_at = max(self._last_served_at, now)
