Take the time of address reuse from the environment of the agent

The deploy file passes the bound in an environment variable now, and a settings file that names address_reuse_s goes before it; without both it is 2 s.

--- a/src/limpetlift/state/segmentsettings.py
+++ b/src/limpetlift/state/segmentsettings.py
@@ -4,6 +4,7 @@
 because these processes are started often on slow instances.
 """
 
+import os
 import tomllib
 
 import attrs
@@ -116,13 +117,19 @@
     )
 
 
-def decode(data):
+def decode(data, environment=os.environ):
     """Return the :class:`Settings` in the bytes of a TOML file.
 
+    :param environment: environment variables, by name. ``ADDRESS_REUSE_S``
+        stands for a missing ``address_reuse_s``.
     :raises SettingsError: when they are invalid.
     """
     try:
-        return Settings(**tomllib.loads(data.decode("utf-8")))
+        fields = tomllib.loads(data.decode("utf-8"))
+        fields.setdefault(
+            "address_reuse_s", environment.get("ADDRESS_REUSE_S", "")
+        )
+        return Settings(**fields)
     except (ValueError, TypeError, RecursionError) as error:
         raise exceptions.SettingsError([str(error)]) from error
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import re
+import tomllib
 
 import hypothesis
 from hypothesis import strategies
@@ -685,7 +686,6 @@
         "internal_port_range.0": "7720",
         "bootstrap|json": "true",
         "heartbeat_ms": "900",
-        "bounds.reuse_after_s": "2.5",
     }
     filled = re.sub(
         r"\{\{([^}]+)\}\}",
@@ -699,7 +699,6 @@
     assert found.server is None
     assert found.is_first_start
     assert found.report_interval_ms == 900
-    assert found.address_reuse_s == 2.5
 
 
 def test_invalid_settings_say_what_is_wrong(tmp_path):
@@ -714,15 +713,16 @@
     assert "settings.toml" in str(caught.value)
 
 
-def _decode_address_reuse(value):
-    return segmentsettings.decode(
-        (
-            'id = "a"\ndata_centre = "b"\nip = "10.0.0.1"\n'
-            'segments = "10.0.0.1:1"\nprobes = "10.0.0.1:2"\n'
-            'store = "10.0.0.2:3"\npeer_port = 4\n'
-            "address_reuse_s = %s\n" % value
-        ).encode()
-    ).address_reuse_s
+def _decode_address_reuse(value, **environment):
+    text = (
+        'id = "a"\ndata_centre = "b"\nip = "10.0.0.1"\n'
+        'segments = "10.0.0.1:1"\nprobes = "10.0.0.1:2"\n'
+        'store = "10.0.0.2:3"\npeer_port = 4\n'
+    )
+    if value:
+        text += "address_reuse_s = %s\n" % value
+    settings = segmentsettings.decode(text.encode(), environment)
+    return settings.address_reuse_s
 
 
 @pytest.mark.parametrize("value", ['"x"', "true", "-0.5", '"-1"', '"inf"'])
@@ -742,6 +742,19 @@
     assert _decode_address_reuse('""') == defaults.ADDRESS_REUSE_S
 
 
+def test_the_environment_gives_a_missing_time_of_address_reuse():
+    """The deploy file passes the bound on; the settings file goes before."""
+    role = tomllib.loads(
+        (_ROOT / "deploy" / "system.toml").read_text("utf-8")
+    )["roles"]["agent"]
+    assert set(role["env"]) == {"ADDRESS_REUSE_S"}
+    assert _decode_address_reuse("", ADDRESS_REUSE_S="2.5") == 2.5
+    assert _decode_address_reuse("3", ADDRESS_REUSE_S="2.5") == 3
+    assert _decode_address_reuse("") == defaults.ADDRESS_REUSE_S
+    with pytest.raises(exceptions.SettingsError):
+        _decode_address_reuse("", ADDRESS_REUSE_S="x")
+
+
 def test_platform_names_occur_only_in_the_adapter():
     """Names of the platform outside the adapter would tie the rest to it."""
     words = re.compile(
