Join a roster again at once after another member has changed it

Of agents that join the roster of a service together, all but one find that it has changed, and waited 1 to 3 s as after a failure of the store, while they were ready.

The new test of test_keys failed before. The processes of the users' platform have no roster.

--- a/src/limpetlift/tasks/roster.py
+++ b/src/limpetlift/tasks/roster.py
@@ -60,6 +60,10 @@
             try:
                 await self.update_roster()
                 wait_s = self._poll_interval_s()
+            except exceptions.StoreConflict:
+                # Another member has changed the roster, as when many join.
+                LOG.info("roster_changed_meanwhile")
+                wait_s = defaults.ROSTER_READ_JITTER_S
             except exceptions.CoordinationError as error:
                 LOG.warning("roster_not_updated", code=error.code)
                 wait_s = defaults.ROSTER_RETRY_S
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -236,3 +236,45 @@
         assert left.has_ended("a1", 7)
 
     _run(scenario)
+
+
+class _RacingStore(_Store):
+    """A store whose readers get the same entry before one of them writes."""
+
+    async def get(self, key):
+        entry = await super().get(key)
+        await asyncio.sleep(0.01)
+        return entry
+
+    get_current = get
+
+    async def compare_and_swap(self, key, revision, value):
+        if revision != (self.entry.mod_revision if self.entry else 0):
+            raise exceptions.StoreConflict("changed")
+        self.entry = _Entry(value, revision + 1)
+
+
+# Guards against requests with a key that are refused with roster_pending for
+# seconds by an agent that is ready.
+def test_agents_that_join_together_are_members_at_once():
+    """All but one of them find that the roster has changed meanwhile."""
+
+    async def scenario():
+        store = _RacingStore()
+        nodes = {}
+        agents = []
+        for number in (1, 2, 3):
+            node = _Node("a%d" % number, 7, nodes)
+            nodes[number] = node
+            agents.append(_Agent(node, store, lambda _agent_id: None, []))
+        tasks = [
+            asyncio.ensure_future(agent.roster.follow_roster())
+            for agent in agents
+        ]
+        await asyncio.sleep(0.7)
+        for task in tasks:
+            task.cancel()
+        roster = rosters.decode(store.entry.value)
+        assert all(roster.contains(node.id, 7) for node in nodes.values())
+
+    _run(scenario)
