Decode priorities, time budgets and warm-up rates of the configuration

Decisions under load need what the operators say of routes and services. The configuration's route fields type, timeout_ms and priority and the services' warmup_s and warmup_per_s were not decoded. An invalid one is logged and keeps its last valid value, so that it does not cost the other routes.

Placing, admission and polling move to the package scheduling, without a change of behaviour; further decisions under load will stand beside them. Load reports and hellos get the optional fields that docs/uneven-load.md names; messages without them are the same bytes as before.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -482,6 +482,8 @@
 # Further lines of the event in the same second are dropped and counted.
 LOG_LINES_PER_EVENT_PER_S = 100
 MAX_LOGGED_AGENT_IDS = 4
+# Of one version of the configuration.
+MAX_LOGGED_INVALID_FIELDS = 8
 # Servers of other services whose reports an agent remembers to have logged.
 MAX_OTHER_SERVERS = 16
 
--- a/src/limpetlift/platform/documents.py
+++ b/src/limpetlift/platform/documents.py
@@ -12,6 +12,15 @@
 _STATE_BY_NAME = {"ready": reports.READY, "draining": reports.DRAINING}
 
 
+# Larger values of the optional fields are mistakes: no caller waits for a day,
+# and no server takes a million requests per second.
+_MAX_TIMEOUT_MS = 86_400_000
+_LOWEST_PRIORITY = 255
+_MAX_WARMUP_S = 86_400
+_MAX_WARMUP_PER_S = 1_000_000
+# Of an invalid value in a log line.
+_MAX_PROBLEM_TEXT = 40
+
 # Errors of ``json.loads`` and of the checks of decoded values.
 _ERRORS = (
     ValueError,
@@ -32,12 +41,15 @@
     """
     try:
         document = json.loads(value)
-        routes = [_route(fields) for fields in document["routes"]]
+        problems = []
+        routes = [_route(fields, problems) for fields in document["routes"]]
         idle_timeout_ms = _number(document["limits"], "idle_timeout_ms")
         return routing.RouteTable(
             _typed_field(document, "version", int),
             {route.address: route for route in routes},
             idle_timeout_ms / 1000,
+            _decode_paces(document.get("services", []), problems),
+            tuple(problems),
         )
     except _ERRORS as error:
         raise exceptions.MalformedMessage(
@@ -45,7 +57,8 @@
         ) from None
 
 
-def _route(fields):
+def _route(fields, problems):
+    """Return the route; add its invalid optional fields to ``problems``."""
     # The host is the IP address that callers send to, and the prefix is the
     # port between slashes, such as "/443/".
     address = (
@@ -63,14 +76,76 @@
         )
         for backend in backends
     )
+    name = _typed_field(fields, "name", str)
+
+    def optional(field, attribute, highest, kind=(int, float)):
+        subject = (routing.ROUTE, name, attribute)
+        return _optional(fields, field, subject, highest, kind, problems)
+
+    kind = fields.get("type", "")
+    if not isinstance(kind, str) or kind not in routing.KINDS | {""}:
+        problems.append(
+            routing.InvalidField(routing.ROUTE, name, "kind", repr(kind))
+        )
+        kind = ""
     return routing.Route(
-        _typed_field(fields, "name", str),
+        name,
         address,
         weighted_services,
         _number(fields, "aim_ms", 0) / 1000,
+        kind,
+        optional("timeout_ms", "timeout_s", _MAX_TIMEOUT_MS) / 1000,
+        int(optional("priority", "priority", _LOWEST_PRIORITY, int)),
     )
 
 
+def _decode_paces(services, problems):
+    """Return the :class:`routing.ServicePace` by the name of the service.
+
+    Invalid fields are added to ``problems``.
+    """
+    paces_by_service = {}
+    for fields in services:
+        name = _typed_field(fields, "name", str)
+        paces_by_service[name] = routing.ServicePace(
+            *(
+                _optional(
+                    fields,
+                    field,
+                    (routing.SERVICE, name, field),
+                    highest,
+                    (int, float),
+                    problems,
+                )
+                for field, highest in (
+                    ("warmup_s", _MAX_WARMUP_S),
+                    ("warmup_per_s", _MAX_WARMUP_PER_S),
+                )
+            )
+        )
+    return paces_by_service
+
+
+def _optional(fields, field, subject, highest, kind, problems):
+    """Return a number that may be missing, or 0 when it is invalid.
+
+    An invalid one is added to ``problems`` instead of rejecting the whole
+    configuration.
+
+    :param subject: the first three fields of
+        :class:`routing.InvalidField`.
+    """
+    try:
+        value = _number(fields, field, 0, kind)
+        if value <= highest:
+            return value
+    except (ValueError, OverflowError):
+        pass
+    text = repr(fields[field])[:_MAX_PROBLEM_TEXT]
+    problems.append(routing.InvalidField(*subject, text))
+    return 0.0
+
+
 def decode_report(server_id, body):
     """Return the :class:`~limpetlift.state.reports.Report` of a server.
 
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -20,6 +20,9 @@
 # Longest wait that a message can permit; a longer one is sent as this.
 MAX_WAIT_MS = 0xFFFF
 
+# In place of a number of flows: there is no limit.
+NO_LIMIT = 0xFFFF
+
 # In place of the id of a service that the sender does not know. No agent
 # accepts a new flow of it.
 NO_SERVICE = bytes(8)
@@ -78,6 +81,8 @@
 _FORWARD = struct.Struct("!BBH8s")
 _FORWARD_BODY = struct.Struct("!H8s")
 _LOAD_REPORT = struct.Struct("!QIBBHHHH8s")
+_LOAD_EXTENSION = struct.Struct("!HB")
+_HELLO_PACE = struct.Struct("!Qf")
 _RECORD = struct.Struct("!12s4sHB8s")
 _KEY = struct.Struct("!12s")
 _AGENT_LEFT = struct.Struct("!Q")
@@ -196,13 +201,22 @@
 
     :param is_listed: whether the balancer finds the agent's entry in the
         store.
+    :param config_version: version of the configuration that
+        ``warmup_per_s`` comes from; 0 when the message does not contain them.
+    :param warmup_per_s: new requests per second that the agent's backend
+        server bears right after its start; 0 when that is not configured.
     """
 
     is_listed: bool = True
+    config_version: int = 0
+    warmup_per_s: float = 0.0
 
     def encode(self):
         """Return the datagram."""
-        return _HEADER.pack(_VERSION, HELLO) + bytes((self.is_listed,))
+        data = _HEADER.pack(_VERSION, HELLO) + bytes((self.is_listed,))
+        if self.config_version:
+            data += _HELLO_PACE.pack(self.config_version, self.warmup_per_s)
+        return data
 
 
 @structs.frozen
@@ -222,6 +236,13 @@
         agent's service.
     :param is_recovering: whether the agent accepts no flows now, but most
         likely will before callers have sent all copies of a first segment.
+    :param room: number of new flows that the agent accepts now under the pace
+        of its backend server; :data:`NO_LIMIT` without one.
+    :param failure_share: share of the recent requests that the server did not
+        answer properly, from 0 to 255.
+
+    The last two are only sent when they say something: processes of earlier
+    versions reject reports that contain them.
     """
 
     incarnation: int
@@ -234,10 +255,12 @@
     run_ms: int
     service: bytes
     is_recovering: bool = False
+    room: int = NO_LIMIT
+    failure_share: int = 0
 
     def encode(self):
         """Return the datagram."""
-        return _HEADER.pack(_VERSION, LOAD_REPORT) + _LOAD_REPORT.pack(
+        data = _HEADER.pack(_VERSION, LOAD_REPORT) + _LOAD_REPORT.pack(
             self.incarnation,
             self.number,
             _ACCEPTING * self.accepting | _RECOVERING * self.is_recovering,
@@ -248,6 +271,11 @@
             min(self.run_ms, 0xFFFF),
             self.service,
         )
+        if self.room != NO_LIMIT or self.failure_share:
+            data += _LOAD_EXTENSION.pack(
+                min(self.room, NO_LIMIT), self.failure_share
+            )
+        return data
 
 
 @structs.frozen
@@ -572,12 +600,24 @@
 
 @registry.register(decoders_by_kind, HELLO)
 def _decode_hello(body):
-    return Hello(bool(body[0]))
+    if len(body) == 1:
+        return Hello(bool(body[0]))
+    config_version, warmup_per_s = _HELLO_PACE.unpack_from(body, 1)
+    if not 0 <= warmup_per_s < float("inf"):
+        raise exceptions.MalformedMessage(
+            "invalid number of requests per second: %r" % warmup_per_s
+        )
+    return Hello(bool(body[0]), config_version, warmup_per_s)
 
 
 @registry.register(decoders_by_kind, LOAD_REPORT)
 def _decode_load_report(body):
-    incarnation, number, flags, warming, *rest = _LOAD_REPORT.unpack(body)
+    incarnation, number, flags, warming, *rest = _LOAD_REPORT.unpack_from(body)
+    room, failure_share = NO_LIMIT, 0
+    if len(body) > _LOAD_REPORT.size:
+        room, failure_share = _LOAD_EXTENSION.unpack_from(
+            body, _LOAD_REPORT.size
+        )
     return LoadReport(
         incarnation,
         number,
@@ -585,6 +625,8 @@
         bool(warming),
         *rest,
         is_recovering=bool(flags & _RECOVERING),
+        room=room,
+        failure_share=failure_share,
     )
 
 
--- /dev/null
+++ b/src/limpetlift/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about where new flows go, and when, under load."""
--- a/src/limpetlift/state/placing.py
+++ b/src/limpetlift/scheduling/placing.py
@@ -5,6 +5,8 @@
 candidates.
 """
 
+import math
+
 from limpetlift import defaults
 from limpetlift import registry
 from limpetlift import structs
@@ -28,6 +30,10 @@
     :param is_near: whether it is in the balancer's data centre.
     :param run_s: mean run time of a request that its backend server can start
         at once; 0 when unknown.
+    :param room: number of new flows that it accepts now under the pace of its
+        backend server.
+    :param failure_share: share of its recent requests that were not answered
+        properly, from 0 to 1.
     """
 
     agent_key: object
@@ -38,6 +44,8 @@
     is_warming: bool = False
     is_near: bool = False
     run_s: float = 0.0
+    room: float = math.inf
+    failure_share: float = 0.0
 
 
 def expected_work(candidate, busy_per_flow):
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -12,7 +12,7 @@
 from limpetlift.protocol import hashing
 from limpetlift.protocol import tunnel
 from limpetlift import registry
-from limpetlift.state import admitting
+from limpetlift.scheduling import admitting
 from limpetlift.state import hostedflows
 from limpetlift.state import reports
 from limpetlift.state import steps
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -18,11 +18,11 @@
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift import registry
-from limpetlift.state import admitting
+from limpetlift.scheduling import admitting
+from limpetlift.scheduling import placing
+from limpetlift.scheduling import polling
 from limpetlift.state import keeping
 from limpetlift.state import knownagents
-from limpetlift.state import placing
-from limpetlift.state import polling
 from limpetlift.state import routing
 from limpetlift.state import searching
 from limpetlift.state import steps
@@ -116,9 +116,9 @@
         :class:`~limpetlift.protocol.segment.Segment`.
     :param rng: a :class:`random.Random`.
     :param placing_policy: name of a policy of
-        :mod:`limpetlift.state.placing`.
+        :mod:`limpetlift.scheduling.placing`.
     :param admission_policy: name of a policy of
-        :mod:`limpetlift.state.admitting`.
+        :mod:`limpetlift.scheduling.admitting`.
     :param record_policy: name of a policy of
         :mod:`limpetlift.state.keeping`.
     :param routes: the :class:`~limpetlift.state.routing.RouteTable` in force.
@@ -234,7 +234,7 @@
                     },
                 )
             ]
-        self.routes = routes
+        self.routes = routes.with_valid_fields_of(self.routes)
         return [
             steps.LogEvent(
                 "routes_in_force",
@@ -243,6 +243,20 @@
                     "routes": len(routes.routes_by_address),
                 },
             )
+        ] + [
+            steps.LogEvent(
+                "routes_field_invalid",
+                fields={
+                    "version": routes.version,
+                    "of": invalid.of,
+                    "name": invalid.name,
+                    "field": invalid.field,
+                    "value": invalid.value,
+                },
+            )
+            for invalid in routes.invalid_fields[
+                : defaults.MAX_LOGGED_INVALID_FIELDS
+            ]
         ]
 
     def on_entries(self, now, agents, balancers, unlisted=()):
@@ -610,7 +624,7 @@
     def _assign(self, now, poll, chosen, max_wait_s):
         """Forward the first segment of a flow to the chosen agent.
 
-        :param chosen: the :class:`~limpetlift.state.placing.Candidate`.
+        :param chosen: the :class:`~limpetlift.scheduling.placing.Candidate`.
         :param max_wait_s: the longest time that the flow's request may wait.
         """
         key = poll.segment.key
--- a/tests/loadsim.py
+++ b/tests/loadsim.py
@@ -15,8 +15,8 @@
 import attrs
 
 from limpetlift import defaults
-from limpetlift.state import admitting
-from limpetlift.state import placing
+from limpetlift.scheduling import admitting
+from limpetlift.scheduling import placing
 
 _REPORT_INTERVAL_S = 0.02
 # One way between a caller and a server.
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -4,7 +4,7 @@
 import random
 
 from limpetlift import defaults
-from limpetlift.state import placing
+from limpetlift.scheduling import placing
 
 
 def _candidate(agent_key, **fields):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -24,6 +24,7 @@
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
 from limpetlift.state import reports
+from limpetlift.state import routing
 from limpetlift.state import segmentsettings
 from limpetlift.state import steering
 from limpetlift.tasks import announcing
@@ -203,6 +204,58 @@
     assert plain.services_for(0.5) == ["two"]
 
 
+def test_what_routes_say_of_their_requests_is_decoded():
+    """Decisions under load need a route's kind, time budget and priority."""
+    value = json.loads(_config())
+    value["routes"][0].update(type="upload", timeout_ms=3000, priority=2)
+    value["services"] = [
+        {"name": "one", "warmup_s": 2.0, "warmup_per_s": 12.5}
+    ]
+    found = documents.decode_routes(json.dumps(value).encode())
+    (route,) = found.routes_by_address.values()
+    assert (route.kind, route.timeout_s, route.priority) == ("upload", 3.0, 2)
+    assert found.paces_by_service == {"one": routing.ServicePace(2.0, 12.5)}
+    assert found.invalid_fields == ()
+
+
+@pytest.mark.parametrize(
+    "field,attribute,value",
+    [
+        ("priority", "priority", -1),
+        ("priority", "priority", 256),
+        ("priority", "priority", "high"),
+        ("priority", "priority", 1.5),
+        ("timeout_ms", "timeout_s", None),
+        ("timeout_ms", "timeout_s", 1e12),
+        ("type", "kind", "fast"),
+        ("type", "kind", [1]),
+        ("warmup_per_s", "warmup_per_s", -3),
+        ("warmup_per_s", "warmup_per_s", "12"),
+        ("warmup_per_s", "warmup_per_s", 1e9),
+        ("warmup_s", "warmup_s", float("nan")),
+    ],
+)
+def test_an_invalid_optional_field_keeps_its_last_valid_value(
+    field, attribute, value
+):
+    """One wrong value must neither lose the routes nor change a decision."""
+    valid = json.loads(_config())
+    valid["routes"][0].update(type="safe", timeout_ms=3000, priority=2)
+    valid["services"] = [
+        {"name": "one", "warmup_s": 2.0, "warmup_per_s": 12.5}
+    ]
+    former = documents.decode_routes(json.dumps(valid).encode())
+    invalid = json.loads(json.dumps(valid))
+    of = "services" if field.startswith("warmup") else "routes"
+    invalid[of][0][field] = value
+    found = documents.decode_routes(json.dumps(invalid).encode())
+    (problem,) = found.invalid_fields
+    assert (problem.field, problem.value) == (attribute, repr(value))
+    in_force = found.with_valid_fields_of(former)
+    assert in_force.routes_by_address == former.routes_by_address
+    assert in_force.paces_by_service == former.paces_by_service
+
+
 def _config(**changes):
     fields = {
         "name": "r",
--- a/tests/test_polling.py
+++ b/tests/test_polling.py
@@ -10,8 +10,8 @@
 
 from limpetlift import defaults
 from limpetlift.protocol import hashing
+from limpetlift.scheduling import polling
 from limpetlift.state import knownagents
-from limpetlift.state import polling
 
 # A deployment of many servers with one slot each, as at a job desk: mean run
 # time of 25 ms and answers expected within 0.43 s.
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import pytest
+import segmentkit as kit
 
 from limpetlift import exceptions
 from limpetlift.protocol import envelope
@@ -12,6 +13,7 @@
 from limpetlift.protocol import messages
 from limpetlift.protocol import packet
 from limpetlift.protocol import refusal
+from limpetlift.protocol import tunnel
 
 KEY = b"k" * 16
 
@@ -157,3 +159,31 @@
         outcome = entry.outcome.replace("_", " ")
         row = "| `%s` | %d | %s |" % (entry.code, entry.status, outcome)
         assert row in rows, row
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        tunnel.Hello(False),
+        tunnel.Hello(True, 7, 12.5),
+        kit.load(),
+        kit.load(room=0),
+        kit.load(failure_share=9),
+        kit.load(room=3, failure_share=255),
+    ],
+)
+def test_optional_parts_of_messages_survive_encoding(message):
+    """A lost part would undo the pace or the ejection of a server."""
+    assert tunnel.decode(message.encode()) == message
+
+
+def test_messages_without_optional_parts_keep_their_former_size():
+    """Processes of earlier versions reject a load report that is longer."""
+    assert len(tunnel.Hello().encode()) == 3
+    assert len(kit.load().encode()) == 32
+
+
+def test_a_pace_that_is_no_number_is_malformed():
+    """It would make every comparison of the pace false."""
+    with pytest.raises(exceptions.MalformedMessage):
+        tunnel.decode(tunnel.Hello(True, 7, float("nan")).encode())
