Let uploads wait for the link of a balancer

Several uploads at once through a link of 5 Mbit/s fill its queue for longer than the 200 ms after which callers repeat segments, and the repeated segments fill it further. Where the settings state the bandwidth, an upload begins only when the uploads in progress leave room for its window.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -527,6 +527,22 @@
 # Share of the permitted wait that a copy may use: the rest is for new flows.
 COPY_WAIT_SHARE = 0.2
 
+# Uploads through a balancer with a small link.
+
+# Segments that one end may have in flight, with headers and one more for the
+# acknowledgements: 16 of up to 1,200 B.
+UPLOAD_WINDOW_BYTES = 20_000
+# Time in which the link carries what all uploads have in flight: half of the
+# 200 ms after which callers repeat a segment, as the rest of the traffic and
+# the path back take their part.
+UPLOAD_LINK_QUEUE_S = 0.1
+# An upload without a segment for this long does not use the link: longer than
+# one interval of retransmission.
+UPLOAD_IDLE_S = 0.3
+# A caller gives up its try 1.4 s after the first segment; the handshake with
+# the server takes part of the rest.
+MAX_UPLOAD_HOLD_S = 1.0
+
 # HTTP of the processes that forward segments, as client and server.
 
 MAX_HTTP_HEAD_BYTES = 16 * 1024
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -21,6 +21,7 @@
 from limpetlift.scheduling import admitting
 from limpetlift.scheduling import placing
 from limpetlift.scheduling import polling
+from limpetlift.scheduling import uploads
 from limpetlift.state import keeping
 from limpetlift.state import knownagents
 from limpetlift.state import routing
@@ -125,6 +126,8 @@
     :param flows_by_key: the known flows.
     :param agents: the known agents.
     :param searches: the searches for unknown flows.
+    :param upload_admission: when uploads begin that share the link of this
+        balancer.
     :raises StateError: when a policy does not exist.
 
     .. versionadded:: 0.2
@@ -142,6 +145,9 @@
     searches: searching.FlowSearches = attrs.field(
         factory=searching.FlowSearches
     )
+    upload_admission: uploads.UploadAdmission = attrs.field(
+        factory=uploads.UploadAdmission
+    )
     _polls: polling.LoadPolls = attrs.field(factory=polling.LoadPolls)
     _deferrals_by_key: dict = attrs.field(factory=dict)
     agents: knownagents.KnownAgents = attrs.field(init=False)
@@ -342,15 +348,19 @@
             if segment.opens_flow:
                 # An earlier flow between the same ports has ended.
                 self.searches.end(segment.key)
-                if self._polls.add_copy(segment):
+                if self._polls.add_copy(
+                    segment
+                ) or self.upload_admission.add_copy(segment):
                     return []
                 return self._place_unknown(now, segment, may_be_open)
             if segment.is_reset:
                 # The caller abandoned a flow that is not known here.
                 self._polls.end(segment.key)
+                self.upload_admission.end(segment.key)
                 return []
             return self._search(now, segment)
         flow.active_at = now
+        self.upload_admission.on_segment(now, segment)
         if segment.opens_flow:
             return self._on_copy(now, segment, flow)
         flow.is_open = True
@@ -500,8 +510,31 @@
 
         Another balancer may have placed it when an earlier copy of its first
         segment went there. So the keepers are asked first, unless all earlier
-        copies came here.
+        copies came here. An upload waits until the link has room for it.
         """
+        flow = _Flow((), now, may_be_open=may_be_open)
+        route = self._route(segment.key)
+        if (
+            route is not None
+            and route.kind == routing.UPLOAD
+            and not self.upload_admission.begin(now, segment, flow)
+        ):
+            return [
+                steps.LogEvent(
+                    "upload_held",
+                    segment.key,
+                    {
+                        "copy": segment.ack,
+                        "active": self.upload_admission.active_count,
+                        "limit": self.upload_admission.limit,
+                        "held": self.upload_admission.held_count,
+                    },
+                )
+            ]
+        return self._query_and_place(now, segment, flow)
+
+    def _query_and_place(self, now, segment, flow):
+        """Place a flow; ask its keepers first if copies went elsewhere."""
         deferral = self._deferrals_by_key.get(segment.key)
         copies = len(deferral.copies) if deferral else 0
         queries = []
@@ -510,12 +543,31 @@
             queries = self._query_keepers(segment.key)
         if queries:
             placeable_at = now + defaults.RECORD_QUERY_TIMEOUT_S
-        return queries + self._place(
-            now,
-            segment,
-            _Flow((), now, may_be_open=may_be_open),
-            placeable_at,
-        )
+        return queries + self._place(now, segment, flow, placeable_at)
+
+    def _place_released(self, now):
+        """Place the uploads that the link has room for now."""
+        result = []
+        for held in self.upload_admission.pop_released(now):
+            waited_s = now - held.flow.began_at
+            result += [
+                steps.Duration("upload_hold", waited_s),
+                steps.LogEvent(
+                    "upload_released",
+                    held.segment.key,
+                    {
+                        "waited_s": round(waited_s, 3),
+                        "active": self.upload_admission.active_count,
+                        "held": self.upload_admission.held_count,
+                    },
+                ),
+            ]
+            if held.segment.key in self.flows_by_key:
+                # Another balancer has placed an earlier copy meanwhile.
+                result += self.on_segment(now, held.segment)
+            else:
+                result += self._query_and_place(now, held.segment, held.flow)
+        return result
 
     def _query_keepers(self, key):
         """Return steps that ask the keepers of a flow where it is."""
@@ -1104,6 +1156,7 @@
         result += self.agents.say_hello(now)
         if not self._unlisted.is_complete:
             result += self._unlisted.tick(now) + self._resume_searches(now)
+        result += self._place_released(now)
         for poll in self._polls.pop_due(now):
             result += self._advance(now, poll)
         result += self.searches.tick(now, self.agents.format_ids)
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -337,6 +337,8 @@
             "routes_version": self.decisions.routes.version,
             "flows": len(self.decisions.flows_by_key),
             "agents": len(self._directory.agents()),
+            "uploads_active": self.decisions.upload_admission.active_count,
+            "uploads_held": self.decisions.upload_admission.held_count,
         }
 
     async def stop(self):
