Keep new flows away from evacuated data centres

Change: balancers follow the prefix of all operators' keys with the watch of the configuration and keep the evacuated data centres. Their agents are no candidates of polls, polls in progress start over, a copy of a flow that is not open is placed again, and a flow without another agent is refused at once. Polls do not move a flow that has opened meanwhile. Changes with keys that no message can carry no longer end the watch.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -487,6 +487,24 @@
 # Servers of other services whose reports an agent remembers to have logged.
 MAX_OTHER_SERVERS = 16
 
+# Evacuation of data centres.
+
+# An evacuation that a full read of the store does not have lasts for this much
+# longer. A store that comes back from an older copy is written to again
+# within 2 s, and bounds.evacuate_ms (5 s) leaves time for it.
+EVACUATION_MISSING_GRACE_S = 2.0
+# After a pause this long, what a balancer knows of evacuations may be older
+# than bounds.evacuate_ms (5 s): it may have been 2.5 s and a call old before.
+EVACUATION_RECHECK_PAUSE_S = 2.0
+# It then places no new flow for this long, in which the store is read again.
+# A call takes 4 ms, and more on a slow instance that has just resumed.
+EVACUATION_RECHECK_S = 0.1
+# Characters. No data centre has a longer name, since a key with one would not
+# fit in a message between balancers.
+MAX_DATA_CENTRE_NAME = 200
+# Characters of an invalid name in a log line.
+MAX_LOGGED_NAME = 40
+
 # Settings file and directory of agents.
 
 SETTINGS_POLL_INTERVAL_S = 2.0
--- a/src/limpetlift/platform/deployment.py
+++ b/src/limpetlift/platform/deployment.py
@@ -19,6 +19,8 @@
     web.serve,
     documents.CONFIG_KEY,
     documents.decode_routes,
+    documents.OPERATOR_PREFIX,
+    documents.EVACUATIONS_PREFIX,
 )
 
 
--- a/src/limpetlift/platform/documents.py
+++ b/src/limpetlift/platform/documents.py
@@ -7,7 +7,11 @@
 from limpetlift.state import reports
 from limpetlift.state import routing
 
-CONFIG_KEY = "op/config"
+# Prefix of all keys that the operators write.
+OPERATOR_PREFIX = "op/"
+CONFIG_KEY = OPERATOR_PREFIX + "config"
+# Followed by the name of a data centre.
+EVACUATIONS_PREFIX = OPERATOR_PREFIX + "evacuate/"
 
 _STATE_BY_NAME = {"ready": reports.READY, "draining": reports.DRAINING}
 
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -96,6 +96,8 @@
 _UNLISTED_AGENTS = struct.Struct("!BH")
 # Revision, length of the key and length of the value.
 _CHANGE = struct.Struct("!QBH")
+_MAX_KEY_BYTES = 0xFF
+_MAX_DATAGRAM_BYTES = 0xFFFF
 # In place of the length of a value: the key was removed.
 _REMOVED = 0xFFFF
 # Bytes of a query and its verdict.
@@ -453,12 +455,18 @@
 
     @property
     def size(self):
-        """Number of bytes that it takes in :class:`StoreChanges`."""
-        return (
-            _CHANGE.size
-            + len(self.key.encode("utf-8"))
-            + len(self.value or b"")
-        )
+        """Number of bytes that it takes in :class:`StoreChanges`.
+
+        A change whose key cannot be encoded is larger than any message.
+        Others may write keys of any length, and JSON can hold surrogates.
+        """
+        try:
+            key = self.key.encode("utf-8")
+        except UnicodeEncodeError:
+            return _MAX_DATAGRAM_BYTES
+        if len(key) > _MAX_KEY_BYTES:
+            return _MAX_DATAGRAM_BYTES
+        return _CHANGE.size + len(key) + len(self.value or b"")
 
     def encode(self):
         """Return the bytes of this change."""
--- a/src/limpetlift/scheduling/polling.py
+++ b/src/limpetlift/scheduling/polling.py
@@ -181,6 +181,13 @@
         """End the poll of a flow; return it, or None when there is none."""
         return self._polls_by_key.pop(key, None)
 
+    def pop_all(self):
+        """Remove and return all polls."""
+        polls = list(self._polls_by_key.values())
+        self._polls_by_key.clear()
+        self._keys_by_address.clear()
+        return polls
+
     def on_load(self, now, address):
         """Remove and return the polls that an agent's answer completes."""
         result = []
@@ -190,10 +197,14 @@
                 result.append(self._polls_by_key.pop(key))
         return result
 
-    def on_pause(self, now):
-        """Wait for the answers again that a pause of this process delayed."""
+    def on_pause(self, now, placeable_at=float("-inf")):
+        """Wait for the answers again that a pause of this process delayed.
+
+        :param placeable_at: no flow is placed before this time.
+        """
         for poll in self._polls_by_key.values():
             poll.decide_at = now + defaults.POLL_TIMEOUT_S
+            poll.placeable_at = max(poll.placeable_at, placeable_at)
 
     def pop_due(self, now):
         """Remove and return the polls that have waited long enough."""
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -8,6 +8,7 @@
 authoritative answer.
 """
 
+import collections
 import math
 import random
 
@@ -19,6 +20,7 @@
 from limpetlift.protocol import tunnel
 from limpetlift import registry
 from limpetlift.scheduling import admitting
+from limpetlift.scheduling import evacuation
 from limpetlift.scheduling import placing
 from limpetlift.scheduling import polling
 from limpetlift.state import keeping
@@ -125,6 +127,7 @@
     :param flows_by_key: the known flows.
     :param agents: the known agents.
     :param searches: the searches for unknown flows.
+    :param evacuations: the evacuated data centres.
     :raises StateError: when a policy does not exist.
 
     .. versionadded:: 0.2
@@ -142,6 +145,9 @@
     searches: searching.FlowSearches = attrs.field(
         factory=searching.FlowSearches
     )
+    evacuations: evacuation.Evacuations = attrs.field(
+        factory=evacuation.Evacuations
+    )
     _polls: polling.LoadPolls = attrs.field(factory=polling.LoadPolls)
     _deferrals_by_key: dict = attrs.field(factory=dict)
     agents: knownagents.KnownAgents = attrs.field(init=False)
@@ -154,6 +160,9 @@
     _resumed_at: float = float("-inf")
     _pause_s: float = 0.0
     _is_catching_up: bool = False
+    # No new flow is placed before, because a data centre may have been
+    # evacuated during the last pause.
+    _placeable_at: float = float("-inf")
     _swept_at: float = float("-inf")
     _choose: object = attrs.field(init=False)
     _admit: object = attrs.field(init=False)
@@ -182,8 +191,10 @@
         self._resumed_at = now
         self._pause_s = pause_s
         self._is_catching_up = True
+        if pause_s >= defaults.EVACUATION_RECHECK_PAUSE_S:
+            self._placeable_at = now + defaults.EVACUATION_RECHECK_S
         self.agents.on_pause(now)
-        self._polls.on_pause(now)
+        self._polls.on_pause(now, self._placeable_at)
         self.searches.on_pause(now)
         return []
 
@@ -259,6 +270,47 @@
             ]
         ]
 
+    def on_evacuations(self, now, changes):
+        """Replace the evacuated data centres by those of a full read.
+
+        :param changes: list of
+            :class:`~limpetlift.scheduling.evacuation.Change`.
+        """
+        return self._evacuate(now, self.evacuations.on_snapshot, changes)
+
+    def on_evacuation_changes(self, now, changes):
+        """Handle evacuations that began or ended.
+
+        :param changes: list of
+            :class:`~limpetlift.scheduling.evacuation.Change`, the oldest
+            first.
+        """
+        return self._evacuate(now, self.evacuations.on_changes, changes)
+
+    def _evacuate(self, now, handler, changes):
+        known = set(self.evacuations.by_data_centre)
+        result = handler(now, changes, self._agents_by_data_centre())
+        if known == self.evacuations.by_data_centre.keys():
+            return result
+        # The candidates of the polls in progress are from before the change.
+        for poll in self._polls.pop_all():
+            if poll.kept_agent is not None:
+                self._polls.add(poll)
+                continue
+            poll.start_service(self._candidates_in_order(poll))
+            result += self._advance(now, poll)
+        return result
+
+    def _agents_by_data_centre(self):
+        """Return the number of known agents by the name of data centre."""
+        return collections.Counter(
+            agent.entry.data_centre
+            for agent in self.agents.by_address.values()
+        )
+
+    def _is_evacuated(self, agent):
+        return self.evacuations.covers(agent.entry.data_centre)
+
     def on_entries(self, now, agents, balancers, unlisted=()):
         """Update the known agents and balancers from the directory.
 
@@ -280,6 +332,8 @@
             now, [entry.address for entry in balancers]
         )
         result += self._resume_searches(now)
+        if self.evacuations.has_unchecked():
+            result += self.evacuations.on_agents(self._agents_by_data_centre())
         return result + self.agents.update_monitored(now, balancers)
 
     def _resume_searches(self, now):
@@ -417,6 +471,11 @@
         ):
             flow.tried.add(flow.address)
             return self._place(now, segment, flow)
+        if self._is_evacuated(agent):
+            flow.tried.add(flow.address)
+            return [
+                self._evacuated(now, segment, flow.address, flow.known_at)
+            ] + self._place(now, segment, flow)
         poll = polling.Poll(segment, flow, now, kept_agent=agent)
         asked = poll.widen(now)
         if asked:
@@ -426,6 +485,28 @@
             self._copy_forwarded(now, segment, flow, "known", now),
         ] + [agent.ask(now) for agent in asked]
 
+    def _evacuated(self, now, segment, address, known_at):
+        """Return the step that logs that a flow is taken from its agent.
+
+        :param address: address of the agent, in an evacuated data centre.
+        :param known_at: since when the flow is known to be assigned to it.
+        """
+        agent = self.agents.by_address[address]
+        data_centre = agent.entry.data_centre
+        known = self.evacuations.by_data_centre[data_centre]
+        return steps.LogEvent(
+            "flow_evacuated",
+            segment.key,
+            {
+                "agent": agent.entry.process_id,
+                "data_centre": data_centre,
+                "copy": segment.ack,
+                "age_s": round(now - known_at, 3),
+                "revision": known.revision,
+                "evacuated_s": round(now - known.began_at, 3),
+            },
+        )
+
     def _copy_forwarded(self, now, segment, flow, way, received_at):
         """Return the step that logs a forwarded copy of a first segment.
 
@@ -552,7 +633,10 @@
             ]
         if route is None:
             return self._refuse(segment, "no_route", flow)
-        if flow.busy_count >= defaults.MAX_BUSY_TRIES:
+        if (
+            flow.busy_count >= defaults.MAX_BUSY_TRIES
+            and not self._are_all_evacuated(route)
+        ):
             return self._defer(now, segment, "overloaded", flow)
         poll = polling.Poll(
             segment,
@@ -560,17 +644,22 @@
             now,
             route,
             _services_of(route, key),
-            placeable_at=placeable_at,
+            placeable_at=max(placeable_at, self._placeable_at),
         )
         poll.start_service(self._candidates_in_order(poll))
-        return self._advance(now, poll)
+        asked = []
+        if now < self._placeable_at:
+            asked = [agent.ask(now) for agent in poll.widen(now)]
+        return asked + self._advance(now, poll)
 
     def _candidates_in_order(self, poll):
         """Return the agents of the poll's service that may take the flow."""
         agents = [
             agent
             for agent in self.agents.of_services(poll.services[:1])
-            if agent.entry.address not in poll.flow.tried and not agent.is_gone
+            if agent.entry.address not in poll.flow.tried
+            and not agent.is_gone
+            and not self._is_evacuated(agent)
         ]
         flow_hash = hashing.flow_hash(poll.segment.key)
         return polling.in_order(agents, flow_hash, self.data_centre)
@@ -584,6 +673,10 @@
         """
         if poll.kept_agent is not None:
             return self._on_copy_polled(now, poll)
+        known = self.flows_by_key.get(poll.segment.key)
+        if known is not None and known.is_open:
+            # Its agent holds it, as the caller has gone on in the meantime.
+            return []
         if self._has_caller_given_up(now, poll.flow):
             return self._drop_outdated(poll.segment.key)
         result = []
@@ -615,12 +708,30 @@
                 break
             poll.services = poll.services[1:]
             poll.start_service(self._candidates_in_order(poll))
-        if poll.flow.may_recover or poll.remaining:
+        if (
+            poll.flow.may_recover or poll.remaining
+        ) and not self._are_all_evacuated(poll.route):
             return result + self._defer(
                 now, poll.segment, "no_agent", poll.flow
             )
         return result + self._refuse(poll.segment, "no_agent", poll.flow)
 
+    def _are_all_evacuated(self, route):
+        """Whether all agents that may take flows of a route are evacuated.
+
+        Waiting for those that declined a flow is then of no use.
+        """
+        if not self.evacuations.by_data_centre:
+            return False
+        agents = [
+            agent
+            for agent in self.agents.of_services(
+                {weighted.service for weighted in route.weighted_services}
+            )
+            if not agent.is_gone
+        ]
+        return bool(agents) and all(map(self._is_evacuated, agents))
+
     def _assign(self, now, poll, chosen, max_wait_s):
         """Forward the first segment of a flow to the chosen agent.
 
@@ -773,6 +884,7 @@
         """Return the step that logs why a first segment is not forwarded."""
         route = self._route(segment.key)
         services = _services_of(route, segment.key) if route else []
+        agents = self.agents.of_services(services)
         return steps.LogEvent(
             event,
             segment.key,
@@ -782,7 +894,8 @@
                 "declined": declined,
                 "routes": self.routes.version,
                 "service": services[0] if services else "",
-                "known": len(self.agents.of_services(services)),
+                "known": len(agents),
+                "evacuated": sum(map(self._is_evacuated, agents)),
             },
         )
 
@@ -999,6 +1112,18 @@
             # The record is from before a change of the route.
             self._polls.add(poll)
             return []
+        agent = self.agents.by_address.get(record.address)
+        if (
+            poll is not None
+            and record.is_placed
+            and agent is not None
+            and self._is_evacuated(agent)
+        ):
+            # The other balancer does not know of the evacuation yet. The copy
+            # is placed here, like one of a flow that is known already.
+            poll.flow.tried.add(record.address)
+            self._polls.add(poll)
+            return [self._evacuated(now, poll.segment, record.address, now)]
         flow = self.flows_by_key[key] = _Flow(
             record.address,
             now,
@@ -1102,6 +1227,7 @@
                 for message in _record_messages(records)
             ]
         result += self.agents.say_hello(now)
+        result += self.evacuations.tick(now)
         if not self._unlisted.is_complete:
             result += self._unlisted.tick(now) + self._resume_searches(now)
         for poll in self._polls.pop_due(now):
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -9,6 +9,7 @@
 from limpetlift import logs
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
+from limpetlift.scheduling import evacuation
 from limpetlift.state import steering
 from limpetlift.state import steps
 from limpetlift.tasks import announcing
@@ -17,9 +18,11 @@
 
 LOG = logs.EventLogger("balancer")
 
-# Numbers of the followed prefixes in messages between balancers.
-_ROUTES_TOPIC = 1
+# Numbers of the followed prefixes in messages between balancers. 1 was that of
+# the key of the routes alone: messages of balancers of earlier versions do not
+# have the other keys of operators and must not confirm them.
 _DIRECTORY_TOPIC = 2
+_OPERATOR_TOPIC = 3
 
 
 class SegmentBalancer(segmentprocess.SegmentProcess):
@@ -64,10 +67,10 @@
         self.reactor.spawn(self._announcer.run())
         self._followers_by_topic = {}
         self._follow(
-            _ROUTES_TOPIC,
-            self.deployment.routes_key,
-            self._on_route_entries,
-            self._on_route_changes,
+            _OPERATOR_TOPIC,
+            self.deployment.operator_prefix,
+            self._on_operator_entries,
+            self._on_operator_changes,
             lambda: None,
         )
         self._follow(
@@ -184,7 +187,41 @@
             (ip, self._caller_port),
         )
 
-    # Routes and directory.
+    # Keys of operators, and the directory.
+
+    def _on_operator_entries(self, operator_entries, _revision):
+        """Handle all keys that operators have written.
+
+        The evacuations come first, so that no flow is placed by routes that
+        are known before them.
+        """
+        prefix = self.deployment.evacuations_prefix
+        evacuations = [
+            evacuation.Change(
+                entry.key.removeprefix(prefix), entry.mod_revision
+            )
+            for entry in operator_entries
+            if entry.key.startswith(prefix)
+        ]
+        self.perform(self.decisions.on_evacuations(clock.now(), evacuations))
+        self._on_route_entries(operator_entries)
+
+    def _on_operator_changes(self, changes):
+        prefix = self.deployment.evacuations_prefix
+        evacuations = [
+            evacuation.Change(
+                change.key.removeprefix(prefix),
+                change.revision,
+                change.entry is not None,
+            )
+            for change in changes
+            if change.key.startswith(prefix)
+        ]
+        if evacuations:
+            self.perform(
+                self.decisions.on_evacuation_changes(clock.now(), evacuations)
+            )
+        self._on_route_changes(changes)
 
     def _on_route_entries(self, route_entries, _revision=0):
         for entry in route_entries:
@@ -325,6 +362,7 @@
         """Whether this balancer can serve callers."""
         return (
             not self.is_stopping
+            and self.decisions.evacuations.is_known
             and self.decisions.routes.version > 0
             and self._has_directory
             and self.decisions.agents.is_connected(clock.now())
@@ -335,6 +373,9 @@
         return {
             **super().gauges(),
             "routes_version": self.decisions.routes.version,
+            "evacuated_data_centres": len(
+                self.decisions.evacuations.by_data_centre
+            ),
             "flows": len(self.decisions.flows_by_key),
             "agents": len(self._directory.agents()),
         }
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -62,6 +62,10 @@
     :param routes_key: key of the routes in the store.
     :param decode_routes: called with the value of that key; returns a
         :class:`~limpetlift.state.routing.RouteTable`.
+    :param operator_prefix: prefix of all keys that operators write to the
+        store; ``routes_key`` begins with it.
+    :param evacuations_prefix: prefix of the keys that evacuate data centres,
+        followed by the name of one; it begins with ``operator_prefix``.
     """
 
     decode: object
@@ -70,6 +74,8 @@
     serve: object
     routes_key: str
     decode_routes: object
+    operator_prefix: str
+    evacuations_prefix: str
 
 
 class SegmentProcess:
