--- a/src/limpetlift/explaining.py
+++ b/src/limpetlift/explaining.py
@@ -35,6 +35,8 @@
         "settings_changed",
         "settings_need_restart",
         "routes_in_force",
+        "evacuation_began",
+        "evacuation_ended",
         "store_lost",
         "store_regained",
         "log_lines_dropped",
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -11,7 +11,8 @@
 refuses calls, ends leases, loses answers, removes entries or forgets its
 history; segments on the way to balancers are lost. With ``--reuse``, servers
 are lost for good and their addresses are given to servers of the other
-service. The same seed gives the same faults at the same times.
+service. With ``--evacuations``, data centres are evacuated. The same seed
+gives the same faults at the same times.
 
 The run checks what callers and servers observe:
 
@@ -23,6 +24,8 @@
 * a removed route gets no new flow 3 s after the change (P8);
 * no flow is opened and no request runs at a server of a service to which no
   configuration routed its address (P2);
+* an evacuated data centre gets no new flow 5 s after its evacuation or the
+  end of an outage of the store;
 * after the faults every caller is answered again.
 """
 
@@ -56,6 +59,8 @@
 # ``reuse``. They are not among the ordinary ones, as a seed stands for choices
 # from these.
 reuse_faults_by_name = {}
+# Faults that evacuate data centres; used with ``evacuations``.
+evacuation_faults_by_name = {}
 
 _BALANCER_COUNT = 2
 # With more balancers than keepers, most of them do not know a flow.
@@ -74,6 +79,9 @@
 # All balancers use a new configuration after this time.
 _CONFIG_DELAY_S = 3.0
 _CONFIG_KEY = "op/config"
+_EVACUATION_PREFIX = "op/evacuate/"
+# Balancers in contact with the store know of an evacuation after this time.
+_EVACUATION_DELAY_S = 5.0
 
 
 class SoakRun:
@@ -89,6 +97,8 @@
         hits those that keep the record of a flow or wait at the store.
     :param reuse: whether every second fault gives addresses of lost servers
         to the other service; or the name of the only such fault.
+    :param evacuations: whether there are two data centres, and every second
+        fault evacuates one.
     """
 
     def __init__(
@@ -100,6 +110,7 @@
         freezes=False,
         keepers=False,
         reuse=False,
+        evacuations=False,
     ):
         self.disabled_protection = disabled_protection
         self.reuse = reuse
@@ -108,7 +119,12 @@
             **(freezes_by_name if freezes else {}),
             **(keeper_faults_by_name if keepers else {}),
             **_select_reuse_faults(reuse),
+            **(evacuation_faults_by_name if evacuations else {}),
         }
+        self._data_centre_count = 2 if evacuations else 1
+        # When each of them was evacuated.
+        self.evacuated_at_by_data_centre = {}
+        self._store_failed_at = 0.0
         # Faults have a generator of their own: how often traffic draws numbers
         # depends on the speed of the machine and must not change the faults.
         self.traffic_rng = random.Random(seed)
@@ -183,11 +199,40 @@
             name,
             self.folder,
             soakstandins.agent_settings(
-                name, server.ip, self.store.address, server.service
+                name,
+                server.ip,
+                self.store.address,
+                server.service,
+                self.data_centre_of(server),
             ),
             self.disabled_protection,
         )
 
+    def data_centre_of(self, server):
+        """Return the data centre of a server; each has all services."""
+        return _alternate(
+            "ab"[: self._data_centre_count],
+            (server.number - 1) // len(soakstandins.SERVICES),
+        )
+
+    def check_not_evacuated(self, server, key):
+        """Check that a server may take a new flow."""
+        data_centre = self.data_centre_of(server)
+        evacuated_at = self.evacuated_at_by_data_centre.get(data_centre)
+        if evacuated_at is None:
+            return
+        elapsed_s = clock.now() - max(evacuated_at, self._store_failed_at)
+        if elapsed_s > _EVACUATION_DELAY_S:
+            self.add_violation(
+                "new flow %s at server %s, %.1f s after the evacuation of %s"
+                % (
+                    segments.format_key(key),
+                    server.id,
+                    elapsed_s,
+                    data_centre,
+                )
+            )
+
     def write_config(self):
         """Write a new version of the configuration."""
         self.config_version += self.traffic_rng.randrange(1, 4)
@@ -332,6 +377,8 @@
         self.reactor.call_every(_CALLER_TICK_S, self._tick_callers)
 
     def _tick_callers(self):
+        if self.store.status is not None:
+            self._store_failed_at = clock.now()
         for caller in self.callers:
             caller.tick()
 
@@ -392,7 +439,7 @@
             self.injected_faults.append((name, round(duration_s, 1)))
             self.reactor.spawn(faults[name](self, duration_s))
             await self.reactor.sleep(self.fault_rng.uniform(0.3, 2.0))
-        while self.reused_numbers:
+        while self.reused_numbers or self.evacuated_at_by_data_centre:
             await self.reactor.sleep(0.1)
         await self.reactor.sleep(
             _RECOVERY_S + (_LONG_TIMEOUT_S if self.reuse else 0.0)
@@ -665,6 +712,20 @@
     )
 
 
+@registry.register(evacuation_faults_by_name, "evacuate")
+async def _evacuate(soak_run, duration_s):
+    """Evacuate a data centre until some time after it must be empty."""
+    data_centre = soak_run.fault_rng.choice("ab")
+    if data_centre in soak_run.evacuated_at_by_data_centre:
+        return
+    key = _EVACUATION_PREFIX + data_centre
+    soak_run.store.put(key, b"")
+    soak_run.evacuated_at_by_data_centre[data_centre] = clock.now()
+    await soak_run.reactor.sleep(_EVACUATION_DELAY_S + 2.0 * duration_s)
+    del soak_run.evacuated_at_by_data_centre[data_centre]
+    soak_run.store.remove(key)
+
+
 @registry.register(faults_by_name, "server_crash")
 async def _crash_server(soak_run, duration_s):
     server = soak_run.fault_rng.choice(soak_run.servers)
@@ -713,8 +774,12 @@
 
 @registry.register(faults_by_name, "store_takes")
 async def _remove_store_entry(soak_run, _duration_s):
-    """Remove an entry other than the configuration."""
-    keys = [key for key in soak_run.store.items_by_key if key != _CONFIG_KEY]
+    """Remove an entry of a program."""
+    keys = [
+        key
+        for key in soak_run.store.items_by_key
+        if key != _CONFIG_KEY and not key.startswith(_EVACUATION_PREFIX)
+    ]
     if keys:
         soak_run.store.remove(soak_run.fault_rng.choice(sorted(keys)))
 
@@ -759,6 +824,7 @@
     freezes=False,
     keepers=False,
     reuse=False,
+    evacuations=False,
 ):
     """Run the soak, print violations and exit with 1 if there are any.
 
@@ -772,6 +838,7 @@
         record of a flow or wait at the store.
     :param reuse: whether every second fault gives addresses of lost servers
         to the other service; or the name of the only such fault.
+    :param evacuations: whether every second fault evacuates a data centre.
     """
     first_seed = random.randrange(1 << 30) if seed is None else seed
     failed_runs = 0
@@ -785,6 +852,7 @@
                 freezes=freezes,
                 keepers=keepers,
                 reuse=reuse,
+                evacuations=evacuations,
             )
             requests_answered = sum(
                 caller.requests_answered for caller in soak_run.callers
--- a/tests/soakstandins.py
+++ b/tests/soakstandins.py
@@ -288,6 +288,7 @@
             return
         if segment.opens_flow and first_sequence is None:
             self._check_not_drained(key)
+            self.soak_run.check_not_evacuated(self, key)
             self.soak_run.check_route(self, route, key, "took")
             if route == REMOVED_ROUTE_ADDRESS:
                 self.soak_run.add_violation(
@@ -531,7 +532,7 @@
     }
 
 
-def agent_settings(name, ip, store, service):
+def agent_settings(name, ip, store, service, data_centre="a"):
     """Return the settings of an agent.
 
     :param store: ``ip:port`` of the store.
@@ -539,6 +540,7 @@
     """
     return {
         **program_settings(name, ip, store),
+        "data_centre": data_centre,
         "reports": "%s:%d" % (ip, _REPORTS_PORT),
         "server_segments": "%s:%d" % (ip, _OUTBOUND_PORT),
         "server": "%s:%d" % (ip, _APP_PORT),
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -9,6 +9,7 @@
 import platformstandin
 import pytest
 import segmentkit as kit
+import soak
 
 from limpetlift import clock
 from limpetlift.coordination import watching
@@ -656,3 +657,25 @@
         with open(module.__file__, encoding="utf-8") as file:
             text = file.read()
         assert '"op/' not in text and "evacuate/" not in text
+
+
+# The programs.
+
+
+def test_no_new_flow_reaches_an_evacuated_data_centre_under_faults(tmp_path):
+    """Evacuations must hold while programs, servers and the store fail.
+
+    Processes are killed, paused and stopped, and the store refuses calls and
+    forgets its history.
+    """
+    soak_run = soak.run_once(1, 12.0, tmp_path, evacuations=True)
+    assert ("evacuate" in {name for name, _ in soak_run.injected_faults}) and (
+        not soak_run.violations
+    )
+
+
+def test_soak_detects_balancers_that_ignore_evacuations(tmp_path):
+    """A soak that passes without the protection does not test it."""
+    soak_run = soak.SoakRun(3, 4.0, tmp_path, "evacuation", evacuations=True)
+    soak_run.first_faults = ["evacuate"]
+    assert any("the evacuation of" in text for text in soak_run.run())
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -10,6 +10,7 @@
 import sys
 
 from limpetlift import registry
+from limpetlift.scheduling import evacuation
 from limpetlift.state import hosting
 from limpetlift.state import steering
 from limpetlift.state import steps
@@ -64,6 +65,11 @@
     steering.FlowSteering.on_routes = keep_first
 
 
+@registry.register(switches_by_name, "evacuation")
+def _place_in_evacuated_data_centres():
+    evacuation.Evacuations.covers = lambda self, data_centre: False
+
+
 def main():
     """Switch off the protection and run the program that sys.argv names."""
     _, protection, module = sys.argv
