Leave small balancers out of rotation where the others bear more

Cause: the fabric gives each ready balancer of a data centre the same share. One with a link of 5 Mbit/s or 0.12 cores loses segments at peaks of uploads while the links of others have room.

Change: the entries of balancers state their capacity, from LINK_MBPS, CPU_SHARE and CPU_CORES. From the same entries each balancer computes the members: the k largest, at least half, whose number times the smallest capacity is largest, and at least 1.25 times what all bear. The others answer the readiness probe with 503. Joining is immediate; leaving takes 10 s without interruption. A balancer that stops says so in its entry first.

Not measured: uploads of real processes.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -15,6 +15,7 @@
 from limpetlift import exceptions
 from limpetlift.protocol import hashing
 from limpetlift.protocol import segment as segments
+from limpetlift.scheduling import rotation
 from limpetlift import structs
 
 AGENTS_PREFIX = "agents/"
@@ -32,6 +33,9 @@
     :param service: name of the service of an agent; empty for a balancer.
     :param revision: the store's revision of the entry's last write; 0 for an
         entry that was not read from the store.
+    :param capacity: the :class:`~limpetlift.scheduling.rotation.Capacity` of
+        a balancer's instance, or None when unknown.
+    :param is_leaving: whether a balancer is stopping.
 
     ``service_id`` is the 8-byte hash of the service's name that messages
     carry.
@@ -42,6 +46,8 @@
     data_centre: str
     service: str = ""
     revision: int = attrs.field(default=0, eq=False)
+    capacity: object = None
+    is_leaving: bool = False
     service_id: bytes = attrs.field(init=False, repr=False)
 
     def __attrs_post_init__(self):
@@ -50,14 +56,20 @@
         )
 
     def encode(self):
-        """Return the entry's value in the store, as JSON."""
-        return json.dumps(
-            {
-                "address": "%s:%d" % self.address,
-                "data_centre": self.data_centre,
-                "service": self.service,
-            }
-        ).encode("utf-8")
+        """Return the entry's value in the store, as JSON.
+
+        The optional fields are left out when they say nothing.
+        """
+        fields = {
+            "address": "%s:%d" % self.address,
+            "data_centre": self.data_centre,
+            "service": self.service,
+        }
+        if self.capacity is not None:
+            fields["capacity"] = self.capacity.encode()
+        if self.is_leaving:
+            fields["is_leaving"] = True
+        return json.dumps(fields).encode("utf-8")
 
 
 def decode_entry(process_id, value, revision=0):
@@ -86,6 +98,8 @@
             fields["data_centre"],
             fields["service"],
             revision,
+            rotation.decode_capacity(fields.get("capacity")),
+            fields.get("is_leaving") is True,
         )
     except (
         ValueError,
@@ -254,6 +268,11 @@
             )
         return bool(expired_keys)
 
+    @property
+    def is_store_reachable(self):
+        """Whether the store answered this process last."""
+        return not self._is_store_unreachable
+
     def is_listed(self, key):
         """Whether the store has the entry ``key``, as far as is known."""
         tracked = self._tracked_by_key.get(key)
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -551,3 +551,25 @@
 # connections while its server is alive, so a refusal proves nothing as long as
 # reports arrive.
 REPORT_MISSING_INTERVALS = 2.2
+
+# Rotation of the balancers of a data centre.
+
+# A rotation of some balancers must bear this many times what all of them
+# bear. Less is not worth the redundancy: instances of the same kind differ by
+# some percent, and by demand that varies by 15% everywhere.
+ROTATION_MIN_GAIN = 1.25
+# A balancer leaves the rotation after it has not been a member for this long:
+# longer than the lease of an entry plus a restart, so that a member that comes
+# back, or balancers that restart one after the other, change nothing twice.
+ROTATION_HOLD_S = 10.0
+# While a balancer starts, the entries of others that start with it arrive. It
+# has few flows then, so it leaves after a shorter time: longer than a read of
+# the store by the slowest balancer, which differs from the others meanwhile.
+ROTATION_START_S = 5.0
+ROTATION_START_HOLD_S = 1.0
+# A balancer whose entry is gone counts for this long as one that the fabric
+# still knows; a restart or repair of an instance takes minutes at most.
+ROTATION_MEMORY_S = 600.0
+# Larger capacities are mistakes.
+MAX_LINK_MBPS = 1_000_000.0
+MAX_CORES = 4096.0
--- a/src/limpetlift/state/segmentsettings.py
+++ b/src/limpetlift/state/segmentsettings.py
@@ -12,6 +12,7 @@
 
 from limpetlift import defaults
 from limpetlift import exceptions
+from limpetlift.scheduling import rotation
 from limpetlift import structs
 
 _non_empty_text = validators.and_(
@@ -51,6 +52,32 @@
     return seconds
 
 
+# Of an invalid limit in a log line.
+_MAX_LIMIT_TEXT = 40
+# Limits of the instance, which the environment variables of their names in
+# capital letters may state.
+_LIMITS = ("link_mbps", "cpu_share", "cpu_cores")
+
+
+def _limit_parser(highest):
+    """Return a converter of a limit of the instance.
+
+    It returns a number, or None for a limit that is not stated. An invalid
+    limit stays a text, because the process can do without the limit.
+
+    :param highest: largest valid value.
+    """
+
+    def parse(value):
+        # A limit that is false does not apply.
+        if value is None or value is False or value in ("", "false"):
+            return None
+        number = rotation.positive_number(value, highest)
+        return repr(value)[:_MAX_LIMIT_TEXT] if number is None else number
+
+    return parse
+
+
 _is_endpoint = validators.instance_of(tuple)
 
 
@@ -82,6 +109,11 @@
     :param address_reuse_s: seconds after the end of a backend server from
         which on its address may belong to a server of another service, as a
         number or a text.
+    :param link_mbps: speed of the instance's link in Mbit/s. Like the next
+        two, None when unknown, or a text when invalid, which counts as
+        unknown.
+    :param cpu_share: share of each processor core that the instance has.
+    :param cpu_cores: number of its cores.
     """
 
     id: str = attrs.field(validator=_non_empty_text)
@@ -115,13 +147,47 @@
     address_reuse_s: float = attrs.field(
         default=defaults.ADDRESS_REUSE_S, converter=_parse_address_reuse
     )
+    link_mbps: object = attrs.field(
+        default=None, converter=_limit_parser(defaults.MAX_LINK_MBPS)
+    )
+    cpu_share: object = attrs.field(
+        default=None, converter=_limit_parser(defaults.MAX_CORES)
+    )
+    cpu_cores: object = attrs.field(
+        default=None, converter=_limit_parser(defaults.MAX_CORES)
+    )
+
+    @property
+    def invalid_limits(self):
+        """A text for each limit that is invalid."""
+        values_by_name = {name: getattr(self, name) for name in _LIMITS}
+        return tuple(
+            "%s is %s" % (name, value)
+            for name, value in values_by_name.items()
+            if isinstance(value, str)
+        )
+
+    @property
+    def capacity(self):
+        """The instance's :class:`rotation.Capacity`, or None when unknown."""
+        link_mbps, share, cores = [
+            None if isinstance(value, str) else value
+            for value in (self.link_mbps, self.cpu_share, self.cpu_cores)
+        ]
+        processor = None
+        if share is not None and cores is not None:
+            processor = share * cores
+        if link_mbps is None and processor is None:
+            return None
+        return rotation.Capacity(link_mbps, processor)
 
 
 def decode(data, environment=os.environ):
     """Return the :class:`Settings` in the bytes of a TOML file.
 
     :param environment: environment variables, by name. ``ADDRESS_REUSE_S``
-        stands for a missing ``address_reuse_s``.
+        stands for a missing ``address_reuse_s``; ``LINK_MBPS``,
+        ``CPU_SHARE`` and ``CPU_CORES`` do so for the limits of the instance.
     :raises SettingsError: when they are invalid.
     """
     try:
@@ -129,6 +195,8 @@
         fields.setdefault(
             "address_reuse_s", environment.get("ADDRESS_REUSE_S", "")
         )
+        for name in _LIMITS:
+            fields.setdefault(name, environment.get(name.upper(), ""))
         return Settings(**fields)
     except (ValueError, TypeError, RecursionError) as error:
         raise exceptions.SettingsError([str(error)]) from error
--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -65,6 +65,16 @@
         self._is_written = False
         self._wakeup.set_value()
 
+    def replace(self, value):
+        """Write another value to the entry.
+
+        :param value: the new value, as bytes.
+        """
+        self._value = value
+        self._is_written = False
+        # A write in progress is followed by one of the new value.
+        self._wakeup.set_value()
+
     async def run(self):
         """Keep the entry in the store until it is withdrawn."""
         while not self._is_withdrawing:
@@ -111,20 +121,21 @@
             self._renew_at = now + defaults.ENTRY_RENEW_INTERVAL_S
 
     async def _write(self):
+        value = self._value
         try:
             self._revision = await self._store.compare_and_swap(
-                self._key, self._revision, self._value, self._lease
+                self._key, self._revision, value, self._lease
             )
         except exceptions.StoreConflict as error:
             entry = error.entries_by_key.get(self._key)
             self._revision = entry.mod_revision if entry else 0
-            if entry is None or self._lease_s or entry.value != self._value:
+            if entry is None or self._lease_s or entry.value != value:
                 raise
             # The entry was written before a restart and is still the same.
         except exceptions.LeaseEnded:
             self._lease = 0
             raise
-        self._is_written = True
+        self._is_written = self._value == value
         LOG.info(
             "entry_written",
             key=self._key,
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -1,5 +1,7 @@
 """The balancer process: forwards segments of callers to agents."""
 
+import attrs
+
 from limpetlift import clock
 from limpetlift.coordination import directory as directories
 from limpetlift.coordination import entries
@@ -9,6 +11,7 @@
 from limpetlift import logs
 from limpetlift.protocol import segment as segments
 from limpetlift.protocol import tunnel
+from limpetlift.scheduling import rotation
 from limpetlift.state import steering
 from limpetlift.state import steps
 from limpetlift.tasks import announcing
@@ -40,6 +43,12 @@
         self._is_read_requested = False
         self._is_flush_scheduled = False
         self._last_segment_at = clock.now()
+        for problem in settings.invalid_limits:
+            self.count("limit_invalid")
+            LOG.warning("limit_invalid", problem=problem)
+        self._rotation = rotation.Rotation(
+            settings.id, settings.data_centre, settings.capacity
+        )
         self.decisions = steering.FlowSteering(
             address, settings.data_centre, self.decode_caller, self.rng
         )
@@ -50,14 +59,17 @@
         self._caller_port = settings.segments[1]
         self.serve(settings.probes)
         self._entry_key = directories.BALANCERS_PREFIX + settings.id
-        entry = directories.ProcessEntry(
-            settings.id, address, settings.data_centre
+        self._entry = directories.ProcessEntry(
+            settings.id,
+            address,
+            settings.data_centre,
+            capacity=settings.capacity,
         )
         self._announcer = announcing.Announcer(
             self.reactor,
             self.store,
             segmentprocess.KEY_PREFIX + self._entry_key,
-            entry.encode(),
+            self._entry.encode(),
             self.rng,
             defaults.ENTRY_LEASE_S,
         )
@@ -110,6 +122,7 @@
     def on_pause(self, now, pause_s):
         """Handle the end of a pause of this process."""
         super().on_pause(now, pause_s)
+        self._rotation.on_pause(now)
         for follower in self._followers_by_topic.values():
             follower.watch.on_pause(now)
             follower.wake()
@@ -250,14 +263,20 @@
                 self._directory.unlisted(),
             )
         )
+        balancers = self._directory.balancers()
+        self._log_rotation(self._rotation.on_entries(clock.now(), balancers))
         data_centres_by_address = {
-            entry.address: entry.data_centre
-            for entry in self._directory.balancers()
+            entry.address: entry.data_centre for entry in balancers
         }
         for follower in self._followers_by_topic.values():
             if follower.watch.on_balancers(data_centres_by_address):
                 follower.wake()
 
+    def _log_rotation(self, changes):
+        for change in changes:
+            self.count(change.event)
+            LOG.info(change.event, **change.fields)
+
     def _request_directory(self):
         """Read all entries from the store.
 
@@ -317,6 +336,9 @@
             self._entry_key
         ):
             self._announcer.on_entry_missing()
+        self._log_rotation(
+            self._rotation.tick(now, self._directory.is_store_reachable)
+        )
 
     def _start_removing_silent(self):
         self.reactor.spawn(self._remove_silent())
@@ -327,6 +349,7 @@
             not self.is_stopping
             and self.decisions.routes.version > 0
             and self._has_directory
+            and self._rotation.is_in
             and self.decisions.agents.is_connected(clock.now())
         )
 
@@ -337,14 +360,20 @@
             "routes_version": self.decisions.routes.version,
             "flows": len(self.decisions.flows_by_key),
             "agents": len(self._directory.agents()),
+            "in_rotation": int(self._rotation.is_in),
+            "rotation_members": self._rotation.member_count,
         }
 
     async def stop(self):
         """Forward until no more segments arrive, then remove the entry.
 
         The network fabric goes on sending segments until its probes of this
-        process have failed.
+        process have failed. The other balancers learn at once that it leaves,
+        so that those outside of the rotation take its place.
         """
+        if self._entry.capacity is not None:
+            leaving = attrs.evolve(self._entry, is_leaving=True)
+            self._announcer.replace(leaving.encode())
         now = clock.now()
         earliest = now + defaults.STOP_MIN_S
         latest = now + defaults.STOP_MAX_S
--- a/tests/test_segmentagent.py
+++ b/tests/test_segmentagent.py
@@ -33,6 +33,9 @@
     "report_interval_ms": 250,
     "is_first_start": False,
     "address_reuse_s": 3.5,
+    "link_mbps": 100,
+    "cpu_share": 0.5,
+    "cpu_cores": 2,
 }
 
 
@@ -152,6 +155,9 @@
         {"server_segments": "127.0.0.1:74"},
         {"report_interval_ms": 500},
         {"address_reuse_s": 4.5},
+        {"link_mbps": 5},
+        {"cpu_share": 0.25},
+        {"cpu_cores": 3},
     ],
 )
 def test_settings_that_are_not_in_force_are_logged(
