--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -18,6 +18,7 @@
 from limpetlift.platform import store
 from limpetlift.protocol import tunnel
 from limpetlift.scheduling import evacuation
+from limpetlift.scheduling import rotation
 from limpetlift.state import routing
 from limpetlift.state import steering
 from limpetlift.tasks import following
@@ -444,6 +445,7 @@
     process.counts_by_event = collections.Counter()
     process.is_stopping = False
     process._has_directory = True
+    process._rotation = rotation.Rotation("b1", "a")
     process.decisions = balancer or steering.FlowSteering(
         _OWN_ADDRESS, "a", kit.decode
     )
--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -415,6 +415,7 @@
     process._has_directory = True
     process.decisions = types.SimpleNamespace(
         routes=types.SimpleNamespace(version=1),
+        evacuations=types.SimpleNamespace(is_known=True),
         agents=types.SimpleNamespace(is_connected=lambda _now: True),
     )
     return process
