--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -13,6 +13,7 @@
 from limpetlift.protocol import tunnel
 from limpetlift.scheduling import evacuation
 from limpetlift.scheduling import rotation
+from limpetlift.scheduling import uploads
 from limpetlift.state import steering
 from limpetlift.state import steps
 from limpetlift.tasks import announcing
@@ -55,6 +56,11 @@
         self.decisions = steering.FlowSteering(
             address, settings.data_centre, self.decode_caller, self.rng
         )
+        capacity = settings.capacity
+        if capacity is not None and capacity.link_mbps is not None:
+            self.decisions.upload_admission.limit = uploads.concurrent_uploads(
+                capacity.link_mbps
+            )
         self._peer_socket = self.open_socket(address, self.on_datagram)
         self._segment_socket = self.open_socket(
             settings.segments, self._on_segment
@@ -401,6 +407,8 @@
             ),
             "flows": len(self.decisions.flows_by_key),
             "agents": len(self._directory.agents()),
+            "uploads_active": self.decisions.upload_admission.active_count,
+            "uploads_held": self.decisions.upload_admission.held_count,
             "in_rotation": int(self._rotation.is_in),
             "rotation_members": self._rotation.member_count,
         }
