Let new flows of lower priorities give way at peaks

At a peak of reads, writes with a higher priority found queues that were full of reads and were left to their copies, although one is worth two reads.

Where routes to the same service have different priorities, the policy priority lets new flows of the lower ones join only half as long a queue. A copy of the highest priority may use what its delay left of the objective. A floor, counted in requests, lets copies of lower priorities join as long a queue as before; a new flow instead of a copy cannot use it. A flow whose time budget ends before the next copy comes is refused at once. All other routes are admitted by timely, with the same limits.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -562,6 +562,25 @@
 # Share of the permitted wait that a copy may use: the rest is for new flows.
 COPY_WAIT_SHARE = 0.2
 
+# Delays of a first segment and its copies from the start of a try.
+COPY_DELAYS_S = (0.0, 0.2, 0.6)
+# Share of the permitted wait that a flow may use when there is a higher
+# priority; its square with two higher ones. In the model of competing kinds
+# smaller shares left servers with short queues idle.
+LOWER_PRIORITY_WAIT_SHARE = 0.5
+# Requests of lower priorities that may join a longer queue, for each flow of
+# the highest one that joined a queue. It keeps callers of lower priorities
+# from being shut out while the highest priority alone exceeds the capacity.
+FLOOR_SHARE = 0.1
+# Requests that the floor may admit at once after it was not needed for a
+# while: two long flows.
+FLOOR_BURST = 40.0
+# Kinds of requests that come in long flows, and the requests that the opening
+# of one brings. When each counted as one request, the floor took as many slots
+# from writes as these had.
+LONG_FLOW_KINDS = frozenset(("safe",))
+LONG_FLOW_REQUESTS = 20
+
 # HTTP of the processes that forward segments, as client and server.
 
 MAX_HTTP_HEAD_BYTES = 16 * 1024
--- a/src/limpetlift/scheduling/polling.py
+++ b/src/limpetlift/scheduling/polling.py
@@ -58,6 +58,8 @@
         order of :func:`in_order`.
     :param window: agents whose loads are compared.
     :param rounds: number of times that agents were added to ``window``.
+    :param admission: why the flow was admitted last, or was not; see
+        :meth:`limpetlift.scheduling.admitting.Admission.decide`.
     """
 
     segment: object
@@ -71,6 +73,7 @@
     remaining: list = attrs.field(factory=list)
     window: list = attrs.field(factory=list)
     rounds: int = 0
+    admission: str = "overloaded"
 
     def __attrs_post_init__(self):
         if self.kept_agent is not None:
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -135,7 +135,7 @@
     decode: object
     rng: random.Random = attrs.field(factory=random.Random)
     placing_policy: str = defaults.PLACING_POLICY
-    admission_policy: str = "timely"
+    admission_policy: str = "priority"
     record_policy: str = "few"
     routes: routing.RouteTable = attrs.field(factory=routing.RouteTable)
     flows_by_key: dict = attrs.field(factory=dict)
@@ -156,17 +156,13 @@
     _is_catching_up: bool = False
     _swept_at: float = float("-inf")
     _choose: object = attrs.field(init=False)
-    _admit: object = attrs.field(init=False)
+    _admission: admitting.Admission = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self._choose = registry.lookup(
             placing.policies_by_name, self.placing_policy, "placing policy"
         )
-        self._admit = registry.lookup(
-            admitting.policies_by_name,
-            self.admission_policy,
-            "admission policy",
-        )
+        self._admission = admitting.Admission(self.admission_policy)
         self.agents = knownagents.KnownAgents(self.address, self.rng)
         self._keepers = self._keepers_among(())
         self._unlisted = unlisted_agents.Exchange(self.address)
@@ -235,12 +231,14 @@
                 )
             ]
         self.routes = routes.with_valid_fields_of(self.routes)
+        self._admission.on_routes(self.routes.routes_by_address.values())
         return [
             steps.LogEvent(
                 "routes_in_force",
                 fields={
                     "version": routes.version,
                     "routes": len(routes.routes_by_address),
+                    "ranked": self.ranked_routes,
                 },
             )
         ] + [
@@ -259,6 +257,11 @@
             ]
         ]
 
+    @property
+    def ranked_routes(self):
+        """Number of the routes that compete with one of another priority."""
+        return len(self._admission.standings_by_address)
+
     def on_entries(self, now, agents, balancers, unlisted=()):
         """Update the known agents and balancers from the directory.
 
@@ -604,7 +607,7 @@
                 return result + self._assign(now, poll, *admitted)
             if available:
                 return result + self._defer(
-                    now, poll.segment, "overloaded", poll.flow
+                    now, poll.segment, poll.admission, poll.flow
                 )
             if any(
                 agent.load and agent.load.is_recovering
@@ -655,6 +658,7 @@
                     "busy": load.busy if load else "unknown",
                     "run_ms": load.run_ms if load else "unknown",
                     "age_s": round(now - agent.load_received_at, 3),
+                    "admission": poll.admission,
                     "routes": self.routes.version,
                 },
             ),
@@ -668,6 +672,7 @@
         :returns: ``(candidate, max_wait_s)``: the chosen agent and the
             longest time that the flow's request may wait there; or None when
             there is no agent or the chosen agent's queue is longer than that.
+            The reason is then in the poll.
         """
         candidates = [
             self._candidate(agent)
@@ -677,18 +682,13 @@
         if not candidates:
             return None
         chosen = self._choose(candidates, self.rng)
-        queue = admitting.with_assumed_run_time(
-            admitting.Queue(
-                chosen.slots, chosen.busy + chosen.placed, chosen.run_s
-            ),
-            poll.route.aim_s,
+        queue = admitting.Queue(
+            chosen.slots, chosen.busy + chosen.placed, chosen.run_s
         )
-        max_wait_s = self._admit(
-            poll.route.aim_s, queue.run_s, poll.segment.ack
-        )
-        return (
-            (chosen, max_wait_s) if queue.is_wait_within(max_wait_s) else None
+        max_wait_s, poll.admission = self._admission.decide(
+            poll.route, queue, poll.segment.ack
         )
+        return None if max_wait_s is None else (chosen, max_wait_s)
 
     def _search_order(self, key):
         """Return the agents of a flow's route as addresses.
@@ -728,7 +728,7 @@
         The caller sends copies after fixed delays if it gets no answer. After
         a refusal it would retry at once and use up its tries. The flow is
         refused at the last copy if all copies arrived here and none was
-        placed.
+        placed, or earlier if the caller gives up before the next one.
 
         :param reason: the reason, for the log and the reset.
         """
@@ -741,10 +741,15 @@
         if len(flow.tried) == flow.busy_count:
             # All agents tried were busy, so no server received this copy.
             deferral.copies.add(segment.ack)
-        log_event = self._not_placed(
-            "flow_deferred", segment, reason, len(flow.tried)
-        )
-        if len(deferral.copies) <= defaults.LAST_COPY_NUMBER:
+        event = "flow_yielded" if reason == "priority" else "flow_deferred"
+        log_event = self._not_placed(event, segment, reason, len(flow.tried))
+        is_last = len(deferral.copies) > defaults.LAST_COPY_NUMBER
+        if not is_last and len(deferral.copies) > segment.ack:
+            # All copies so far arrived here, and no server received one.
+            is_last = self._admission.is_hopeless(
+                self._route(key), segment.ack
+            )
+        if not is_last:
             return [log_event]
         del self._deferrals_by_key[key]
         return [steps.Reset(key, 0, reason), log_event]
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -339,6 +339,7 @@
         return {
             **super().gauges(),
             "routes_version": self.decisions.routes.version,
+            "ranked_routes": self.decisions.ranked_routes,
             "flows": len(self.decisions.flows_by_key),
             "agents": len(self._directory.agents()),
         }
--- a/tests/loadsim.py
+++ b/tests/loadsim.py
@@ -19,16 +19,17 @@
 from limpetlift.scheduling import admitting
 from limpetlift.scheduling import placing
 from limpetlift.scheduling import runtimes
+from limpetlift.state import routing
 
 _REPORT_INTERVAL_S = 0.02
 # One way between a caller and a server.
-_NETWORK_DELAY_S = 0.004
+NETWORK_DELAY_S = 0.004
 # Delays of the first segment and its copies from the start of a try.
 _COPY_DELAYS_S = (0.0, 0.2, 0.6)
 _TRY_TIMEOUT_S = 1.4
-_MAX_TRIES = 3
+MAX_TRIES = 3
 # Time from a server's rejection of a request until the caller reacts.
-_REJECTION_DELAY_S = 0.06
+REJECTION_DELAY_S = 0.06
 
 
 @attrs.define
@@ -39,6 +40,7 @@
     :param reported_busy: number of running and queued requests at the last
         report.
     :param speed: divides the run times of its requests.
+    :param flows: number of its long flows.
     :param estimate: the estimate of its run time of
         :mod:`limpetlift.scheduling.runtimes`.
     :param reported_run_s: mean run time of a request at the last report, in
@@ -50,6 +52,7 @@
     queue_limit: int
     speed: float = 1.0
     estimate: object = attrs.field(factory=runtimes.MeanRunTime)
+    flows: int = 0
     running: int = 0
     queue: list = attrs.field(factory=list)
     reported_busy: int = 0
@@ -58,7 +61,7 @@
 
 
 @attrs.define
-class _Request:
+class Request:
     """A request of a caller.
 
     :param created_at: when the caller made the request.
@@ -67,6 +70,9 @@
     :param is_open: whether a server accepted the flow of the current try.
     :param outcome: ``in_time``, ``late``, or empty without an answer.
     :param answered_at: when the caller got the answer; infinite without one.
+    :param aim_s: target response time.
+    :param deadline_s: answers after this time are worthless.
+    :param route: the route that it is sent to.
     """
 
     created_at: float
@@ -75,6 +81,9 @@
     is_open: bool = False
     outcome: str = ""
     answered_at: float = math.inf
+    aim_s: float = 0.0
+    deadline_s: float = 0.0
+    route: object = None
 
 
 @attrs.define(slots=False)
@@ -137,7 +146,12 @@
         """Run the simulation; return the requests."""
         self._rng = random.Random(self.seed)
         self._choose = placing.policies_by_name[self.placing_policy]
-        self._admit = admitting.policies_by_name[self.admission_policy]
+        self._route = routing.Route("all", (), (), self.aim_s)
+        # The decisions of each balancer.
+        self._admissions = [
+            admitting.Admission(self.admission_policy)
+            for _ in range(self.balancers)
+        ]
         self._servers = [
             _Server(
                 self.slots,
@@ -152,20 +166,30 @@
         self._placement_times = [
             [[] for _ in self._servers] for _ in range(self.balancers)
         ]
+        self._make_requests()
+        self._call_at(0.0, self._report)
+        while self._events:
+            now, _, callback, arguments = heapq.heappop(self._events)
+            callback(now, *arguments)
+        return self.requests
+
+    def _make_requests(self):
+        """Let callers make requests until the end of the simulation."""
         now = 0.0
         while now < self.duration_s:
             now += self._rng.expovariate(self.requests_per_s(now))
             work_s = self._rng.lognormvariate(-0.125, 0.5) * self.mean_s
             if self._rng.random() < 0.03:
                 work_s *= 7.0
-            request = _Request(now, work_s)
+            request = Request(
+                now,
+                work_s,
+                aim_s=self.aim_s,
+                deadline_s=self.deadline_s,
+                route=self._route,
+            )
             self.requests.append(request)
             self._call_at(now, self._try, request)
-        self._call_at(0.0, self._report)
-        while self._events:
-            now, _, callback, arguments = heapq.heappop(self._events)
-            callback(now, *arguments)
-        return self.requests
 
     def _call_at(self, time_s, callback, *arguments):
         heapq.heappush(
@@ -182,14 +206,17 @@
 
     def _try(self, now, request):
         """Let the caller send the first segment and its copies."""
-        if now - request.created_at > self.deadline_s or request.outcome:
+        if request.outcome:
+            return
+        if now - request.created_at > request.deadline_s:
+            self._give_up(now, request)
             return
         request.tries += 1
         request.is_open = False
         attempt = request.tries
         for copy, delay_s in enumerate(_COPY_DELAYS_S):
             self._call_at(
-                now + delay_s + _NETWORK_DELAY_S,
+                now + delay_s + NETWORK_DELAY_S,
                 self._on_first_segment,
                 request,
                 attempt,
@@ -200,8 +227,21 @@
         )
 
     def _retry(self, now, request):
-        if request.tries < _MAX_TRIES:
-            self._call_at(now + _NETWORK_DELAY_S, self._try, request)
+        if request.tries < MAX_TRIES:
+            self._call_at(now + NETWORK_DELAY_S, self._try, request)
+        else:
+            self._give_up(now, request)
+
+    def _give_up(self, now, request):
+        """Handle that a caller gives up a request."""
+
+    def _on_open(self, now, server, request):
+        """Handle that a server accepted the flow of a request."""
+        self._serve(now, server, request)
+
+    def _on_rejected(self, now, _server, request):
+        """Handle that a server has no place for a request in its queue."""
+        self._call_at(now + REJECTION_DELAY_S, self._retry, request)
 
     def _on_try_timeout(self, now, request, attempt):
         if not request.is_open and attempt == request.tries:
@@ -211,35 +251,33 @@
         """Place a flow at a balancer, unless this copy is not needed."""
         if request.is_open or attempt != request.tries or request.outcome:
             return
-        if now - request.created_at > self.deadline_s:
+        if now - request.created_at > request.deadline_s:
             return
         if self.is_central:
             request.is_open = True
             self._central_queue.append(request)
             self._serve_central(now)
             return
-        placement_times = self._placement_times[
-            self._rng.randrange(self.balancers)
-        ]
+        balancer = self._rng.randrange(self.balancers)
+        placement_times = self._placement_times[balancer]
         candidates = self._candidates(now, placement_times)
         if not candidates:
             return
         for _ in range(defaults.MAX_BUSY_TRIES):
             chosen = self._choose(candidates, self._rng)
-            queue = admitting.with_assumed_run_time(
-                admitting.Queue(
-                    chosen.slots, chosen.busy + chosen.placed, chosen.run_s
-                ),
-                self.aim_s,
+            queue = admitting.Queue(
+                chosen.slots, chosen.busy + chosen.placed, chosen.run_s
             )
-            max_wait_s = self._admit(self.aim_s, queue.run_s, copy)
-            if not queue.is_wait_within(max_wait_s):
+            max_wait_s, _ = self._admissions[balancer].decide(
+                request.route, queue, copy
+            )
+            if max_wait_s is None:
                 break
             server = self._servers[chosen.agent_key]
             placement_times[chosen.agent_key].append(now)
             if not self.agents_admit or _would_admit(now, server, max_wait_s):
                 request.is_open = True
-                self._serve(now, server, request)
+                self._on_open(now, server, request)
                 return
             candidates.remove(chosen)
             if not candidates:
@@ -276,7 +314,7 @@
                     number,
                     server.slots,
                     busy,
-                    busy,
+                    max(busy, server.flows),
                     len(placement_times[number]),
                     run_s=run_s,
                 )
@@ -290,7 +328,7 @@
         elif len(server.queue) < server.queue_limit:
             server.queue.append(request)
         else:
-            self._call_at(now + _REJECTION_DELAY_S, self._retry, request)
+            self._on_rejected(now, server, request)
 
     def _serve_central(self, now):
         """Start requests of the central queue at the fastest idle servers."""
@@ -319,15 +357,15 @@
         server.running -= 1
         if run_s:
             server.estimate.add(now, run_s, False)
-        request.answered_at = now + _NETWORK_DELAY_S
-        response_s = now + _NETWORK_DELAY_S - request.created_at
-        if response_s <= self.aim_s:
+        request.answered_at = now + NETWORK_DELAY_S
+        response_s = now + NETWORK_DELAY_S - request.created_at
+        if response_s <= request.aim_s:
             request.outcome = "in_time"
-        elif response_s <= self.deadline_s:
+        elif response_s <= request.deadline_s:
             request.outcome = "late"
         while server.queue:
             waiting = server.queue.pop(0)
-            if now - waiting.created_at < self.deadline_s:
+            if now - waiting.created_at < waiting.deadline_s:
                 self._start(now, server, waiting, False)
                 break
         if self.is_central:
--- a/tests/loadtables.py
+++ b/tests/loadtables.py
@@ -1,11 +1,14 @@
-"""Prints the tables of the design notes: ``python tests/loadtables.py``.
+"""Prints the tables of the design notes.
 
-Run it with ``src`` and ``tests`` on the module path.
+``python tests/loadtables.py speeds`` prints the one of learned speeds, and
+``python tests/loadtables.py kinds`` that of admission by priority. Run it with
+``src`` and ``tests`` on the module path.
 """
 
 import sys
 
 import test_fastest
+import test_priority
 
 
 def print_speeds():
@@ -30,5 +33,23 @@
             sys.stdout.flush()
 
 
+def print_kinds():
+    """Print the shares in time and late by peak, load and policy."""
+    print("| peak of | load | reads, writes before | after | worth |")
+    for peak in ("all", "reads", "writes"):
+        for load in test_priority.LOADS:
+            before, after = (
+                test_priority.outcome(policy, peak, load)
+                for policy in ("timely", "priority")
+            )
+            cells = [
+                "%.2f + %.2f, %.2f + %.2f" % (*one["safe"], *one["unsafe"])
+                for one in (before, after)
+            ]
+            worths = "%.3f, %.3f" % (before["worth"], after["worth"])
+            print("|", " | ".join((peak, str(load), *cells, worths)), "|")
+            sys.stdout.flush()
+
+
 if __name__ == "__main__":
-    print_speeds()
+    {"speeds": print_speeds, "kinds": print_kinds}[sys.argv[1]]()
