--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -290,6 +290,11 @@
 
 # Placement of new flows by load.
 
+# Placing policy unless the settings name another one, and those that they may
+# name; the others are baselines for comparisons.
+PLACING_POLICY = "least"
+PLACING_POLICIES = ("least", "fastest")
+
 # A backend server that has just started takes up to 1.6 times as long per
 # request.
 WARMING_FACTOR = 1.6
@@ -311,6 +316,18 @@
 # Random part of the load in requests per slot, so that balancers with the same
 # load reports choose different agents.
 PLACING_JITTER = 0.1
+# Largest ratio of the run times of two candidates that counts as equal. The
+# averages of servers of one speed vary by 7%, so that of five candidates the
+# largest is within 1.3 of the smallest in 97 of 100 cases, and servers with
+# different shares of two kinds of requests differ by up to 1.3 (work of 19 and
+# 25 ms). Speeds that differ by 1.6 and more are told apart.
+SAME_SPEED_RATIO = 1.4
+# Weight of a flow's own run time against its wait. With 1 fast servers are
+# preferred so much at 0.95 of the capacity that the median was 52 ms instead
+# of 44 ms; with 0.25 the p99 at half of the capacity was 3% longer.
+OWN_RUN_SHARE = 0.5
+# Half the unit of the run times in load reports.
+RUN_TIME_ROUNDING_S = 0.0005
 
 # Steering of segments.
 
@@ -521,6 +538,24 @@
 
 # Weight of a request's run time in the moving average.
 RUN_TIME_WEIGHT = 0.1
+# The same in the robust average: its standard deviation is then 7% of a run
+# time with a coefficient of variation of 0.5, and at 20 requests a second it
+# follows a change within 2 s.
+ROBUST_RUN_TIME_WEIGHT = 0.03
+# A longer run counts as this many times the average. Of requests of which 3%
+# take 7 times as long, one moves the average by 9% instead of 18%.
+RUN_TIME_CLIP = 4.0
+# The average starts at the median of so many run times. Of 5, three must be
+# long to make it wrong.
+RUN_TIME_FIRST_SAMPLES = 5
+# An estimate is unknown again when no request was answered for this long.
+RUN_TIME_MAX_AGE_S = 10.0
+# A change of the estimate by this factor is logged; the steps between two
+# speeds of servers are at least 1.6.
+RUN_TIME_LOG_RATIO = 1.3
+# Requests in the queue of a server whose order is remembered; servers queue
+# a few.
+MAX_QUEUED_RUNS = 64
 # Handshake and request take three one-way delays of 3 ms between caller and
 # balancer, and those between data centres.
 FLOW_NETWORK_TIME_S = 0.02
@@ -560,6 +595,24 @@
 # A caller gives up its try 1.4 s after the first segment; the handshake with
 # the server takes part of the rest.
 MAX_UPLOAD_HOLD_S = 1.0
+# Delays of a first segment and its copies from the start of a try.
+COPY_DELAYS_S = (0.0, 0.2, 0.6)
+# Share of the permitted wait that a flow may use when there is a higher
+# priority; its square with two higher ones. In the model of competing kinds
+# smaller shares left servers with short queues idle.
+LOWER_PRIORITY_WAIT_SHARE = 0.5
+# Requests of lower priorities that may join a longer queue, for each flow of
+# the highest one that joined a queue. It keeps callers of lower priorities
+# from being shut out while the highest priority alone exceeds the capacity.
+FLOOR_SHARE = 0.1
+# Requests that the floor may admit at once after it was not needed for a
+# while: two long flows.
+FLOOR_BURST = 40.0
+# Kinds of requests that come in long flows, and the requests that the opening
+# of one brings. When each counted as one request, the floor took as many slots
+# from writes as these had.
+LONG_FLOW_KINDS = frozenset(("safe",))
+LONG_FLOW_REQUESTS = 20
 
 # HTTP of the processes that forward segments, as client and server.
 
--- a/src/limpetlift/state/segmentsettings.py
+++ b/src/limpetlift/state/segmentsettings.py
@@ -78,6 +78,21 @@
     return parse
 
 
+def _parse_placing_policy(value):
+    """Return the name of a placing policy; the default one when empty.
+
+    :raises ValueError: when there is no such policy.
+    """
+    if value == "":
+        return defaults.PLACING_POLICY
+    if value not in defaults.PLACING_POLICIES:
+        raise ValueError(
+            "placing_policy is %r, but must be one of %s"
+            % (value, ", ".join(defaults.PLACING_POLICIES))
+        )
+    return value
+
+
 _is_endpoint = validators.instance_of(tuple)
 
 
@@ -114,6 +129,9 @@
         unknown.
     :param cpu_share: share of each processor core that the instance has.
     :param cpu_cores: number of its cores.
+    :param placing_policy: name of the policy by which balancers place new
+        flows; ``least`` or ``fastest``. Agents estimate the run times that
+        it needs.
     """
 
     id: str = attrs.field(validator=_non_empty_text)
@@ -181,13 +199,18 @@
             return None
         return rotation.Capacity(link_mbps, processor)
 
+    placing_policy: str = attrs.field(
+        default=defaults.PLACING_POLICY, converter=_parse_placing_policy
+    )
+
 
 def decode(data, environment=os.environ):
     """Return the :class:`Settings` in the bytes of a TOML file.
 
     :param environment: environment variables, by name. ``ADDRESS_REUSE_S``
-        stands for a missing ``address_reuse_s``; ``LINK_MBPS``,
-        ``CPU_SHARE`` and ``CPU_CORES`` do so for the limits of the instance.
+        stands for a missing ``address_reuse_s``, and so do ``LINK_MBPS``,
+        ``CPU_SHARE``, ``CPU_CORES`` and ``PLACING_POLICY`` for the settings
+        of their names.
     :raises SettingsError: when they are invalid.
     """
     try:
@@ -197,6 +220,9 @@
         )
         for name in _LIMITS:
             fields.setdefault(name, environment.get(name.upper(), ""))
+        fields.setdefault(
+            "placing_policy", environment.get("PLACING_POLICY", "")
+        )
         return Settings(**fields)
     except (ValueError, TypeError, RecursionError) as error:
         raise exceptions.SettingsError([str(error)]) from error
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -54,7 +54,11 @@
             settings.id, settings.data_centre, settings.capacity
         )
         self.decisions = steering.FlowSteering(
-            address, settings.data_centre, self.decode_caller, self.rng
+            address,
+            settings.data_centre,
+            self.decode_caller,
+            self.rng,
+            settings.placing_policy,
         )
         capacity = settings.capacity
         if capacity is not None and capacity.link_mbps is not None:
@@ -405,6 +409,7 @@
             "evacuated_data_centres": len(
                 self.decisions.evacuations.by_data_centre
             ),
+            "ranked_routes": self.decisions.ranked_routes,
             "flows": len(self.decisions.flows_by_key),
             "agents": len(self._directory.agents()),
             "uploads_active": self.decisions.upload_admission.active_count,
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -45,6 +45,7 @@
         "link_mbps",
         "cpu_share",
         "cpu_cores",
+        "placing_policy",
     )
 )
 
--- a/tests/loadsim.py
+++ b/tests/loadsim.py
@@ -10,6 +10,7 @@
 
 import heapq
 import itertools
+import math
 import random
 
 import attrs
@@ -17,16 +18,18 @@
 from limpetlift import defaults
 from limpetlift.scheduling import admitting
 from limpetlift.scheduling import placing
+from limpetlift.scheduling import runtimes
+from limpetlift.state import routing
 
 _REPORT_INTERVAL_S = 0.02
 # One way between a caller and a server.
-_NETWORK_DELAY_S = 0.004
+NETWORK_DELAY_S = 0.004
 # Delays of the first segment and its copies from the start of a try.
 _COPY_DELAYS_S = (0.0, 0.2, 0.6)
 _TRY_TIMEOUT_S = 1.4
-_MAX_TRIES = 3
+MAX_TRIES = 3
 # Time from a server's rejection of a request until the caller reacts.
-_REJECTION_DELAY_S = 0.06
+REJECTION_DELAY_S = 0.06
 
 
 @attrs.define
@@ -36,19 +39,29 @@
     :param slots: number of requests that it runs concurrently.
     :param reported_busy: number of running and queued requests at the last
         report.
-    :param run_s: mean run time of a request; 0 when unknown.
+    :param speed: divides the run times of its requests.
+    :param flows: number of its long flows.
+    :param estimate: the estimate of its run time of
+        :mod:`limpetlift.scheduling.runtimes`.
+    :param reported_run_s: mean run time of a request at the last report, in
+        whole milliseconds as on the wire; 0 when unknown.
+    :param reported_at: time of the last report.
     """
 
     slots: int
     queue_limit: int
+    speed: float = 1.0
+    estimate: object = attrs.field(factory=runtimes.MeanRunTime)
+    flows: int = 0
     running: int = 0
     queue: list = attrs.field(factory=list)
     reported_busy: int = 0
-    run_s: float = 0.0
+    reported_run_s: float = 0.0
+    reported_at: float = 0.0
 
 
 @attrs.define
-class _Request:
+class Request:
     """A request of a caller.
 
     :param created_at: when the caller made the request.
@@ -56,6 +69,10 @@
     :param tries: number of tries so far.
     :param is_open: whether a server accepted the flow of the current try.
     :param outcome: ``in_time``, ``late``, or empty without an answer.
+    :param answered_at: when the caller got the answer; infinite without one.
+    :param aim_s: target response time.
+    :param deadline_s: answers after this time are worthless.
+    :param route: the route that it is sent to.
     """
 
     created_at: float
@@ -63,6 +80,10 @@
     tries: int = 0
     is_open: bool = False
     outcome: str = ""
+    answered_at: float = math.inf
+    aim_s: float = 0.0
+    deadline_s: float = 0.0
+    route: object = None
 
 
 @attrs.define(slots=False)
@@ -85,6 +106,14 @@
         queue is too long, so that the balancer tries another agent.
     :param asked: number of random servers that are asked for their loads; 0
         when all servers report their loads.
+    :param compared: number of random servers whose reported loads are
+        compared; 0 for all.
+    :param speed: function of a server's number; returns the factor by which
+        its run times are shorter.
+    :param report_interval_s: time between two reports of the loads.
+    :param estimate: name of an estimate of run times.
+    :param is_central: whether one queue serves all servers and the fastest
+        idle one takes the next request: the limit of any placing.
     :param requests: all requests that were made.
     """
 
@@ -104,6 +133,11 @@
     up_at: object = staticmethod(lambda _number: 0.0)
     agents_admit: bool = True
     asked: int = 0
+    compared: int = 0
+    speed: object = staticmethod(lambda _number: 1.0)
+    report_interval_s: float = _REPORT_INTERVAL_S
+    estimate: str = "mean"
+    is_central: bool = False
     requests: list = attrs.field(factory=list)
     _events: list = attrs.field(factory=list)
     _order: object = attrs.field(factory=itertools.count)
@@ -112,28 +146,50 @@
         """Run the simulation; return the requests."""
         self._rng = random.Random(self.seed)
         self._choose = placing.policies_by_name[self.placing_policy]
-        self._admit = admitting.policies_by_name[self.admission_policy]
+        self._route = routing.Route("all", (), (), self.aim_s)
+        # The decisions of each balancer.
+        self._admissions = [
+            admitting.Admission(self.admission_policy)
+            for _ in range(self.balancers)
+        ]
         self._servers = [
-            _Server(self.slots, self.queue_limit) for _ in range(self.servers)
+            _Server(
+                self.slots,
+                self.queue_limit,
+                self.speed(number),
+                runtimes.estimates_by_name[self.estimate](),
+            )
+            for number in range(self.servers)
         ]
+        self._central_queue = []
         # By balancer and server: when the balancer placed flows there.
         self._placement_times = [
             [[] for _ in self._servers] for _ in range(self.balancers)
         ]
+        self._make_requests()
+        self._call_at(0.0, self._report)
+        while self._events:
+            now, _, callback, arguments = heapq.heappop(self._events)
+            callback(now, *arguments)
+        return self.requests
+
+    def _make_requests(self):
+        """Let callers make requests until the end of the simulation."""
         now = 0.0
         while now < self.duration_s:
             now += self._rng.expovariate(self.requests_per_s(now))
             work_s = self._rng.lognormvariate(-0.125, 0.5) * self.mean_s
             if self._rng.random() < 0.03:
                 work_s *= 7.0
-            request = _Request(now, work_s)
+            request = Request(
+                now,
+                work_s,
+                aim_s=self.aim_s,
+                deadline_s=self.deadline_s,
+                route=self._route,
+            )
             self.requests.append(request)
             self._call_at(now, self._try, request)
-        self._call_at(0.0, self._report)
-        while self._events:
-            now, _, callback, arguments = heapq.heappop(self._events)
-            callback(now, *arguments)
-        return self.requests
 
     def _call_at(self, time_s, callback, *arguments):
         heapq.heappush(
@@ -143,19 +199,24 @@
     def _report(self, now):
         for server in self._servers:
             server.reported_busy = server.running + len(server.queue)
+            server.reported_run_s = _rounded(server.estimate.run_s(now, False))
+            server.reported_at = now
         if now < self.duration_s + 3.0:
-            self._call_at(now + _REPORT_INTERVAL_S, self._report)
+            self._call_at(now + self.report_interval_s, self._report)
 
     def _try(self, now, request):
         """Let the caller send the first segment and its copies."""
-        if now - request.created_at > self.deadline_s or request.outcome:
+        if request.outcome:
+            return
+        if now - request.created_at > request.deadline_s:
+            self._give_up(now, request)
             return
         request.tries += 1
         request.is_open = False
         attempt = request.tries
         for copy, delay_s in enumerate(_COPY_DELAYS_S):
             self._call_at(
-                now + delay_s + _NETWORK_DELAY_S,
+                now + delay_s + NETWORK_DELAY_S,
                 self._on_first_segment,
                 request,
                 attempt,
@@ -166,8 +227,21 @@
         )
 
     def _retry(self, now, request):
-        if request.tries < _MAX_TRIES:
-            self._call_at(now + _NETWORK_DELAY_S, self._try, request)
+        if request.tries < MAX_TRIES:
+            self._call_at(now + NETWORK_DELAY_S, self._try, request)
+        else:
+            self._give_up(now, request)
+
+    def _give_up(self, now, request):
+        """Handle that a caller gives up a request."""
+
+    def _on_open(self, now, server, request):
+        """Handle that a server accepted the flow of a request."""
+        self._serve(now, server, request)
+
+    def _on_rejected(self, now, _server, request):
+        """Handle that a server has no place for a request in its queue."""
+        self._call_at(now + REJECTION_DELAY_S, self._retry, request)
 
     def _on_try_timeout(self, now, request, attempt):
         if not request.is_open and attempt == request.tries:
@@ -177,30 +251,33 @@
         """Place a flow at a balancer, unless this copy is not needed."""
         if request.is_open or attempt != request.tries or request.outcome:
             return
-        if now - request.created_at > self.deadline_s:
+        if now - request.created_at > request.deadline_s:
             return
-        placement_times = self._placement_times[
-            self._rng.randrange(self.balancers)
-        ]
+        if self.is_central:
+            request.is_open = True
+            self._central_queue.append(request)
+            self._serve_central(now)
+            return
+        balancer = self._rng.randrange(self.balancers)
+        placement_times = self._placement_times[balancer]
         candidates = self._candidates(now, placement_times)
         if not candidates:
             return
         for _ in range(defaults.MAX_BUSY_TRIES):
             chosen = self._choose(candidates, self._rng)
-            queue = admitting.with_assumed_run_time(
-                admitting.Queue(
-                    chosen.slots, chosen.busy + chosen.placed, chosen.run_s
-                ),
-                self.aim_s,
+            queue = admitting.Queue(
+                chosen.slots, chosen.busy + chosen.placed, chosen.run_s
             )
-            max_wait_s = self._admit(self.aim_s, queue.run_s, copy)
-            if not queue.is_wait_within(max_wait_s):
+            max_wait_s, _ = self._admissions[balancer].decide(
+                request.route, queue, copy
+            )
+            if max_wait_s is None:
                 break
             server = self._servers[chosen.agent_key]
             placement_times[chosen.agent_key].append(now)
-            if not self.agents_admit or _would_admit(server, max_wait_s):
+            if not self.agents_admit or _would_admit(now, server, max_wait_s):
                 request.is_open = True
-                self._serve(now, server, request)
+                self._on_open(now, server, request)
                 return
             candidates.remove(chosen)
             if not candidates:
@@ -210,20 +287,23 @@
 
     def _candidates(self, now, placement_times):
         """Return the available servers as a balancer's candidates."""
-        oldest_kept = now - defaults.LOAD_REPORT_LAG_S
         numbers = [
             number
             for number in range(len(self._servers))
             if self.up_at(number) <= now
         ]
-        if self.asked:
-            numbers = self._rng.sample(numbers, min(self.asked, len(numbers)))
+        sampled = self.asked or self.compared
+        if sampled:
+            numbers = self._rng.sample(numbers, min(sampled, len(numbers)))
         candidates = []
         for number in numbers:
             server = self._servers[number]
-            busy = server.reported_busy
+            busy, run_s = server.reported_busy, server.reported_run_s
+            oldest_kept = server.reported_at - defaults.LOAD_REPORT_LAG_S
             if self.asked:
                 busy = server.running + len(server.queue)
+                run_s = _rounded(server.estimate.run_s(now, False))
+                oldest_kept = now - defaults.LOAD_REPORT_LAG_S
             placement_times[number] = [
                 placed_at
                 for placed_at in placement_times[number]
@@ -234,9 +314,9 @@
                     number,
                     server.slots,
                     busy,
-                    busy,
+                    max(busy, server.flows),
                     len(placement_times[number]),
-                    run_s=server.run_s,
+                    run_s=run_s,
                 )
             )
         return candidates
@@ -248,17 +328,25 @@
         elif len(server.queue) < server.queue_limit:
             server.queue.append(request)
         else:
-            self._call_at(now + _REJECTION_DELAY_S, self._retry, request)
+            self._on_rejected(now, server, request)
+
+    def _serve_central(self, now):
+        """Start requests of the central queue at the fastest idle servers."""
+        for server in sorted(self._servers, key=lambda one: -one.speed):
+            while self._central_queue and server.running < server.slots:
+                self._start(now, server, self._central_queue.pop(0), True)
 
     def _start(self, now, server, request, was_idle):
         """Run a request at a server.
 
         :param was_idle: whether the request did not have to queue; only then
-            its run time counts in the server's mean.
+            its run time counts in the mean of an agent that does not know the
+            order of the queue.
         """
         server.running += 1
-        run_s = request.work_s * self.slowdown(now)
-        measured_s = run_s if was_idle else 0.0
+        run_s = request.work_s * self.slowdown(now) / server.speed
+        is_measured = was_idle or self.estimate == "robust"
+        measured_s = run_s if is_measured else 0.0
         self._call_at(now + run_s, self._finish, server, request, measured_s)
 
     def _finish(self, now, server, request, run_s):
@@ -268,20 +356,20 @@
         """
         server.running -= 1
         if run_s:
-            known_s = server.run_s or run_s
-            server.run_s = known_s + defaults.RUN_TIME_WEIGHT * (
-                run_s - known_s
-            )
-        response_s = now + _NETWORK_DELAY_S - request.created_at
-        if response_s <= self.aim_s:
+            server.estimate.add(now, run_s, False)
+        request.answered_at = now + NETWORK_DELAY_S
+        response_s = now + NETWORK_DELAY_S - request.created_at
+        if response_s <= request.aim_s:
             request.outcome = "in_time"
-        elif response_s <= self.deadline_s:
+        elif response_s <= request.deadline_s:
             request.outcome = "late"
         while server.queue:
             waiting = server.queue.pop(0)
-            if now - waiting.created_at < self.deadline_s:
+            if now - waiting.created_at < waiting.deadline_s:
                 self._start(now, server, waiting, False)
                 break
+        if self.is_central:
+            self._serve_central(now)
 
     def score(self, since_s=0.0, until_s=float("inf"), late=0.3):
         """Return the mean score of the requests made in a time span.
@@ -302,10 +390,18 @@
         ) / len(selected)
 
 
-def _would_admit(server, max_wait_s):
+def _rounded(run_s):
+    """Return a run time in whole milliseconds, as load reports have it."""
+    return round(run_s * 1000) / 1000
+
+
+def _would_admit(now, server, max_wait_s):
     """Whether a server's agent would accept a flow with its current queue."""
     busy = server.running + len(server.queue)
-    run_s = server.run_s or max_wait_s / defaults.UNKNOWN_WAIT_RUNS
+    run_s = (
+        server.estimate.run_s(now, False)
+        or max_wait_s / defaults.UNKNOWN_WAIT_RUNS
+    )
     return admitting.Queue(server.slots, busy, run_s).is_wait_within(
         max_wait_s
     )
--- a/tests/test_segmentagent.py
+++ b/tests/test_segmentagent.py
@@ -36,6 +36,7 @@
     "link_mbps": 100,
     "cpu_share": 0.5,
     "cpu_cores": 2,
+    "placing_policy": "least",
 }
 
 
@@ -158,6 +159,7 @@
         {"link_mbps": 5},
         {"cpu_share": 0.25},
         {"cpu_cores": 3},
+        {"placing_policy": "fastest"},
     ],
 )
 def test_settings_that_are_not_in_force_are_logged(
