Pace new flows at servers that have started or recovered

Balancers see an idle server after a start and flood it while it is slow, and nothing kept the bound on new flows of a cold server that the operators state.

The agent now keeps two limits (scheduling/pacing.py): the rule on new flows in any second, where the configuration and the environment state it, and a learned limit on the callers that wait at a time. Balancers tell agents the configured rate in hellos, and pass over an agent that reports no room. Without the bounds in the environment, nothing changes.

Tests of hosting, steering, polling, placing, platform and the agent pass, except the known a_copy_does_not_make_its_flow_younger[False].

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -551,3 +551,44 @@
 # connections while its server is alive, so a refusal proves nothing as long as
 # reports arrive.
 REPORT_MISSING_INTERVALS = 2.2
+
+# Pace of new flows at servers that have started or recovered.
+
+# The rule holds for any span of 1 s at the server; what the agent sends may
+# reach it up to an event loop iteration of a slow instance later.
+COLD_SPAN_S = 1.05
+# A server that claims to be cold for longer is not believed; deployments have
+# 2 s.
+MAX_COLD_S = 30.0
+# Callers that may wait at a time for each slot of a server at the least: one
+# runs, and one waits so that the slot has work when it ends. A caller that is
+# turned away comes back after 200 ms, a wait for one run is shorter.
+PACE_MIN_PER_SLOT = 2
+# With so many, the admission by expected wait is the stricter limit.
+PACE_MAX_PER_SLOT = 8
+# While expected requests of open flows use up the limit, a server with a free
+# slot still gets a new flow at this interval.
+PACE_FLOOR_INTERVAL_S = 0.1
+# Increase of the limit per usual answer, as a share of the slots: one caller
+# per slot more after 8 answers, within which an average means something.
+PACE_STEP = 0.125
+# Factor on the limit when answers are slow, at most once per PACE_MIN_ANSWERS.
+PACE_CUT = 0.7
+PACE_MIN_ANSWERS = 8
+# Weight of an answer in the average slowdown. Run times that vary by factors
+# of 2 to 4 then give an average within 0.17 of the true one (one deviation).
+PACE_SLOWDOWN_WEIGHT = 0.125
+# Average slowdown above which answers are slow: two deviations above the usual
+# one, and below the factor 1.6 of a cold server.
+PACE_SLOW = 1.35
+# A single answer counts as at most so many usual ones.
+PACE_CLIP = 3.0
+# The usual run time is the mean of the first answers, and then follows with
+# this weight.
+PACE_USUAL_ANSWERS = 16
+PACE_USUAL_WEIGHT = 0.05
+# Time in which the share of flows with waiting callers is averaged; flows with
+# many requests ask every few hundred milliseconds.
+PACE_SHARE_S = 1.0
+# The limit of a warm server ends when it left room for this long.
+PACE_UNBOUND_S = 1.0
--- a/src/limpetlift/scheduling/polling.py
+++ b/src/limpetlift/scheduling/polling.py
@@ -134,7 +134,17 @@
         )
 
     def available(self):
-        """Return the agents of the window that accept new flows."""
+        """Return the agents of the window that accept new flows.
+
+        Those without room under the pace of their servers are left out.
+        """
+        return [agent for agent in self._accepting() if agent.room >= 1]
+
+    def without_room(self):
+        """Return the agents that accept flows, but have no room now."""
+        return [agent for agent in self._accepting() if agent.room < 1]
+
+    def _accepting(self):
         return [
             agent
             for agent in self.window
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -13,6 +13,7 @@
 from limpetlift.protocol import tunnel
 from limpetlift import registry
 from limpetlift.scheduling import admitting
+from limpetlift.scheduling import pacing
 from limpetlift.state import hostedflows
 from limpetlift.state import reports
 from limpetlift.state import steps
@@ -46,6 +47,8 @@
     :param report_interval_s: seconds between two reports of the server.
     :param address_reuse_s: seconds after a server's end from which on its
         address may belong to a server of another service.
+    :param pace: the :class:`~limpetlift.scheduling.pacing.Pacing` of the
+        server.
     :param report: the report of the server that is in force, or None.
     :param flows: the :class:`~limpetlift.state.hostedflows.FlowTable` of the
         server's flows.
@@ -60,6 +63,7 @@
     knows_all_flows: bool = False
     report_interval_s: float = defaults.REPORT_INTERVAL_S
     address_reuse_s: float = defaults.ADDRESS_REUSE_S
+    pace: pacing.Pacing = attrs.field(factory=pacing.Pacing)
     report: object = None
     flows: hostedflows.FlowTable = attrs.field(factory=hostedflows.FlowTable)
     is_stopping: bool = False
@@ -158,6 +162,13 @@
             result.append(steps.Announce())
         elif not self.knows_all_flows and _are_first_two(known_report, report):
             result += self._on_all_flows_known("first_reports")
+        if not is_restarted:
+            self._note_recovery(now, is_reported=True)
+        self.pace.on_report(
+            now,
+            report,
+            None if self.knows_all_flows else self._started_at or now,
+        )
         self.report = report
         self._reported_at = self._last_heard_at = self._last_served_at = now
         self._unanswered_tentative_flows = 0
@@ -192,6 +203,25 @@
             )
         return result
 
+    def _note_recovery(self, now, is_reported):
+        """Tell the pace when the server is heard again after its silence.
+
+        An own pause of this agent is no silence of the server.
+
+        :param is_reported: whether a report was received, not a segment.
+        """
+        if self.report is None:
+            return
+        if self._unanswered_flows >= defaults.MAX_SILENT_FLOWS:
+            reason = "silent"
+        elif now - self._last_heard_at > (
+            self.report_interval_s * defaults.REPORT_LATE_INTERVALS
+        ):
+            reason = "unheard"
+        else:
+            return
+        self.pace.on_recovered(now, reason, is_reported)
+
     def unverify_server(self):
         """Accept no flows until the next report.
 
@@ -446,6 +476,12 @@
             return self._accept_or_decline(now, balancer, forward, segment)
         if segment.opens_flow:
             reason = self._copy_decline_reason(now, forward.service, flow)
+            if not reason and self.pace.is_of_former_server(flow.created_at):
+                if self.pace.admits(now, self._pace_load()):
+                    self.pace.on_accepted(now)
+                    flow.created_at = now
+                else:
+                    reason = "busy"
             if reason:
                 return self._decline_copy(now, balancer, flow, segment, reason)
         if flow is None:
@@ -522,6 +558,7 @@
     @registry.register(_handlers_by_type, tunnel.Hello)
     def _on_hello(self, now, balancer, hello):
         self._hello_at_by_address[balancer] = now
+        self.pace.on_configured(hello.config_version, hello.warmup_per_s)
         result = [steps.SendToPeer(balancer, self._next_load_report(now))]
         if not hello.is_listed and self.report is not None:
             result.append(steps.Announce())
@@ -548,6 +585,7 @@
         """Record a new request of a flow, or a further part of one."""
         slots = self.report.slots if self.report else 1
         flow.requested_at = now
+        flow.ahead = self.flows.awaiting_count - flow.is_awaiting_answer
         if not flow.is_awaiting_answer:
             flow.is_awaiting_answer = True
             is_free = self.flows.awaiting_count < slots
@@ -565,8 +603,26 @@
             self._mean_run_s = mean_s + defaults.RUN_TIME_WEIGHT * (
                 run_s - mean_s
             )
+        self.pace.on_answer(
+            now, now - flow.requested_at, flow.ahead, self._pace_load()
+        )
         flow.is_awaiting_answer = False
 
+    def _pace_load(self):
+        """Return the load of the server as its pace sees it."""
+        return pacing.Load(
+            self.report.slots if self.report else 1,
+            self.flows.waiting_count,
+            self.flows.open_count,
+        )
+
+    def room(self, now):
+        """Return how many new flows the pace of the server permits now.
+
+        :returns: 0 or more; infinity without a limit.
+        """
+        return self.pace.room(now, self._pace_load())
+
     def decline_reason(self, now, service_id):
         """Return why a new flow is declined; empty when it is accepted.
 
@@ -625,10 +681,13 @@
             reason = (
                 "busy" if self._exceeds_wait(forward.wait_ms / 1000) else ""
             )
+        if not reason and not self.pace.admits(now, self._pace_load()):
+            reason = "busy"
         if reason:
             return self._decline(
                 now, balancer, segment.key, reason, segment.data
             )
+        self.pace.on_accepted(now)
         flow = hostedflows.Flow(
             segment.key,
             balancer,
@@ -709,6 +768,7 @@
 
     def on_server_segment(self, now, segment):
         """Handle a segment that the backend server sent or returned."""
+        self._note_recovery(now, is_reported=False)
         self._unanswered_flows = self._unanswered_tentative_flows = 0
         self._last_heard_at = now
         if segment.is_returned:
@@ -767,6 +827,7 @@
             if flow.server_initial_sequence is not None:
                 return []
             self.flows.remove(segment.key)
+            self.pace.on_returned(flow.created_at)
             return self._decline(
                 now, flow.balancer, segment.key, "server_refused", segment.data
             )
@@ -803,6 +864,11 @@
             self._last_heard_at = max(self._last_heard_at, now)
             self._last_served_at = max(self._last_served_at, now)
         result = self._decline_unanswered(now) + self._probe_if_silent(now)
+        self.pace.tick(now, self._pace_load())
+        result += [
+            steps.LogEvent(change.event, fields=change.fields)
+            for change in self.pace.take_changes()
+        ]
         if now - self._last_sweep_at >= defaults.SWEEP_INTERVAL_S:
             self._last_sweep_at = now
             self._remove_old_flows(now)
@@ -914,6 +980,7 @@
             round(self._mean_run_s * 1000),
             self._service_id,
             self._is_recovering(now),
+            int(min(self.room(now), tunnel.NO_LIMIT)),
         )
 
 
--- a/src/limpetlift/state/knownagents.py
+++ b/src/limpetlift/state/knownagents.py
@@ -1,5 +1,7 @@
 """Agents as a balancer knows them: their loads, and which are alive."""
 
+import math
+
 import attrs
 
 from limpetlift.coordination import monitoring
@@ -27,6 +29,8 @@
         server had stopped, and no later process is known at its address.
     :param placement_times: when this balancer placed flows there that
         ``load`` may not include.
+    :param warmup: ``(config_version, warmup_per_s)`` that hellos tell it;
+        empty when they don't.
     """
 
     entry: object
@@ -37,6 +41,7 @@
     is_listed: bool = True
     has_left: bool = False
     placement_times: list = attrs.field(factory=list)
+    warmup: tuple = ()
     # Hash of its id, for the order in which flows are offered to agents.
     id_hash: int = attrs.field(init=False)
 
@@ -80,8 +85,25 @@
         if self.asked_at is None:
             self.asked_at = now
         return steps.SendToPeer(
-            self.entry.address, tunnel.Hello(self.is_listed)
+            self.entry.address, tunnel.Hello(self.is_listed, *self.warmup)
+        )
+
+    @property
+    def room(self):
+        """Number of new flows that the agent has room for, most likely.
+
+        Flows that this balancer placed after the last report take room. An
+        agent that has none declines, so flows placed just before the report
+        are not counted: passing over an agent that has room would cost more.
+        Infinity without a limit.
+        """
+        if self.load is None or self.load.room == tunnel.NO_LIMIT:
+            return math.inf
+        placed = sum(
+            placed_at >= self.load_received_at
+            for placed_at in self.placement_times
         )
+        return max(self.load.room - placed, 0)
 
     def on_load(self, now, load, is_outdated):
         """Store a load report.
@@ -138,6 +160,8 @@
     rng: object
     by_address: dict = attrs.field(factory=dict)
     heard_at: float = float("-inf")
+    _config_version: int = 0
+    _paces_by_service: dict = attrs.field(factory=dict)
     _hello_sent_at: float = float("-inf")
     # End of the last pause of the balancer.
     _resumed_at: float = float("-inf")
@@ -154,6 +178,24 @@
             if agent.monitored_since is not None:
                 agent.monitored_since = now
 
+    def on_paces(self, config_version, paces_by_service):
+        """Tell each agent in hellos what its server bears while it is cold.
+
+        :param config_version: version of the configuration.
+        :param paces_by_service:
+            :class:`~limpetlift.state.routing.ServicePace` by service.
+        """
+        self._config_version = config_version
+        self._paces_by_service = paces_by_service
+        for agent in self.by_address.values():
+            agent.warmup = self._warmup_of(agent.entry)
+
+    def _warmup_of(self, entry):
+        if not self._config_version:
+            return ()
+        pace = self._paces_by_service.get(entry.service)
+        return self._config_version, pace.warmup_per_s if pace else 0.0
+
     def on_entries(self, entries, unlisted):
         """Update the agents from the directory.
 
@@ -181,7 +223,7 @@
                 != (entry.process_id, entry.service)
             ):
                 replaced = agent
-                agent = KnownAgent(entry)
+                agent = KnownAgent(entry, warmup=self._warmup_of(entry))
                 result.append(agent.event("agent_joined", replaced))
             elif agent.has_left and entry.revision > agent.entry.revision:
                 # A later process has registered.
@@ -210,7 +252,9 @@
         """
         if entry.address in self.by_address:
             return []
-        agent = KnownAgent(entry, is_listed=False)
+        agent = KnownAgent(
+            entry, is_listed=False, warmup=self._warmup_of(entry)
+        )
         self.by_address[entry.address] = agent
         return [agent.event("agent_joined"), agent.ask(now)]
 
--- a/src/limpetlift/state/segmentsettings.py
+++ b/src/limpetlift/state/segmentsettings.py
@@ -51,9 +51,39 @@
     return seconds
 
 
+def _parse_bound(value):
+    """Return a number, or None for an empty text.
+
+    :param value: a number or a text with one.
+    :raises ValueError: when the value is no number, negative or not finite.
+    """
+    if value is None or value == "":
+        return None
+    number = float(value)
+    if isinstance(value, bool) or not 0 <= number < float("inf"):
+        raise ValueError("a bound is %r, but must be 0 or above" % value)
+    return number
+
+
+# Values of the setting ``pacing``: whether the pace of new flows at a server
+# that has started or recovered is learned. ``auto`` is ``learned`` where the
+# two bounds of cold servers are set, and ``off`` elsewhere.
+LEARNED = "learned"
+OFF = "off"
+AUTO = "auto"
+
 _is_endpoint = validators.instance_of(tuple)
 
 
+# Settings that environment variables of the same name in capitals stand for.
+_ENVIRONMENT_FIELDS = (
+    "address_reuse_s",
+    "pacing",
+    "warmup_overage",
+    "warmup_slack",
+)
+
+
 @structs.frozen
 class Settings:
     """The settings of one process.
@@ -82,6 +112,12 @@
     :param address_reuse_s: seconds after the end of a backend server from
         which on its address may belong to a server of another service, as a
         number or a text.
+    :param pacing: :data:`LEARNED`, :data:`OFF` or :data:`AUTO`; empty for
+        off.
+    :param warmup_overage: factor on the configured requests per second of a
+        cold server; None or an empty text when there is no bound.
+    :param warmup_slack: new flows per second that a cold server may get
+        besides; None or an empty text when there is no bound.
     """
 
     id: str = attrs.field(validator=_non_empty_text)
@@ -115,20 +151,42 @@
     address_reuse_s: float = attrs.field(
         default=defaults.ADDRESS_REUSE_S, converter=_parse_address_reuse
     )
+    pacing: str = attrs.field(
+        default=OFF,
+        converter=lambda value: value or OFF,
+        validator=validators.in_((LEARNED, OFF, AUTO)),
+    )
+    warmup_overage: object = attrs.field(default=None, converter=_parse_bound)
+    warmup_slack: object = attrs.field(default=None, converter=_parse_bound)
+
+    @property
+    def has_cold_bounds(self):
+        """Whether both bounds of cold servers are set."""
+        return self.warmup_overage is not None and (
+            self.warmup_slack is not None
+        )
+
+    @property
+    def is_pace_learned(self):
+        """Whether the pace of started and recovered servers is learned."""
+        return self.pacing == LEARNED or (
+            self.pacing == AUTO and self.has_cold_bounds
+        )
 
 
 def decode(data, environment=os.environ):
     """Return the :class:`Settings` in the bytes of a TOML file.
 
     :param environment: environment variables, by name. ``ADDRESS_REUSE_S``
-        stands for a missing ``address_reuse_s``.
+        stands for a missing ``address_reuse_s``, and so do ``PACING``,
+        ``WARMUP_OVERAGE`` and ``WARMUP_SLACK`` for ``pacing``,
+        ``warmup_overage`` and ``warmup_slack``.
     :raises SettingsError: when they are invalid.
     """
     try:
         fields = tomllib.loads(data.decode("utf-8"))
-        fields.setdefault(
-            "address_reuse_s", environment.get("ADDRESS_REUSE_S", "")
-        )
+        for name in _ENVIRONMENT_FIELDS:
+            fields.setdefault(name, environment.get(name.upper(), ""))
         return Settings(**fields)
     except (ValueError, TypeError, RecursionError) as error:
         raise exceptions.SettingsError([str(error)]) from error
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -121,6 +121,8 @@
         :mod:`limpetlift.scheduling.admitting`.
     :param record_policy: name of a policy of
         :mod:`limpetlift.state.keeping`.
+    :param tells_warmup: whether agents are told what the configuration says
+        that their servers bear while they are cold.
     :param routes: the :class:`~limpetlift.state.routing.RouteTable` in force.
     :param flows_by_key: the known flows.
     :param agents: the known agents.
@@ -137,6 +139,7 @@
     placing_policy: str = "least"
     admission_policy: str = "timely"
     record_policy: str = "few"
+    tells_warmup: bool = False
     routes: routing.RouteTable = attrs.field(factory=routing.RouteTable)
     flows_by_key: dict = attrs.field(factory=dict)
     searches: searching.FlowSearches = attrs.field(
@@ -235,6 +238,10 @@
                 )
             ]
         self.routes = routes.with_valid_fields_of(self.routes)
+        if self.tells_warmup:
+            self.agents.on_paces(
+                self.routes.version, self.routes.paces_by_service
+            )
         return [
             steps.LogEvent(
                 "routes_in_force",
@@ -598,11 +605,11 @@
                 result += [agent.ask(now) for agent in asked]
                 continue
             if admitted is None and not available:
-                available = poll.unanswered()
+                available = self._without_room_or_answer(poll)
                 admitted = self._choose_admitted(available, poll)
             if admitted is not None:
                 return result + self._assign(now, poll, *admitted)
-            if available:
+            if available or poll.without_room():
                 return result + self._defer(
                     now, poll.segment, "overloaded", poll.flow
                 )
@@ -621,6 +628,21 @@
             )
         return result + self._refuse(poll.segment, "no_agent", poll.flow)
 
+    @staticmethod
+    def _without_room_or_answer(poll):
+        """Return the agents to choose from when none is known to have room.
+
+        A report without room is up to some tens of milliseconds old, and a
+        server makes room with each answer. So one agent without room is tried
+        before the flow waits 200 ms for its caller's next copy. When it has
+        declined, the flow is not sent to agents that may be dead, but
+        deferred.
+        """
+        without_room = poll.without_room()
+        if not without_room:
+            return poll.unanswered()
+        return [] if poll.flow.busy_count else without_room
+
     def _assign(self, now, poll, chosen, max_wait_s):
         """Forward the first segment of a flow to the chosen agent.
 
@@ -655,6 +677,7 @@
                     "busy": load.busy if load else "unknown",
                     "age_s": round(now - agent.load_received_at, 3),
                     "routes": self.routes.version,
+                    **_room_fields(agent, poll),
                 },
             ),
         ]
@@ -719,6 +742,7 @@
             bool(load and load.is_warming),
             self._is_near(agent),
             load.run_ms / 1000 if load else 0.0,
+            agent.room,
         )
 
     def _defer(self, now, segment, reason, flow):
@@ -943,6 +967,12 @@
         if agent is not None and agent.load is not None:
             if declined.reason not in _PER_FLOW_REASONS:
                 agent.load = attrs.evolve(agent.load, accepting=False)
+            elif (
+                declined.reason == "busy"
+                and agent.load.room != tunnel.NO_LIMIT
+            ):
+                # Others have used the room that its last report told.
+                agent.load = attrs.evolve(agent.load, room=0)
         flow = self.flows_by_key.get(segment.key)
         if flow is None and declined.reason == "paused":
             # It is not known how old the segment is, nor what became of its
@@ -1125,6 +1155,17 @@
                 del self._deferrals_by_key[key]
 
 
+def _room_fields(agent, poll):
+    """Return the log fields of a placement that agents' room decided.
+
+    :returns: nothing when no agent has a limit.
+    """
+    without_room = len(poll.without_room())
+    if not without_room and agent.room == math.inf:
+        return {}
+    return {"room": agent.room, "without_room": without_room}
+
+
 def _services_of(route, key):
     """Return the services of a flow's route in the order to try them."""
     return route.services_for(hashing.flow_hash(key) / (1 << 64))
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -6,6 +6,8 @@
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift.protocol import segment as segments
+from limpetlift.protocol import tunnel
+from limpetlift.scheduling import pacing
 from limpetlift.state import hosting
 from limpetlift.state import steps
 from limpetlift.tasks import announcing
@@ -43,6 +45,11 @@
             settings.is_first_start,
             settings.report_interval_ms / 1000,
             settings.address_reuse_s,
+            pacing.Pacing(
+                settings.is_pace_learned,
+                settings.warmup_overage,
+                settings.warmup_slack,
+            ),
         )
         self._peer_socket = self.open_socket(
             settings.segments, self.on_datagram
@@ -203,6 +210,10 @@
             "flows": len(self.decisions.flows.by_key),
             "accepting": int(self.decisions.is_accepting(now)),
             "report_age_seconds": self.decisions.report_age_s(now) or 0.0,
+            "pace_limit": self.decisions.pace.limit or 0.0,
+            "pace_room": min(self.decisions.room(now), tunnel.NO_LIMIT),
+            "pace_declined": self.decisions.pace.declined_count,
+            "pace_slowdown": self.decisions.pace.slowdown,
         }
 
     async def stop(self):
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -41,7 +41,11 @@
         self._is_flush_scheduled = False
         self._last_segment_at = clock.now()
         self.decisions = steering.FlowSteering(
-            address, settings.data_centre, self.decode_caller, self.rng
+            address,
+            settings.data_centre,
+            self.decode_caller,
+            self.rng,
+            tells_warmup=settings.has_cold_bounds,
         )
         self._peer_socket = self.open_socket(address, self.on_datagram)
         self._segment_socket = self.open_socket(
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -42,6 +42,9 @@
         "service",
         "report_interval_ms",
         "address_reuse_s",
+        "pacing",
+        "warmup_overage",
+        "warmup_slack",
     )
 )
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -800,7 +800,12 @@
     role = tomllib.loads(
         (_ROOT / "deploy" / "system.toml").read_text("utf-8")
     )["roles"]["agent"]
-    assert set(role["env"]) == {"ADDRESS_REUSE_S"}
+    assert set(role["env"]) == {
+        "ADDRESS_REUSE_S",
+        "PACING",
+        "WARMUP_OVERAGE",
+        "WARMUP_SLACK",
+    }
     assert _decode_address_reuse("", ADDRESS_REUSE_S="2.5") == 2.5
     assert _decode_address_reuse("3", ADDRESS_REUSE_S="2.5") == 3
     assert _decode_address_reuse("") == defaults.ADDRESS_REUSE_S
--- a/tests/test_segmentagent.py
+++ b/tests/test_segmentagent.py
@@ -33,6 +33,9 @@
     "report_interval_ms": 250,
     "is_first_start": False,
     "address_reuse_s": 3.5,
+    "pacing": "off",
+    "warmup_overage": "",
+    "warmup_slack": "",
 }
 
 
@@ -152,6 +155,8 @@
         {"server_segments": "127.0.0.1:74"},
         {"report_interval_ms": 500},
         {"address_reuse_s": 4.5},
+        {"pacing": "learned"},
+        {"warmup_overage": 1.5, "warmup_slack": 5},
     ],
 )
 def test_settings_that_are_not_in_force_are_logged(
