--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -561,9 +561,13 @@
 # 2 s.
 MAX_COLD_S = 30.0
 # Callers that may wait at a time for each slot of a server at the least: one
-# runs, and one waits so that the slot has work when it ends. A caller that is
-# turned away comes back after 200 ms, a wait for one run is shorter.
+# runs, and one waits so that the slot has work when it ends.
 PACE_MIN_PER_SLOT = 2
+# Wait at the lowest limit; half of the 200 ms after which a caller that was
+# turned away comes back. Servers queue a few requests, so not more than
+# PACE_MAX_FLOOR_PER_SLOT may wait however short they are.
+PACE_FLOOR_WAIT_S = 0.1
+PACE_MAX_FLOOR_PER_SLOT = 4
 # With so many, the admission by expected wait is the stricter limit.
 PACE_MAX_PER_SLOT = 8
 # While expected requests of open flows use up the limit, a server with a free
@@ -574,15 +578,18 @@
 PACE_STEP = 0.125
 # Factor on the limit when answers are slow, at most once per PACE_MIN_ANSWERS.
 PACE_CUT = 0.7
-PACE_MIN_ANSWERS = 8
+PACE_MIN_ANSWERS = 16
 # Weight of an answer in the average slowdown. Run times that vary by factors
-# of 2 to 4 then give an average within 0.17 of the true one (one deviation).
-PACE_SLOWDOWN_WEIGHT = 0.125
-# Average slowdown above which answers are slow: two deviations above the usual
-# one, and below the factor 1.6 of a cold server.
+# of 2 to 4 then give an average within 0.11 of the true one (one deviation).
+PACE_SLOWDOWN_WEIGHT = 0.0625
+# Average slowdown above which answers are slow: three deviations above the
+# usual one, and two below the factor 1.6 of a cold server.
 PACE_SLOW = 1.35
 # A single answer counts as at most so many usual ones.
 PACE_CLIP = 3.0
+# A server rejects a request within a millisecond. An answer out of turn in
+# less than this share of the usual run time is a rejection.
+PACE_REJECTION_SHARE = 0.5
 # The usual run time is the mean of the first answers, and then follows with
 # this weight.
 PACE_USUAL_ANSWERS = 16
--- a/src/limpetlift/scheduling/pacing.py
+++ b/src/limpetlift/scheduling/pacing.py
@@ -40,6 +40,20 @@
     flows: int
 
 
+@structs.frozen
+class Turn:
+    """The place of a request in the queue of a backend server.
+
+    :param ahead: number of requests that were running or waiting when it
+        came.
+    :param after_runs: number of runs of the server that have to end before it
+        is run; see :meth:`Pacing.on_request`.
+    """
+
+    ahead: int
+    after_runs: int
+
+
 @structs.frozen
 class Change:
     """A decision that changed the pace.
@@ -70,6 +84,8 @@
         ``usual_s``.
     :param declined_count: number of new flows declined since the start of the
         agent because there was no room.
+    :param rejected_count: number of requests since then that the server most
+        likely rejected because its queue was full.
 
     .. versionadded:: 0.3
     """
@@ -81,6 +97,7 @@
     limit: object = None
     slowdown: float = 1.0
     declined_count: int = 0
+    rejected_count: int = 0
     # The configured rate of a cold server, and the version that states it; 0
     # before a balancer has told it.
     _warmup_per_s: float = 0.0
@@ -100,6 +117,8 @@
     _last_accepted_at: float = float("-inf")
     # When the learned limit last left no room.
     _bound_at: float = float("-inf")
+    # Runs that have ended.
+    _run_count: int = 0
     # Answers that ``usual_s`` comes from, answers since the limit began, and
     # since it was lowered last.
     _usual_count: int = 0
@@ -110,6 +129,10 @@
     _ticked_at: object = None
     _changes: list = attrs.field(factory=list)
 
+    def __attrs_post_init__(self):
+        if self.usual_s:
+            self._usual_count = defaults.PACE_USUAL_ANSWERS
+
     @property
     def has_rule(self):
         """Whether the settings state the rule for cold servers."""
@@ -227,7 +250,15 @@
         """
         return accepted_at < self._replaced_at
 
-    def on_answer(self, now, took_s, ahead, load):
+    def on_request(self, ahead, slots):
+        """Return the :class:`Turn` of a request that comes to the server.
+
+        :param ahead: number of requests that are running or waiting.
+        :param slots: number of requests that the server runs concurrently.
+        """
+        return Turn(ahead, self._run_count + max(ahead + 1 - slots, 0))
+
+    def on_answer(self, now, took_s, turn, load):
         """Compare the time of an answer with the usual one.
 
         The wait for a slot is the queue's, not the server's: the time is
@@ -236,14 +267,24 @@
         ones, as some requests take 7 times as long.
 
         :param took_s: seconds from the end of the request to the answer.
-        :param ahead: number of requests that were running or waiting when the
-            request came.
+        A server whose queue is full answers at once that it has not run the
+        request. Such an answer out of turn says nothing about run times.
+
+        :param took_s: seconds from the end of the request to the answer.
+        :param turn: the :class:`Turn` of the request.
         :param load: the :class:`Load`.
         """
         if not self.is_learning:
             return
+        if (
+            self._run_count < turn.after_runs
+            and took_s < defaults.PACE_REJECTION_SHARE * self.usual_s
+        ):
+            self.rejected_count += 1
+            return
+        self._run_count += 1
         slots = max(load.slots, 1)
-        run_s = took_s * slots / (slots + max(ahead + 1 - slots, 0))
+        run_s = took_s * slots / (slots + max(turn.ahead + 1 - slots, 0))
         if run_s <= 0:
             return
         usual_s = self.usual_s or run_s
@@ -274,6 +315,7 @@
             if 2 * load.waiting >= was:
                 step = self._slots * defaults.PACE_STEP
                 self.limit = min(was + step, self._ceiling())
+            self.limit = max(self.limit, self._floor())
         elif self._answers_since_cut >= defaults.PACE_MIN_ANSWERS:
             self._answers_since_cut = 0
             self.limit = max(was * defaults.PACE_CUT, self._floor())
@@ -340,16 +382,30 @@
         room = min(self._rule_room(now), self._learned_room(now, load))
         return max(room, 0)
 
-    def admits(self, now, load):
+    def admits(self, now, load, is_copy=False):
         """Whether a new flow is accepted now; a declined one is counted.
 
+        As for the admission by expected wait, a copy of a first segment may
+        join only the first fifth of the queue: its answer is late in any
+        case, and would make that of a new flow late too.
+
         :param load: the :class:`Load`.
+        :param is_copy: whether the flow's caller sent its first segment
+            before.
         """
-        if self.room(now, load) >= 1:
+        if self.room(now, load) >= 1 and not (
+            is_copy and self._is_closed_to_copies(load)
+        ):
             return True
         self.declined_count += 1
         return False
 
+    def _is_closed_to_copies(self, load):
+        if self.limit is None:
+            return False
+        queue = defaults.COPY_WAIT_SHARE * max(self.limit - load.slots, 0)
+        return load.waiting >= load.slots + queue
+
     def _rule_room(self, now):
         """Return what the rule leaves of the last span, or infinity."""
         limit = self._rule_limit()
@@ -395,7 +451,18 @@
         return now < self._cold_until or self._is_unreported
 
     def _floor(self):
-        return float(self._slots * defaults.PACE_MIN_PER_SLOT)
+        """Return the lowest limit: one runs at each slot, some wait.
+
+        A caller that is turned away comes back after 200 ms. So the floor
+        permits a wait of up to half of that, within what servers queue.
+        """
+        per_slot = defaults.PACE_MIN_PER_SLOT
+        if self.usual_s:
+            queue = defaults.PACE_FLOOR_WAIT_S / self.usual_s
+            per_slot = min(
+                max(1 + queue, per_slot), defaults.PACE_MAX_FLOOR_PER_SLOT
+            )
+        return float(self._slots * per_slot)
 
     def _ceiling(self):
         return float(self._slots * defaults.PACE_MAX_PER_SLOT)
--- a/src/limpetlift/state/hostedflows.py
+++ b/src/limpetlift/state/hostedflows.py
@@ -59,8 +59,8 @@
     :param requested_at: when the last part of the caller's request came.
     :param run_started_at: when the server was free to run the request, or
         None when other requests were ahead of it.
-    :param ahead: number of other requests that were unanswered at the server
-        when the last part of the caller's request came.
+    :param turn: the :class:`~limpetlift.scheduling.pacing.Turn` of the
+        request, when its last part came.
     :param caller_finished: whether the caller has sent its last segment.
     :param server_finished: whether the server has sent its last segment.
     :param closed_at: when both ends had finished, or None.
@@ -86,7 +86,7 @@
     is_awaiting_answer: bool = False
     requested_at: float = 0.0
     run_started_at: object = None
-    ahead: int = 0
+    turn: object = None
     caller_finished: bool = False
     server_finished: bool = False
     closed_at: object = None
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -167,7 +167,7 @@
         self.pace.on_report(
             now,
             report,
-            None if self.knows_all_flows else self._started_at or now,
+            self._predecessor_ended_by(now),
         )
         self.report = report
         self._reported_at = self._last_heard_at = self._last_served_at = now
@@ -203,6 +203,15 @@
             )
         return result
 
+    def _predecessor_ended_by(self, now):
+        """Return when an earlier agent of the server had ended; None for no.
+
+        An agent that knows all flows has no predecessor.
+        """
+        if self.knows_all_flows:
+            return None
+        return now if self._started_at is None else self._started_at
+
     def _note_recovery(self, now, is_reported):
         """Tell the pace when the server is heard again after its silence.
 
@@ -477,7 +486,7 @@
         if segment.opens_flow:
             reason = self._copy_decline_reason(now, forward.service, flow)
             if not reason and self.pace.is_of_former_server(flow.created_at):
-                if self.pace.admits(now, self._pace_load()):
+                if self.pace.admits(now, self._pace_load(), is_copy=True):
                     self.pace.on_accepted(now)
                     flow.created_at = now
                 else:
@@ -585,7 +594,9 @@
         """Record a new request of a flow, or a further part of one."""
         slots = self.report.slots if self.report else 1
         flow.requested_at = now
-        flow.ahead = self.flows.awaiting_count - flow.is_awaiting_answer
+        flow.turn = self.pace.on_request(
+            self.flows.awaiting_count - flow.is_awaiting_answer, slots
+        )
         if not flow.is_awaiting_answer:
             flow.is_awaiting_answer = True
             is_free = self.flows.awaiting_count < slots
@@ -604,7 +615,7 @@
                 run_s - mean_s
             )
         self.pace.on_answer(
-            now, now - flow.requested_at, flow.ahead, self._pace_load()
+            now, now - flow.requested_at, flow.turn, self._pace_load()
         )
         flow.is_awaiting_answer = False
 
@@ -681,7 +692,9 @@
             reason = (
                 "busy" if self._exceeds_wait(forward.wait_ms / 1000) else ""
             )
-        if not reason and not self.pace.admits(now, self._pace_load()):
+        if not reason and not self.pace.admits(
+            now, self._pace_load(), segment.ack > 0
+        ):
             reason = "busy"
         if reason:
             return self._decline(
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -213,6 +213,7 @@
             "pace_limit": self.decisions.pace.limit or 0.0,
             "pace_room": min(self.decisions.room(now), tunnel.NO_LIMIT),
             "pace_declined": self.decisions.pace.declined_count,
+            "pace_rejected": self.decisions.pace.rejected_count,
             "pace_slowdown": self.decisions.pace.slowdown,
         }
 
