--- a/src/limpetlift/scheduling/pacing.py
+++ b/src/limpetlift/scheduling/pacing.py
@@ -87,7 +87,7 @@
     :param rejected_count: number of requests since then that the server most
         likely rejected because its queue was full.
 
-    .. versionadded:: 0.3
+    .. versionadded:: 0.2
     """
 
     is_learning: bool = False
@@ -247,8 +247,12 @@
         """Whether a flow was accepted before the server was replaced.
 
         A copy of its first segment is a new flow to the server of now.
+
+        :returns: False also when neither limit is used.
         """
-        return accepted_at < self._replaced_at
+        return accepted_at < self._replaced_at and (
+            self.is_learning or self.has_rule
+        )
 
     def on_request(self, ahead, slots):
         """Return the :class:`Turn` of a request that comes to the server.
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -164,11 +164,7 @@
             result += self._on_all_flows_known("first_reports")
         if not is_restarted:
             self._note_recovery(now, is_reported=True)
-        self.pace.on_report(
-            now,
-            report,
-            self._predecessor_ended_by(now),
-        )
+        self.pace.on_report(now, report, self._predecessor_ended_by(now))
         self.report = report
         self._reported_at = self._last_heard_at = self._last_served_at = now
         self._unanswered_tentative_flows = 0
