--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -660,3 +660,50 @@
 # Larger capacities are mistakes.
 MAX_LINK_MBPS = 1_000_000.0
 MAX_CORES = 4096.0
+# Pace of new flows at servers that have started or recovered.
+
+# The rule holds for any span of 1 s at the server; what the agent sends may
+# reach it up to an event loop iteration of a slow instance later.
+COLD_SPAN_S = 1.05
+# A server that claims to be cold for longer is not believed; deployments have
+# 2 s.
+MAX_COLD_S = 30.0
+# Callers that may wait at a time for each slot of a server at the least: one
+# runs, and one waits so that the slot has work when it ends.
+PACE_MIN_PER_SLOT = 2
+# Wait at the lowest limit; half of the 200 ms after which a caller that was
+# turned away comes back. Servers queue a few requests, so not more than
+# PACE_MAX_FLOOR_PER_SLOT may wait however short they are.
+PACE_FLOOR_WAIT_S = 0.1
+PACE_MAX_FLOOR_PER_SLOT = 4
+# With so many, the admission by expected wait is the stricter limit.
+PACE_MAX_PER_SLOT = 8
+# While expected requests of open flows use up the limit, a server with a free
+# slot still gets a new flow at this interval.
+PACE_FLOOR_INTERVAL_S = 0.1
+# Increase of the limit per usual answer, as a share of the slots: one caller
+# per slot more after 8 answers, within which an average means something.
+PACE_STEP = 0.125
+# Factor on the limit when answers are slow, at most once per PACE_MIN_ANSWERS.
+PACE_CUT = 0.7
+PACE_MIN_ANSWERS = 16
+# Weight of an answer in the average slowdown. Run times that vary by factors
+# of 2 to 4 then give an average within 0.11 of the true one (one deviation).
+PACE_SLOWDOWN_WEIGHT = 0.0625
+# Average slowdown above which answers are slow: three deviations above the
+# usual one, and two below the factor 1.6 of a cold server.
+PACE_SLOW = 1.35
+# A single answer counts as at most so many usual ones.
+PACE_CLIP = 3.0
+# A server rejects a request within a millisecond. An answer out of turn in
+# less than this share of the usual run time is a rejection.
+PACE_REJECTION_SHARE = 0.5
+# The usual run time is the mean of the first answers, and then follows with
+# this weight.
+PACE_USUAL_ANSWERS = 16
+PACE_USUAL_WEIGHT = 0.05
+# Time in which the share of flows with waiting callers is averaged; flows with
+# many requests ask every few hundred milliseconds.
+PACE_SHARE_S = 1.0
+# The limit of a warm server ends when it left room for this long.
+PACE_UNBOUND_S = 1.0
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -13,6 +13,7 @@
 from limpetlift.protocol import tunnel
 from limpetlift import registry
 from limpetlift.scheduling import admitting
+from limpetlift.scheduling import pacing
 from limpetlift.scheduling import runtimes
 from limpetlift.state import hostedflows
 from limpetlift.state import reports
@@ -49,6 +50,8 @@
         address may belong to a server of another service.
     :param estimate: name of an estimate of
         :mod:`limpetlift.scheduling.runtimes`.
+    :param pace: the :class:`~limpetlift.scheduling.pacing.Pacing` of the
+        server.
     :param report: the report of the server that is in force, or None.
     :param flows: the :class:`~limpetlift.state.hostedflows.FlowTable` of the
         server's flows.
@@ -65,6 +68,7 @@
     report_interval_s: float = defaults.REPORT_INTERVAL_S
     address_reuse_s: float = defaults.ADDRESS_REUSE_S
     estimate: str = "mean"
+    pace: pacing.Pacing = attrs.field(factory=pacing.Pacing)
     report: object = None
     flows: hostedflows.FlowTable = attrs.field(factory=hostedflows.FlowTable)
     is_stopping: bool = False
@@ -168,6 +172,9 @@
             result.append(steps.Announce())
         elif not self.knows_all_flows and _are_first_two(known_report, report):
             result += self._on_all_flows_known("first_reports")
+        if not is_restarted:
+            self._note_recovery(now, is_reported=True)
+        self.pace.on_report(now, report, self._predecessor_ended_by(now))
         self.report = report
         self._reported_at = self._last_heard_at = self._last_served_at = now
         self._unanswered_tentative_flows = 0
@@ -202,6 +209,34 @@
             )
         return result
 
+    def _predecessor_ended_by(self, now):
+        """Return when an earlier agent of the server had ended; None for no.
+
+        An agent that knows all flows has no predecessor.
+        """
+        if self.knows_all_flows:
+            return None
+        return now if self._started_at is None else self._started_at
+
+    def _note_recovery(self, now, is_reported):
+        """Tell the pace when the server is heard again after its silence.
+
+        An own pause of this agent is no silence of the server.
+
+        :param is_reported: whether a report was received, not a segment.
+        """
+        if self.report is None:
+            return
+        if self._unanswered_flows >= defaults.MAX_SILENT_FLOWS:
+            reason = "silent"
+        elif now - self._last_heard_at > (
+            self.report_interval_s * defaults.REPORT_LATE_INTERVALS
+        ):
+            reason = "unheard"
+        else:
+            return
+        self.pace.on_recovered(now, reason, is_reported)
+
     def unverify_server(self):
         """Accept no flows until the next report.
 
@@ -456,6 +491,12 @@
             return self._accept_or_decline(now, balancer, forward, segment)
         if segment.opens_flow:
             reason = self._copy_decline_reason(now, forward.service, flow)
+            if not reason and self.pace.is_of_former_server(flow.created_at):
+                if self.pace.admits(now, self._pace_load(), is_copy=True):
+                    self.pace.on_accepted(now)
+                    flow.created_at = now
+                else:
+                    reason = "busy"
             if reason:
                 return self._decline_copy(now, balancer, flow, segment, reason)
         if flow is None:
@@ -532,6 +573,7 @@
     @registry.register(_handlers_by_type, tunnel.Hello)
     def _on_hello(self, now, balancer, hello):
         self._hello_at_by_address[balancer] = now
+        self.pace.on_configured(hello.config_version, hello.warmup_per_s)
         result = [steps.SendToPeer(balancer, self._next_load_report(now))]
         if not hello.is_listed and self.report is not None:
             result.append(steps.Announce())
@@ -558,6 +600,9 @@
         """Record a new request of a flow, or a further part of one."""
         slots = self.report.slots if self.report else 1
         flow.requested_at = now
+        flow.turn = self.pace.on_request(
+            self.flows.awaiting_count - flow.is_awaiting_answer, slots
+        )
         if not flow.is_awaiting_answer:
             flow.is_awaiting_answer = True
             is_free = self.flows.awaiting_count < slots
@@ -578,6 +623,9 @@
 
         :returns: steps.
         """
+        self.pace.on_answer(
+            now, now - flow.requested_at, flow.turn, self._pace_load()
+        )
         flow.is_awaiting_answer = False
         if flow.run_started_at is None:
             return []
@@ -617,6 +665,21 @@
         """Number of run times that the estimate comes from."""
         return self._run_time.samples
 
+    def _pace_load(self):
+        """Return the load of the server as its pace sees it."""
+        return pacing.Load(
+            self.report.slots if self.report else 1,
+            self.flows.waiting_count,
+            self.flows.open_count,
+        )
+
+    def room(self, now):
+        """Return how many new flows the pace of the server permits now.
+
+        :returns: 0 or more; infinity without a limit.
+        """
+        return self.pace.room(now, self._pace_load())
+
     def decline_reason(self, now, service_id):
         """Return why a new flow is declined; empty when it is accepted.
 
@@ -677,10 +740,15 @@
                 if self._exceeds_wait(now, forward.wait_ms / 1000)
                 else ""
             )
+        if not reason and not self.pace.admits(
+            now, self._pace_load(), segment.ack > 0
+        ):
+            reason = "busy"
         if reason:
             return self._decline(
                 now, balancer, segment.key, reason, segment.data
             )
+        self.pace.on_accepted(now)
         flow = hostedflows.Flow(
             segment.key,
             balancer,
@@ -761,6 +829,7 @@
 
     def on_server_segment(self, now, segment):
         """Handle a segment that the backend server sent or returned."""
+        self._note_recovery(now, is_reported=False)
         self._unanswered_flows = self._unanswered_tentative_flows = 0
         self._last_heard_at = now
         if segment.is_returned:
@@ -819,6 +888,7 @@
             if flow.server_initial_sequence is not None:
                 return []
             self.flows.remove(segment.key)
+            self.pace.on_returned(flow.created_at)
             return self._decline(
                 now, flow.balancer, segment.key, "server_refused", segment.data
             )
@@ -855,6 +925,11 @@
             self._last_heard_at = max(self._last_heard_at, now)
             self._last_served_at = max(self._last_served_at, now)
         result = self._decline_unanswered(now) + self._probe_if_silent(now)
+        self.pace.tick(now, self._pace_load())
+        result += [
+            steps.LogEvent(change.event, fields=change.fields)
+            for change in self.pace.take_changes()
+        ]
         if now - self._last_sweep_at >= defaults.SWEEP_INTERVAL_S:
             self._last_sweep_at = now
             self._remove_old_flows(now)
@@ -966,6 +1041,7 @@
             round(self.run_s(now) * 1000),
             self._service_id,
             self._is_recovering(now),
+            int(min(self.room(now), tunnel.NO_LIMIT)),
         )
 
 
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -6,6 +6,8 @@
 from limpetlift import exceptions
 from limpetlift import logs
 from limpetlift.protocol import segment as segments
+from limpetlift.protocol import tunnel
+from limpetlift.scheduling import pacing
 from limpetlift.state import hosting
 from limpetlift.state import steps
 from limpetlift.tasks import announcing
@@ -44,6 +46,11 @@
             settings.report_interval_ms / 1000,
             settings.address_reuse_s,
             "robust" if settings.placing_policy == "fastest" else "mean",
+            pacing.Pacing(
+                settings.is_pace_learned,
+                settings.warmup_overage,
+                settings.warmup_slack,
+            ),
         )
         self._peer_socket = self.open_socket(
             settings.segments, self.on_datagram
@@ -206,6 +213,11 @@
             "report_age_seconds": self.decisions.report_age_s(now) or 0.0,
             "run_time_seconds": self.decisions.run_s(now),
             "run_time_samples": self.decisions.run_time_samples,
+            "pace_limit": self.decisions.pace.limit or 0.0,
+            "pace_room": min(self.decisions.room(now), tunnel.NO_LIMIT),
+            "pace_declined": self.decisions.pace.declined_count,
+            "pace_rejected": self.decisions.pace.rejected_count,
+            "pace_slowdown": self.decisions.pace.slowdown,
         }
 
     async def stop(self):
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -59,6 +59,7 @@
             self.decode_caller,
             self.rng,
             settings.placing_policy,
+            tells_warmup=settings.has_cold_bounds,
         )
         capacity = settings.capacity
         if capacity is not None and capacity.link_mbps is not None:
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -46,6 +46,9 @@
         "cpu_share",
         "cpu_cores",
         "placing_policy",
+        "pacing",
+        "warmup_overage",
+        "warmup_slack",
     )
 )
 
--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -355,7 +355,14 @@
     """The deploy file passes the limits on; any of them may be empty."""
     path = pathlib.Path(__file__).parent.parent / "deploy" / "system.toml"
     role = tomllib.loads(path.read_text("utf-8"))["roles"]["balancer"]
-    assert set(role["env"]) == {"LINK_MBPS", "CPU_SHARE", "CPU_CORES"}
+    assert set(role["env"]) == {
+        "LINK_MBPS",
+        "CPU_SHARE",
+        "CPU_CORES",
+        "PLACING_POLICY",
+        "WARMUP_OVERAGE",
+        "WARMUP_SLACK",
+    }
     settings = _settings(LINK_MBPS="5", CPU_SHARE="0.5", CPU_CORES="3")
     assert settings.capacity == rotation.Capacity(5.0, 1.5)
     settings = _settings(LINK_MBPS="", CPU_SHARE="0.5", CPU_CORES="")
--- a/tests/test_segmentagent.py
+++ b/tests/test_segmentagent.py
@@ -37,6 +37,9 @@
     "cpu_share": 0.5,
     "cpu_cores": 2,
     "placing_policy": "least",
+    "pacing": "off",
+    "warmup_overage": "",
+    "warmup_slack": "",
 }
 
 
@@ -160,6 +163,8 @@
         {"cpu_share": 0.25},
         {"cpu_cores": 3},
         {"placing_policy": "fastest"},
+        {"pacing": "learned"},
+        {"warmup_overage": 1.5, "warmup_slack": 5},
     ],
 )
 def test_settings_that_are_not_in_force_are_logged(
