Avoid servers that fail while their health check is good

Cause: a server that resets, hangs or takes 8 times as long on a part of its requests is mostly idle, so placement by load sends it more new flows. Its health check and its mean run time do not show it.

Change: the agent judges each request by resets, ends of flows and time, and sends the share of failed ones, which decays, in its load reports. A balancer excludes agents with a share of 0.2 or more that is 0.1 above the median of those it compares, at most half of them, and tries 2% of the flows that may run twice. Incomplete requests are not judged by time, so that a cut or lossy link does not count against the server. Reports and choices without failures are as before.

Not measured: real processes with failing servers.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -573,3 +573,47 @@
 # Larger capacities are mistakes.
 MAX_LINK_MBPS = 1_000_000.0
 MAX_CORES = 4096.0
+
+# Servers that fail while their health check is good.
+
+# The answer to a request is overdue after this many usual run times. Some
+# requests take 7 times as long at healthy servers too; they are so few that
+# they stay below FAILURE_SHARE_NOISE. A cold server takes 1.6 times as long.
+OVERDUE_RUNS = 5
+# But not before this time: longer than a round trip and some iterations of
+# slow event loops, and a third of the shortest latency objective.
+OVERDUE_MIN_S = 0.1
+# The same while the usual run time is unknown: longer than any usual queue.
+OVERDUE_UNKNOWN_S = 2.0
+# The same for a request of several segments, of which another one may be
+# missing: longer than the longest interval at which a caller sends a lost
+# segment again, 1.6 s.
+OVERDUE_PARTS_MIN_S = 2.0
+# After a segment of this size the request is not taken for complete, as
+# segments have up to 1,200 bytes.
+FULL_SEGMENT_BYTES = 1000
+# The usual run time is this quantile of the last runs. A server that is slow
+# on 40% of its requests must not raise it.
+USUAL_RUN_QUANTILE = 0.3
+USUAL_RUN_SAMPLES = 32
+USUAL_RUN_MIN_SAMPLES = 8
+# A request counts half after this time: some tens of requests count at the
+# usual rates, and a server that works again is used again within 20 s.
+EVIDENCE_HALF_LIFE_S = 5.0
+# Answered requests that are added to the judged ones, so that a failure or two
+# of a server with few requests prove little.
+EVIDENCE_PRIOR = 3.0
+# Lower shares count as none. With 3% of slow requests, 8% occur by chance.
+FAILURE_SHARE_NOISE = 0.1
+# Shares from which an agent is excluded, and below which it is not any more.
+# Five usual requests with two failures reach the first one.
+EJECTION_SHARE = 0.2
+EJECTION_END_SHARE = 0.12
+# By how much the share must exceed that of the median of the compared agents.
+EJECTION_MARGIN = 0.1
+# Share of the flows that may go to an excluded agent although it is excluded,
+# to learn whether it still fails.
+EJECTION_TRIAL_SHARE = 0.02
+# A server that starts again this soon after its last start is the same faulty
+# one; a usual restart takes longer than this to be repeated.
+RESTART_KEEPS_S = 5.0
--- a/src/limpetlift/state/hostedflows.py
+++ b/src/limpetlift/state/hostedflows.py
@@ -50,8 +50,12 @@
         server.
     :param is_known_from_start: whether this agent has seen every segment that
         the server sent of the flow.
+    :param caller_initial_sequence: sequence number of the caller's first
+        segment, or None when the agent has not seen it.
     :param caller_next_sequence: the sequence number after the caller's last
         byte so far, or None before any payload.
+    :param has_gap: whether a part of the caller's request came out of order,
+        so that an earlier one may be missing.
     :param caller_ack: the caller's last acknowledgement number.
     :param last_caller_segment: the caller's last datagram that did not open
         the flow; empty when there was none.
@@ -59,6 +63,8 @@
     :param requested_at: when the last part of the caller's request came.
     :param run_started_at: when the server was free to run the request, or
         None when other requests were ahead of it.
+    :param verdict_due_at: when the answer to its request is overdue; None
+        when no request is to be judged.
     :param caller_finished: whether the caller has sent its last segment.
     :param server_finished: whether the server has sent its last segment.
     :param closed_at: when both ends had finished, or None.
@@ -78,12 +84,15 @@
     server_next_sequence: object = None
     is_accepted: bool = False
     is_known_from_start: bool = False
+    caller_initial_sequence: object = None
     caller_next_sequence: object = None
+    has_gap: bool = False
     caller_ack: int = 0
     last_caller_segment: bytes = b""
     is_awaiting_answer: bool = False
     requested_at: float = 0.0
     run_started_at: object = None
+    verdict_due_at: object = None
     caller_finished: bool = False
     server_finished: bool = False
     closed_at: object = None
@@ -172,6 +181,13 @@
             and not self.is_held(segment.ack)
         )
 
+    @property
+    def _first_payload_sequence(self):
+        """Sequence number of the caller's first byte; None when unknown."""
+        if self.caller_initial_sequence is None:
+            return None
+        return self.caller_initial_sequence + 1 & _SEQUENCE_MASK
+
     def advance_caller(self, segment):
         """Record a caller's segment with payload.
 
@@ -181,6 +197,11 @@
         known_end = self.caller_next_sequence
         if known_end is not None and not _is_after(end, known_end):
             return False
+        if known_end is None:
+            known_end = self._first_payload_sequence
+        self.has_gap = segment.sequence != known_end or (
+            self.has_gap and self.is_awaiting_answer
+        )
         self.caller_next_sequence = end
         return True
 
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -13,6 +13,7 @@
 from limpetlift.protocol import tunnel
 from limpetlift import registry
 from limpetlift.scheduling import admitting
+from limpetlift.scheduling import ejection
 from limpetlift.state import hostedflows
 from limpetlift.state import reports
 from limpetlift.state import steps
@@ -50,6 +51,7 @@
     :param flows: the :class:`~limpetlift.state.hostedflows.FlowTable` of the
         server's flows.
     :param is_stopping: whether this agent is stopping.
+    :param evidence: how the server has answered its recent requests.
 
     .. versionadded:: 0.2
     """
@@ -63,6 +65,7 @@
     report: object = None
     flows: hostedflows.FlowTable = attrs.field(factory=hostedflows.FlowTable)
     is_stopping: bool = False
+    evidence: ejection.Evidence = attrs.field(factory=ejection.Evidence)
     # Whether messages that waited through a pause are being handled.
     _is_catching_up: bool = False
     _stopping_at: float = float("inf")
@@ -113,6 +116,7 @@
         :param pause_s: how long the process did not run, in seconds.
         """
         self._is_catching_up = True
+        self.evidence.on_pause()
         self._verification.on_pause(now, pause_s)
         # The server's silence counts only while the agent itself runs.
         self._last_heard_at = self._last_served_at = now
@@ -153,6 +157,7 @@
             and not reports.is_same_incarnation(report, known_report)
         )
         if is_restarted:
+            self.evidence.on_restart(now)
             result += self._resend_last_segments()
         if known_report is None:
             result.append(steps.Announce())
@@ -396,6 +401,8 @@
                     "server_silent",
                     flow.first_segment,
                 )
+        for flow in self.flows.by_key.values():
+            self.evidence.on_failure(now, ejection.GONE, flow)
         return result + self._reset_flows("server_gone")
 
     def _may_be_absent(self, now):
@@ -533,21 +540,43 @@
         if not segment.is_syn:
             flow.caller_ack = segment.ack
             flow.last_caller_segment = segment.data
+        failure = ""
         if segment.is_reset:
+            failure = self.evidence.on_given_up(now, flow)
             self.flows.remove(segment.key)
         elif segment.length:
             if flow.advance_caller(segment):
-                self._begin_request(now, flow)
+                self._begin_request(now, flow, segment)
+        elif segment.is_syn:
+            flow.caller_initial_sequence = segment.sequence
         if segment.is_final:
             flow.caller_finished = True
             flow.close_if_finished(now)
         self.flows.update(flow)
-        return [steps.SendToServer(segment.data)]
+        return [
+            steps.SendToServer(segment.data),
+            *self._log_failure(now, flow, failure),
+        ]
 
-    def _begin_request(self, now, flow):
-        """Record a new request of a flow, or a further part of one."""
+    def _begin_request(self, now, flow, segment):
+        """Record a new request of a flow, or a further part of one.
+
+        :param segment: the segment with the last part.
+        """
         slots = self.report.slots if self.report else 1
         flow.requested_at = now
+        if not flow.is_tentative:
+            ahead = self.flows.awaiting_count - flow.is_awaiting_answer
+            is_whole = not (
+                flow.has_gap or segment.length >= defaults.FULL_SEGMENT_BYTES
+            )
+            self.evidence.on_request(
+                now,
+                flow,
+                is_whole,
+                flow.is_awaiting_answer,
+                max(ahead + 1 - slots, 0) / max(slots, 1),
+            )
         if not flow.is_awaiting_answer:
             flow.is_awaiting_answer = True
             is_free = self.flows.awaiting_count < slots
@@ -561,12 +590,44 @@
         """Record the answer to a request, and update the mean run time."""
         if flow.run_started_at is not None:
             run_s = now - flow.run_started_at
+            self.evidence.on_run(run_s)
             mean_s = self._mean_run_s or run_s
             self._mean_run_s = mean_s + defaults.RUN_TIME_WEIGHT * (
                 run_s - mean_s
             )
         flow.is_awaiting_answer = False
 
+    def _log_failure(self, now, flow, reason):
+        """Return the step that logs a request without a proper answer.
+
+        :param reason: a reason of :mod:`~limpetlift.scheduling.ejection`;
+            nothing is logged when it is empty.
+        """
+        if not reason:
+            return []
+        fields = {
+            "reason": reason,
+            "waited_s": round(now - flow.requested_at, 3),
+            "usual_ms": round(self.evidence.usual_run_s * 1000),
+        }
+        return [steps.LogEvent("request_failed", flow.key, fields)]
+
+    def _update_evidence(self, now):
+        """Log whether the server began or ceased to fail."""
+        evidence = self.evidence
+        if not evidence.update(now):
+            return []
+        fields = {
+            "server": self.report.server_id if self.report else "none",
+            "failure_share": round(evidence.share(now), 2),
+            "requests": round(evidence.requests, 1),
+            "failed": round(evidence.failed, 1),
+            "usual_ms": round(evidence.usual_run_s * 1000),
+            "report": self.report.number if self.report else "none",
+        }
+        event = "server_failing" if evidence.is_failing else "server_mended"
+        return [steps.LogEvent(event, fields=fields)]
+
     def decline_reason(self, now, service_id):
         """Return why a new flow is declined; empty when it is accepted.
 
@@ -742,6 +803,8 @@
     def _update_from_server(self, now, flow, segment):
         """Update a flow by a segment that the server sent."""
         result = []
+        failure = ""
+        is_refused = bool(flow.first_segment) and segment.is_reset
         flow.last_segment_at = now
         flow.first_segment = b""
         if flow.advance_server(segment):
@@ -749,14 +812,22 @@
         if segment.length and flow.is_awaiting_answer:
             result.append(steps.Duration("answer", now - flow.requested_at))
             self._end_request(now, flow)
+            failure = self.evidence.on_answer(now, flow)
         if segment.is_reset:
+            # A reset may answer the first segment or a request.
+            failure = self.evidence.on_failure(
+                now, ejection.RESET, None if is_refused else flow
+            )
             self.flows.remove(segment.key)
         elif segment.is_final:
+            failure = failure or self.evidence.on_failure(
+                now, ejection.FINISHED, flow
+            )
             flow.server_finished = True
             flow.is_awaiting_answer = False
             flow.close_if_finished(now)
         self.flows.update(flow)
-        return result
+        return result + self._log_failure(now, flow, failure)
 
     def _on_returned(self, now, segment):
         """Handle a segment that the server returned as not accepted."""
@@ -803,6 +874,10 @@
             self._last_heard_at = max(self._last_heard_at, now)
             self._last_served_at = max(self._last_served_at, now)
         result = self._decline_unanswered(now) + self._probe_if_silent(now)
+        for flow in self.evidence.pop_overdue(
+            now, lambda flow: self.flows.by_key.get(flow.key) is flow
+        ):
+            result += self._log_failure(now, flow, ejection.OVERDUE)
         if now - self._last_sweep_at >= defaults.SWEEP_INTERVAL_S:
             self._last_sweep_at = now
             self._remove_old_flows(now)
@@ -812,6 +887,7 @@
             ):
                 result += self._on_all_flows_known("flow_lifetime")
             result += self._announce_if_unknown(now)
+            result += self._update_evidence(now)
             self._forget_balancers(now)
         return result
 
@@ -879,6 +955,7 @@
                 self._unanswered_tentative_flows += 1
                 continue
             self._unanswered_flows += 1
+            self.evidence.on_failure(now, ejection.SILENT)
             self.flows.remove(flow.key)
             result += self._decline(
                 now,
@@ -914,6 +991,7 @@
             round(self._mean_run_s * 1000),
             self._service_id,
             self._is_recovering(now),
+            failure_share=round(self.evidence.share(now) * 255),
         )
 
 
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -19,6 +19,7 @@
 from limpetlift.protocol import tunnel
 from limpetlift import registry
 from limpetlift.scheduling import admitting
+from limpetlift.scheduling import ejection
 from limpetlift.scheduling import placing
 from limpetlift.scheduling import polling
 from limpetlift.state import keeping
@@ -125,6 +126,7 @@
     :param flows_by_key: the known flows.
     :param agents: the known agents.
     :param searches: the searches for unknown flows.
+    :param ejections: the agents whose servers fail.
     :raises StateError: when a policy does not exist.
 
     .. versionadded:: 0.2
@@ -142,6 +144,7 @@
     searches: searching.FlowSearches = attrs.field(
         factory=searching.FlowSearches
     )
+    ejections: ejection.Ejection = attrs.field(factory=ejection.Ejection)
     _polls: polling.LoadPolls = attrs.field(factory=polling.LoadPolls)
     _deferrals_by_key: dict = attrs.field(factory=dict)
     agents: knownagents.KnownAgents = attrs.field(init=False)
@@ -675,6 +678,10 @@
         ]
         if not candidates:
             return None
+        # A trial costs a caller time, and requests that may not run twice
+        # their answer.
+        may_try = poll.route.kind != routing.UNSAFE and not poll.segment.ack
+        candidates = self.ejections.select(candidates, self.rng, may_try)
         chosen = self._choose(candidates, self.rng)
         queue = admitting.with_assumed_run_time(
             admitting.Queue(
@@ -719,6 +726,7 @@
             bool(load and load.is_warming),
             self._is_near(agent),
             load.run_ms / 1000 if load else 0.0,
+            failure_share=load.failure_share / 255 if load else 0.0,
         )
 
     def _defer(self, now, segment, reason, flow):
@@ -1102,6 +1110,7 @@
                 for message in _record_messages(records)
             ]
         result += self.agents.say_hello(now)
+        result += self._log_ejections(now)
         if not self._unlisted.is_complete:
             result += self._unlisted.tick(now) + self._resume_searches(now)
         for poll in self._polls.pop_due(now):
@@ -1112,6 +1121,22 @@
             self._delete_idle(now)
         return result
 
+    def _log_ejections(self, now):
+        """Return steps that log which agents get hardly any new flows."""
+        result = []
+        for change in self.ejections.take_changes(self.agents.by_address):
+            agent = self.agents.by_address.get(change.agent_key)
+            if agent is None:
+                continue
+            fields = {
+                "agent": agent.entry.process_id,
+                "report": agent.load.number if agent.load else "none",
+                "age_s": round(now - agent.load_received_at, 3),
+                **change.fields,
+            }
+            result.append(steps.LogEvent(change.event, fields=fields))
+        return result
+
     def _delete_idle(self, now):
         """Delete idle flows, and deferrals that have expired."""
         idle_since = (
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -202,6 +202,7 @@
             **super().gauges(),
             "flows": len(self.decisions.flows.by_key),
             "accepting": int(self.decisions.is_accepting(now)),
+            "failure_share": round(self.decisions.evidence.share(now), 3),
             "report_age_seconds": self.decisions.report_age_s(now) or 0.0,
         }
 
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -360,6 +360,7 @@
             "routes_version": self.decisions.routes.version,
             "flows": len(self.decisions.flows_by_key),
             "agents": len(self._directory.agents()),
+            "agents_ejected": len(self.decisions.ejections.ejected),
             "in_rotation": int(self._rotation.is_in),
             "rotation_members": self._rotation.member_count,
         }
