Judge no request while the agent itself stalls

Cause: an agent on a slow instance that stalls for less than a pause would count all answers that wait unread as overdue.

Change: after a late check for overdue answers, requests under way are not judged.

Measured: stalls of 0.15 s with usual runs of 20 ms count no failure (tests/test_ejection.py).

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -600,6 +600,10 @@
 # A request counts half after this time: some tens of requests count at the
 # usual rates, and a server that works again is used again within 20 s.
 EVIDENCE_HALF_LIFE_S = 5.0
+# An agent that did not check for overdue answers for this long, three times
+# HOSTING_TICK_S, stalled itself. A slow instance stalls often, and for less
+# than PAUSE_MIN_S.
+EVIDENCE_STALL_S = 0.06
 # Answered requests that are added to the judged ones, so that a failure or two
 # of a server with few requests prove little.
 EVIDENCE_PRIOR = 3.0
--- a/src/limpetlift/scheduling/ejection.py
+++ b/src/limpetlift/scheduling/ejection.py
@@ -45,6 +45,7 @@
     is_failing: bool = False
     _updated_at: float = 0.0
     _started_at: float = float("-inf")
+    _ticked_at: float = float("-inf")
     _runs: object = attrs.field(
         factory=lambda: collections.deque(maxlen=defaults.USUAL_RUN_SAMPLES)
     )
@@ -119,6 +120,8 @@
         if due_at is None:
             # It has been judged, or may have been delayed by a pause.
             return ""
+        if now > due_at and self._is_stalled(now):
+            return ""
         if now > due_at:
             return self.on_failure(now, OVERDUE)
         self._add(now, 1.0, 0.0)
@@ -155,8 +158,16 @@
     def pop_overdue(self, now, is_known):
         """Return the flows whose requests are overdue, and count them.
 
+        It is called regularly. After a late call, answers may wait unread,
+        and no request under way is judged.
+
         :param is_known: function of a flow; whether it still exists.
         """
+        is_stalled = self._is_stalled(now)
+        self._ticked_at = now
+        if is_stalled:
+            self.on_pause()
+            return []
         overdue = []
         while self._due and self._due[0][0] <= now:
             due_at, _, flow = heapq.heappop(self._due)
@@ -165,6 +176,9 @@
                 overdue.append(flow)
         return overdue
 
+    def _is_stalled(self, now):
+        return now - self._ticked_at > defaults.EVIDENCE_STALL_S
+
     def on_pause(self):
         """Judge no request whose answer a pause of this process delayed."""
         for _, _, flow in self._due:
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -287,6 +287,22 @@
     assert not server.reasons() and not server.share()
 
 
+@pytest.mark.parametrize("is_answer_first", [False, True])
+def test_a_stall_of_the_agent_is_not_a_failure_either(is_answer_first):
+    """A busy instance stalls for less than a pause, but longer than a run."""
+    server = _warm()
+    for _ in range(10):
+        server.open()
+        server.request()
+        server.wait(0.04)
+        server.now += 0.15
+        if not is_answer_first:
+            server.result += server.agent.tick(server.now)
+        server.answer(kit.ACK, sequence=501, payload=b"y")
+        server.wait(0.02)
+    assert not server.reasons() and not server.share()
+
+
 def test_a_restart_discards_the_evidence():
     """A server that was mended must get flows at once."""
     server = _warm()
