--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -1,6 +1,8 @@
 """Tests of servers that fail while their health check is good."""
 
+import pathlib
 import random
+import re
 import statistics
 import time
 
@@ -480,3 +482,15 @@
             durations.append(time.perf_counter() - started_at)
         assert statistics.median(durations) < 0.00005
     assert len(evidence._due) < 3000
+
+
+def test_events_of_changed_beliefs_are_documented():
+    """An operator cannot act on an event that the page does not explain."""
+    root = pathlib.Path(__file__).parent.parent
+    page = (root / "docs" / "OPERATIONS.md").read_text("utf-8")
+    package = root / "src" / "limpetlift" / "scheduling"
+    for module in ("ejection", "rotation"):
+        text = (package / (module + ".py")).read_text("utf-8")
+        events = re.findall(r'"((?:agent|rotation)_[a-z]+)"', text)
+        assert events
+        assert all("`%s`" % event in page for event in events)
