--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -13,6 +13,7 @@
 from limpetlift.protocol import tunnel
 from limpetlift import registry
 from limpetlift.scheduling import admitting
+from limpetlift.scheduling import ejection
 from limpetlift.scheduling import pacing
 from limpetlift.scheduling import runtimes
 from limpetlift.state import hostedflows
@@ -56,6 +57,7 @@
     :param flows: the :class:`~limpetlift.state.hostedflows.FlowTable` of the
         server's flows.
     :param is_stopping: whether this agent is stopping.
+    :param evidence: how the server has answered its recent requests.
     :raises StateError: when the estimate does not exist.
 
     .. versionadded:: 0.2
@@ -72,6 +74,7 @@
     report: object = None
     flows: hostedflows.FlowTable = attrs.field(factory=hostedflows.FlowTable)
     is_stopping: bool = False
+    evidence: ejection.Evidence = attrs.field(factory=ejection.Evidence)
     # Whether messages that waited through a pause are being handled.
     _is_catching_up: bool = False
     _stopping_at: float = float("inf")
@@ -124,6 +127,7 @@
         :param pause_s: how long the process did not run, in seconds.
         """
         self._is_catching_up = True
+        self.evidence.on_pause()
         self._verification.on_pause(now, pause_s)
         # The server's silence counts only while the agent itself runs.
         self._last_heard_at = self._last_served_at = now
@@ -164,6 +168,7 @@
             and not reports.is_same_incarnation(report, known_report)
         )
         if is_restarted:
+            self.evidence.on_restart(now)
             result += self._resend_last_segments()
             result += self._run_time_event(
                 "run_time_dropped", self._run_time.on_restart()
@@ -441,6 +446,8 @@
                     "server_silent",
                     flow.first_segment,
                 )
+        for flow in self.flows.by_key.values():
+            self.evidence.on_failure(now, ejection.GONE, flow)
         return result + self._reset_flows("server_gone")
 
     def _may_be_absent(self, now):
@@ -585,24 +592,46 @@
         if not segment.is_syn:
             flow.caller_ack = segment.ack
             flow.last_caller_segment = segment.data
+        failure = ""
         if segment.is_reset:
+            failure = self.evidence.on_given_up(now, flow)
             self.flows.remove(segment.key)
         elif segment.length:
             if flow.advance_caller(segment):
-                self._begin_request(now, flow)
+                self._begin_request(now, flow, segment)
+        elif segment.is_syn:
+            flow.caller_initial_sequence = segment.sequence
         if segment.is_final:
             flow.caller_finished = True
             flow.close_if_finished(now)
         self.flows.update(flow)
-        return [steps.SendToServer(segment.data)]
+        return [
+            steps.SendToServer(segment.data),
+            *self._log_failure(now, flow, failure),
+        ]
 
-    def _begin_request(self, now, flow):
-        """Record a new request of a flow, or a further part of one."""
+    def _begin_request(self, now, flow, segment):
+        """Record a new request of a flow, or a further part of one.
+
+        :param segment: the segment with the last part.
+        """
         slots = self.report.slots if self.report else 1
         flow.requested_at = now
         flow.turn = self.pace.on_request(
             self.flows.awaiting_count - flow.is_awaiting_answer, slots
         )
+        if not flow.is_tentative:
+            ahead = self.flows.awaiting_count - flow.is_awaiting_answer
+            is_whole = not (
+                flow.has_gap or segment.length >= defaults.FULL_SEGMENT_BYTES
+            )
+            self.evidence.on_request(
+                now,
+                flow,
+                is_whole,
+                flow.is_awaiting_answer,
+                max(ahead + 1 - slots, 0) / max(slots, 1),
+            )
         if not flow.is_awaiting_answer:
             flow.is_awaiting_answer = True
             is_free = self.flows.awaiting_count < slots
@@ -629,9 +658,9 @@
         flow.is_awaiting_answer = False
         if flow.run_started_at is None:
             return []
-        learned = self._run_time.add(
-            now, now - flow.run_started_at, self._is_warming(now)
-        )
+        run_s = now - flow.run_started_at
+        self.evidence.on_run(run_s)
+        learned = self._run_time.add(now, run_s, self._is_warming(now))
         self._run_time.on_slot_free(now, self._is_waiting_for_slot)
         return self._run_time_event("run_time_learned", learned)
 
@@ -680,6 +709,37 @@
         """
         return self.pace.room(now, self._pace_load())
 
+    def _log_failure(self, now, flow, reason):
+        """Return the step that logs a request without a proper answer.
+
+        :param reason: a reason of :mod:`~limpetlift.scheduling.ejection`;
+            nothing is logged when it is empty.
+        """
+        if not reason:
+            return []
+        fields = {
+            "reason": reason,
+            "waited_s": round(now - flow.requested_at, 3),
+            "usual_ms": round(self.evidence.usual_run_s * 1000),
+        }
+        return [steps.LogEvent("request_failed", flow.key, fields)]
+
+    def _update_evidence(self, now):
+        """Log whether the server began or ceased to fail."""
+        evidence = self.evidence
+        if not evidence.update(now):
+            return []
+        fields = {
+            "server": self.report.server_id if self.report else "none",
+            "failure_share": round(evidence.share(now), 2),
+            "requests": round(evidence.requests, 1),
+            "failed": round(evidence.failed, 1),
+            "usual_ms": round(evidence.usual_run_s * 1000),
+            "report": self.report.number if self.report else "none",
+        }
+        event = "server_failing" if evidence.is_failing else "server_mended"
+        return [steps.LogEvent(event, fields=fields)]
+
     def decline_reason(self, now, service_id):
         """Return why a new flow is declined; empty when it is accepted.
 
@@ -863,6 +923,8 @@
     def _update_from_server(self, now, flow, segment):
         """Update a flow by a segment that the server sent."""
         result = []
+        failure = ""
+        is_refused = bool(flow.first_segment) and segment.is_reset
         flow.last_segment_at = now
         flow.first_segment = b""
         if flow.advance_server(segment):
@@ -870,14 +932,22 @@
         if segment.length and flow.is_awaiting_answer:
             result.append(steps.Duration("answer", now - flow.requested_at))
             result += self._end_request(now, flow)
+            failure = self.evidence.on_answer(now, flow)
         if segment.is_reset:
+            # A reset may answer the first segment or a request.
+            failure = self.evidence.on_failure(
+                now, ejection.RESET, None if is_refused else flow
+            )
             self.flows.remove(segment.key)
         elif segment.is_final:
+            failure = failure or self.evidence.on_failure(
+                now, ejection.FINISHED, flow
+            )
             flow.server_finished = True
             flow.is_awaiting_answer = False
             flow.close_if_finished(now)
         self.flows.update(flow)
-        return result
+        return result + self._log_failure(now, flow, failure)
 
     def _on_returned(self, now, segment):
         """Handle a segment that the server returned as not accepted."""
@@ -930,6 +1000,10 @@
             steps.LogEvent(change.event, fields=change.fields)
             for change in self.pace.take_changes()
         ]
+        for flow in self.evidence.pop_overdue(
+            now, lambda flow: self.flows.by_key.get(flow.key) is flow
+        ):
+            result += self._log_failure(now, flow, ejection.OVERDUE)
         if now - self._last_sweep_at >= defaults.SWEEP_INTERVAL_S:
             self._last_sweep_at = now
             self._remove_old_flows(now)
@@ -939,6 +1013,7 @@
             ):
                 result += self._on_all_flows_known("flow_lifetime")
             result += self._announce_if_unknown(now)
+            result += self._update_evidence(now)
             self._forget_balancers(now)
         return result
 
@@ -1006,6 +1081,7 @@
                 self._unanswered_tentative_flows += 1
                 continue
             self._unanswered_flows += 1
+            self.evidence.on_failure(now, ejection.SILENT)
             self.flows.remove(flow.key)
             result += self._decline(
                 now,
@@ -1042,6 +1118,7 @@
             self._service_id,
             self._is_recovering(now),
             int(min(self.room(now), tunnel.NO_LIMIT)),
+            failure_share=round(self.evidence.share(now) * 255),
         )
 
 
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -20,6 +20,7 @@
 from limpetlift.protocol import tunnel
 from limpetlift import registry
 from limpetlift.scheduling import admitting
+from limpetlift.scheduling import ejection
 from limpetlift.scheduling import evacuation
 from limpetlift.scheduling import placing
 from limpetlift.scheduling import polling
@@ -133,6 +134,7 @@
     :param upload_admission: when uploads begin that share the link of this
         balancer.
     :param evacuations: the evacuated data centres.
+    :param ejections: the agents whose servers fail.
     :raises StateError: when a policy does not exist.
 
     .. versionadded:: 0.2
@@ -157,6 +159,7 @@
     evacuations: evacuation.Evacuations = attrs.field(
         factory=evacuation.Evacuations
     )
+    ejections: ejection.Ejection = attrs.field(factory=ejection.Ejection)
     _polls: polling.LoadPolls = attrs.field(factory=polling.LoadPolls)
     _deferrals_by_key: dict = attrs.field(factory=dict)
     agents: knownagents.KnownAgents = attrs.field(init=False)
@@ -867,6 +870,10 @@
         ]
         if not candidates:
             return None
+        # A trial costs a caller time, and requests that may not run twice
+        # their answer.
+        may_try = poll.route.kind != routing.UNSAFE and not poll.segment.ack
+        candidates = self.ejections.select(candidates, self.rng, may_try)
         chosen = self._choose(candidates, self.rng)
         queue = admitting.Queue(
             chosen.slots, chosen.busy + chosen.placed, chosen.run_s
@@ -907,6 +914,7 @@
             self._is_near(agent),
             load.run_ms / 1000 if load else 0.0,
             agent.room,
+            failure_share=load.failure_share / 255 if load else 0.0,
         )
 
     def _defer(self, now, segment, reason, flow):
@@ -1316,6 +1324,7 @@
             ]
         result += self.agents.say_hello(now)
         result += self.evacuations.tick(now)
+        result += self._log_ejections(now)
         if not self._unlisted.is_complete:
             result += self._unlisted.tick(now) + self._resume_searches(now)
         result += self._place_released(now)
@@ -1327,6 +1336,22 @@
             self._delete_idle(now)
         return result
 
+    def _log_ejections(self, now):
+        """Return steps that log which agents get hardly any new flows."""
+        result = []
+        for change in self.ejections.take_changes(self.agents.by_address):
+            agent = self.agents.by_address.get(change.agent_key)
+            if agent is None:
+                continue
+            fields = {
+                "agent": agent.entry.process_id,
+                "report": agent.load.number if agent.load else "none",
+                "age_s": round(now - agent.load_received_at, 3),
+                **change.fields,
+            }
+            result.append(steps.LogEvent(change.event, fields=fields))
+        return result
+
     def _delete_idle(self, now):
         """Delete idle flows, and deferrals that have expired."""
         idle_since = (
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -415,6 +415,7 @@
             "agents": len(self._directory.agents()),
             "uploads_active": self.decisions.upload_admission.active_count,
             "uploads_held": self.decisions.upload_admission.held_count,
+            "agents_ejected": len(self.decisions.ejections.ejected),
             "in_rotation": int(self._rotation.is_in),
             "rotation_members": self._rotation.member_count,
         }
