Explain where a new flow would go, with limpetlift whereto

Cause: an operator could not see why a flow goes to an agent, or what would refuse it, before the flow came.

--- a/src/limpetlift/cli.py
+++ b/src/limpetlift/cli.py
@@ -161,6 +161,26 @@
             sys.exit(str(error))
         print("\n".join(timeline))
 
+    def whereto(self, balancer, flow, copy=0, json=False):
+        """Print where a balancer would place a new flow now, and why.
+
+        Nothing is sent and nothing changes. The exit code is 2 when the
+        balancer cannot answer.
+
+        :param balancer: ``ip:port`` of the balancer's metrics.
+        :param flow: ``caller_ip:port>service_ip:port``, in quotes.
+        :param copy: number of times that the caller has sent the first segment
+            before, from 0 to 2.
+        :param json: print JSON instead of text.
+        """
+        from limpetlift import whereto
+
+        answer = asyncio.run(whereto.ask(str(balancer), str(flow), copy))
+        if json:
+            print(json_module.dumps(answer, indent=2))
+        else:
+            print("\n".join(whereto.format_answer(answer)))
+
     def replay(self, *traces, seed=None, policy="", json=False):
         """Replay traces and compare the outcomes with their targets.
 
--- a/src/limpetlift/protocol/segment.py
+++ b/src/limpetlift/protocol/segment.py
@@ -19,6 +19,8 @@
 # This and higher ones are multicast, reserved and broadcast addresses.
 _FIRST_MULTICAST_OCTET = 224
 _MAX_PORT = 0xFFFF
+# Characters of an invalid value in an error message.
+_MAX_SHOWN = 40
 
 
 @structs.define
@@ -101,6 +103,33 @@
     return socket.inet_ntoa(ip), port
 
 
+def parse_port(text):
+    """Return the port number in a text.
+
+    :raises ValueError: when it is no number. Its range is not checked.
+    """
+    # int() also takes signs, spaces, underscores and other digits.
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError("%s is no port number" % ascii(text[:_MAX_SHOWN]))
+    return int(text)
+
+
+def parse_key(text):
+    """Return the flow key of an id of a flow; see :func:`format_key`.
+
+    :raises ValueError: when the text is not an id of a flow.
+    """
+    parts = []
+    for address in text.split(">"):
+        ip, _, port = address[:_MAX_SHOWN].rpartition(":")
+        port = parse_port(port)
+        check_address(ip, port)
+        parts += [socket.inet_aton(ip), port]
+    if len(parts) != 4:
+        raise ValueError("expected caller_ip:port>service_ip:port")
+    return pack_key(*parts)
+
+
 def format_key(key):
     """Return ``caller_ip:port>service_ip:port``, the id of a flow in logs."""
     return "%s:%d>%s:%d" % (*caller_of(key), *service_of(key))
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -380,6 +380,24 @@
             "agents": len(self._directory.agents()),
         }
 
+    def explain_placement(self, flow, copy_number):
+        """Return where a new flow would go now and why, for an operator.
+
+        Nothing changes and nothing is sent.
+
+        :param flow: id of the flow, ``caller_ip:port>service_ip:port``.
+        :param copy_number: number of times that its first segment was sent
+            before.
+        :returns: a dictionary for JSON.
+        :raises StateError: when the id is malformed or no route is known.
+        """
+        # Imported on first use: no segment needs it.
+        from limpetlift.state import dryrun
+
+        self.count("placement_explained")
+        answer = dryrun.explain(self.decisions, clock.now(), flow, copy_number)
+        return {"balancer": self.settings.id, **answer}
+
     async def stop(self):
         """Forward until no more segments arrive, then remove the entry.
 
