Log the room of a server whose pace declined a flow

The line of a declined flow did not tell whether the pace or the queue was the cause. Tests of pacing, hosting, agent, platform and protocol pass.

--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -6,6 +6,8 @@
 unknown flows are then sent to the server, which accepts or returns them.
 """
 
+import math
+
 import attrs
 
 from limpetlift import defaults
@@ -760,6 +762,7 @@
         return self._decline(now, balancer, segment.key, reason, segment.data)
 
     def _decline(self, now, balancer, key, reason, data):
+        room = self.room(now) if reason == "busy" else math.inf
         return [
             steps.SendToPeer(balancer, tunnel.Declined(reason, data)),
             steps.LogEvent(
@@ -768,6 +771,7 @@
                 {
                     "reason": reason,
                     "report": self.report.number if self.report else "none",
+                    **({} if room == math.inf else {"room": room}),
                     **self._report_fields(now, balancer),
                 },
             ),
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -447,6 +447,20 @@
     assert (_hello(agent, 1.0).room != tunnel.NO_LIMIT) == is_limited
 
 
+def test_a_declined_flow_tells_the_room_in_the_log():
+    """Otherwise the pace and a long queue look the same to operators."""
+    agent = _agent()
+    agent.on_report(0.0, _report())
+    for port in range(_LIMIT):
+        _send(agent, 0.1, port)
+    data = kit.datagram(99, kit.SYN)
+    result = agent.on_message(
+        0.2, _BALANCERS[0], tunnel.Forward(_SERVICE_ID, data)
+    )
+    (fields,) = kit.log_fields(result, "flow_passed_on")
+    assert (fields["reason"], fields["room"]) == ("busy", 0)
+
+
 def test_the_last_place_goes_to_one_of_many_balancers():
     """All balancers act on one report, but the server has room for some."""
     agent = _agent(True)
