Give the reason of the pace's step as it is now

The average slowdown covers 16 answers since it was made longer. Comment only.

The comment still gave the reason of a former value of the step. No behaviour changes.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -574,7 +574,8 @@
 # slot still gets a new flow at this interval.
 PACE_FLOOR_INTERVAL_S = 0.1
 # Increase of the limit per usual answer, as a share of the slots: one caller
-# per slot more after 8 answers, within which an average means something.
+# per slot more after 8 answers. Two such steps show in the average slowdown
+# before a third one follows.
 PACE_STEP = 0.125
 # Factor on the limit when answers are slow, at most once per PACE_MIN_ANSWERS.
 PACE_CUT = 0.7
