Shorten the queue that lower priorities may join to a fifth

The model asks more servers when none of the first five has room, as the balancer does. Without that it overstated how often flows yield.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -565,9 +565,10 @@
 # Delays of a first segment and its copies from the start of a try.
 COPY_DELAYS_S = (0.0, 0.2, 0.6)
 # Share of the permitted wait that a flow may use when there is a higher
-# priority; its square with two higher ones. In the model of competing kinds
-# smaller shares left servers with short queues idle.
-LOWER_PRIORITY_WAIT_SHARE = 0.5
+# priority; its square with two higher ones. With a half, and servers that
+# queue only 3 or 4 requests, flows of the lower priority still filled these
+# queues, and fewer writes were in time than without priorities.
+LOWER_PRIORITY_WAIT_SHARE = 0.2
 # Requests of lower priorities that may join a longer queue, for each flow of
 # the highest one that joined a queue. It keeps callers of lower priorities
 # from being shut out while the highest priority alone exceeds the capacity.
--- a/tests/loadsim.py
+++ b/tests/loadsim.py
@@ -263,7 +263,10 @@
         candidates = self._candidates(now, placement_times)
         if not candidates:
             return
-        for _ in range(defaults.MAX_BUSY_TRIES):
+        known = {candidate.agent_key for candidate in candidates}
+        rounds = 1
+        declined = 0
+        while candidates and declined < defaults.MAX_BUSY_TRIES:
             chosen = self._choose(candidates, self._rng)
             queue = admitting.Queue(
                 chosen.slots, chosen.busy + chosen.placed, chosen.run_s
@@ -272,7 +275,15 @@
                 request.route, queue, copy
             )
             if max_wait_s is None:
-                break
+                if not self.asked or rounds >= defaults.MAX_POLL_ROUNDS:
+                    break
+                rounds += 1
+                added = self._candidates(now, placement_times, known)
+                if not added:
+                    break
+                known.update(candidate.agent_key for candidate in added)
+                candidates += added
+                continue
             server = self._servers[chosen.agent_key]
             placement_times[chosen.agent_key].append(now)
             if not self.agents_admit or _would_admit(now, server, max_wait_s):
@@ -280,17 +291,19 @@
                 self._on_open(now, server, request)
                 return
             candidates.remove(chosen)
-            if not candidates:
-                break
+            declined += 1
         if copy == defaults.LAST_COPY_NUMBER:
             self._retry(now, request)
 
-    def _candidates(self, now, placement_times):
-        """Return the available servers as a balancer's candidates."""
+    def _candidates(self, now, placement_times, known=()):
+        """Return available servers as a balancer's candidates.
+
+        :param known: numbers of the servers that are left out.
+        """
         numbers = [
             number
             for number in range(len(self._servers))
-            if self.up_at(number) <= now
+            if self.up_at(number) <= now and number not in known
         ]
         sampled = self.asked or self.compared
         if sampled:
--- a/tests/loadtables.py
+++ b/tests/loadtables.py
@@ -5,6 +5,7 @@
 ``src`` and ``tests`` on the module path.
 """
 
+import itertools
 import sys
 
 import test_fastest
@@ -35,11 +36,13 @@
 
 def print_kinds():
     """Print the shares in time and late by peak, load and policy."""
-    print("| peak of | load | reads, writes before | after | worth |")
-    for peak in ("all", "reads", "writes"):
+    print("| queue | peak of | load | reads, writes before | after | worth |")
+    for queue_limit, peak in itertools.product(
+        (6, 3), ("all", "reads", "writes")
+    ):
         for load in test_priority.LOADS:
             before, after = (
-                test_priority.outcome(policy, peak, load)
+                test_priority.outcome(policy, peak, load, queue_limit)
                 for policy in ("timely", "priority")
             )
             cells = [
@@ -47,7 +50,8 @@
                 for one in (before, after)
             ]
             worths = "%.3f, %.3f" % (before["worth"], after["worth"])
-            print("|", " | ".join((peak, str(load), *cells, worths)), "|")
+            names = (str(queue_limit), peak)
+            print("|", " | ".join((*names, str(load), *cells, worths)), "|")
             sys.stdout.flush()
 
 
--- a/tests/test_priority.py
+++ b/tests/test_priority.py
@@ -47,9 +47,10 @@
 
 
 @functools.cache
-def outcome(policy, peak, load):
+def outcome(policy, peak, load, queue_limit=6):
     """Return what became of the requests of a peak, as means of all seeds.
 
+    :param queue_limit: number of requests that a server queues.
     :returns: as :meth:`kindsim.KindSimulation.result`.
     """
     results = []
@@ -61,7 +62,7 @@
             policy,
             servers=_SERVERS,
             slots=_SLOTS,
-            queue_limit=6,
+            queue_limit=queue_limit,
             asked=5,
             seed=seed,
             rates=functools.partial(_rates, peak, load),
@@ -98,6 +99,19 @@
         assert after["worth"] >= before["worth"] + 0.01
 
 
+@pytest.mark.parametrize("peak", ["all", "reads", "writes"])
+def test_writes_find_room_at_servers_with_short_queues(peak):
+    """Servers that reject early must not serve late reads instead of writes.
+
+    Reads that yielded came back to fill the short queues: writes in time fell
+    from 0.85 to 0.61 when reads could join half as long a queue as writes.
+    """
+    before = outcome("timely", peak, 2.4, 3)
+    after = outcome("priority", peak, 2.4, 3)
+    assert after["unsafe"][0] >= before["unsafe"][0] - 0.01
+    assert after["worth"] >= before["worth"] - 0.01
+
+
 @pytest.mark.parametrize("load", LOADS)
 def test_reads_are_not_starved_by_writes(load):
     """Writes beyond the capacity must leave the reads a floor.
@@ -153,7 +167,8 @@
     """Between the two limits only the higher priority may join."""
     admission = _admission()
     for wait_s, read, write in (
-        (0.10, "room", "room"),
+        (0.04, "room", "room"),
+        (0.10, "priority", "room"),
         (0.20, "priority", "room"),
         (0.40, "overloaded", "overloaded"),
     ):
