Record the longest wait of a dry run where admission now decides it

The merge of admission by priority replaced the function that the dry run recorded. It now overrides the choice of an admitted agent; test_dryrun and test_priority pass.

--- a/src/limpetlift/state/dryrun.py
+++ b/src/limpetlift/state/dryrun.py
@@ -100,7 +100,6 @@
                 value = copy.deepcopy(getattr(balancer, name))
             setattr(self, name, value)
         self._original_choose, self._choose = self._choose, self._record_choice
-        self._original_admit, self._admit = self._admit, self._record_limit
         self.ages_s_by_address = {}
         if flow is not None and flow.address in agents.by_address:
             self._clone(agents.by_address[flow.address])
@@ -121,10 +120,11 @@
         self.choices.append((list(candidates), copy.deepcopy(arguments)))
         return self._original_choose(candidates, *arguments)
 
-    def _record_limit(self, *arguments):
-        max_wait_s = self._original_admit(*arguments)
-        self.max_waits_s.append(max_wait_s)
-        return max_wait_s
+    def _choose_admitted(self, agents, poll):
+        admitted = super()._choose_admitted(agents, poll)
+        if admitted is not None:
+            self.max_waits_s.append(admitted[1])
+        return admitted
 
     def _candidates_in_order(self, poll):
         self._end_stage()
