Prove no flow lost by the first list after an outage

Cause: balancers that all start while the store is away read a list without the agents whose entries lapsed, and nobody is left that knew them. They reset open flows 0.1 s after the outage.

Change: a directory whose first list comes after a failed call proves nothing for LAPSED_ENTRY_GRACE_S from it; balancers that wait are waited for by others that start. An agent that hears no balancer for 1 s reads its entry and writes it again only if it is missing; before, it wrote it each 2 s after 5 s.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -132,6 +132,9 @@
     """
 
     _tracked_by_key: dict = attrs.field(factory=dict)
+    # Until then an entry that is not listed proves nothing.
+    unproven_until: float = float("-inf")
+    _has_snapshot: bool = False
     _store_reachable_since: float = float("-inf")
     _is_store_unreachable: bool = False
     # The latest revision of an entry that expired. All changes up to it have
@@ -151,6 +154,7 @@
         :param revision: the store's revision of the read.
         """
         self.on_reachable(now)
+        self._has_snapshot = True
         present_keys = {entry.key for entry in snapshot}
         for entry in snapshot:
             # An unknown entry in an outdated read was removed since.
@@ -184,10 +188,17 @@
         self._is_store_unreachable = True
 
     def on_reachable(self, now):
-        """Record that the store answers."""
+        """Record that the store answers.
+
+        A directory that is read for the first time after an outage does not
+        know the processes whose entries were lost in it. Those that are alive
+        write them again within the grace time.
+        """
         if self._is_store_unreachable:
             self._is_store_unreachable = False
             self._store_reachable_since = now
+            if not self._has_snapshot:
+                self.unproven_until = now + defaults.LAPSED_ENTRY_GRACE_S
 
     def _put(self, now, entry):
         """Add or replace an entry, unless a newer state of it is known.
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -330,8 +330,13 @@
 HELLO_INTERVAL_S = 0.5
 # An agent that stops notifies the balancers that contacted it this recently.
 HELLO_MAX_AGE_S = 2.0
-# An agent that heard no balancer for this long announces itself again.
-REANNOUNCE_AFTER_S = 5.0
+# An agent that heard no balancer for this long reads its entry in the store,
+# and writes it again if it is missing. Two hellos may be lost. Balancers that
+# start in an outage know an agent by its entry alone and wait for it for
+# LAPSED_ENTRY_GRACE_S after the outage.
+ENTRY_CHECK_AFTER_S = 1.0
+# Between two such reads while no balancer is heard.
+ENTRY_CHECK_INTERVAL_S = 1.0
 # A balancer that heard no agent for this long cannot serve callers.
 AGENTS_SILENT_AFTER_S = 1.2
 # Flows placed this recently may be missing in an agent's answer, which the
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -803,6 +803,7 @@
             self._last_heard_at = max(self._last_heard_at, now)
             self._last_served_at = max(self._last_served_at, now)
         result = self._decline_unanswered(now) + self._probe_if_silent(now)
+        result += self._check_entry_if_unknown(now)
         if now - self._last_sweep_at >= defaults.SWEEP_INTERVAL_S:
             self._last_sweep_at = now
             self._remove_old_flows(now)
@@ -811,7 +812,6 @@
                 and now - self._started_at > defaults.MAX_FLOW_LIFETIME_S
             ):
                 result += self._on_all_flows_known("flow_lifetime")
-            result += self._announce_if_unknown(now)
             self._forget_balancers(now)
         return result
 
@@ -829,11 +829,12 @@
             if hello_at < oldest_kept:
                 del hello_at_by_address[address]
 
-    def _announce_if_unknown(self, now):
-        """Announce this agent again when no balancer contacts it any more.
+    def _check_entry_if_unknown(self, now):
+        """Check this agent's entry when no balancer contacts it any more.
 
         Balancers remove the directory entry of an agent that they could not
-        reach for long.
+        reach for long. Those that have started since the store lost the entry
+        do not know the agent, so nobody tells it.
         """
         if self.report is None:
             # Without a server there are no flows to find at this agent.
@@ -841,9 +842,9 @@
         last_hello_at = max(
             self._hello_at_by_address.values(), default=self._started_at
         )
-        if now - last_hello_at < defaults.REANNOUNCE_AFTER_S:
+        if now - last_hello_at < defaults.ENTRY_CHECK_AFTER_S:
             return []
-        return [steps.Announce()]
+        return [steps.CheckEntry()]
 
     def _probe_if_silent(self, now):
         """Probe the server's port when it is silent and has to answer.
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -259,13 +259,17 @@
             ]
         ]
 
-    def on_entries(self, now, agents, balancers, unlisted=()):
+    def on_entries(
+        self, now, agents, balancers, unlisted=(), unproven_until=-math.inf
+    ):
         """Update the known agents and balancers from the directory.
 
         :param agents: entries of the agents.
         :param balancers: entries of the balancers.
         :param unlisted: ids of the agents whose entries the store does not
             have any more.
+        :param unproven_until: until then an agent that is not listed may be
+            alive.
         """
         result = self.agents.on_entries(agents, unlisted)
         result += self.searches.on_agents(
@@ -276,6 +280,7 @@
             for entry in balancers
             if entry.data_centre == self.data_centre
         )
+        result += self._unlisted.on_unproven(now, unproven_until)
         result += self._unlisted.on_balancers(
             now, [entry.address for entry in balancers]
         )
@@ -283,8 +288,11 @@
         return result + self.agents.update_monitored(now, balancers)
 
     def _resume_searches(self, now):
-        """Let flows be proved lost once all agents are known."""
-        if self.searches.are_agents_known or not self._unlisted.is_complete:
+        """Let flows be proved lost while all agents are known."""
+        if not self._unlisted.is_complete:
+            self.searches.are_agents_known = False
+            return []
+        if self.searches.are_agents_known:
             return []
         return self.searches.on_agents_known(now)
 
@@ -1068,7 +1076,7 @@
         result += self._resume_searches(now)
         return result + [
             steps.SendToPeer(address, message)
-            for message in self._unlisted.answers(self.agents.unlisted())
+            for message in self._unlisted.answers(now, self.agents.unlisted())
         ]
 
     @registry.register(_handlers_by_type, tunnel.UnlistedAgents)
--- a/src/limpetlift/state/steps.py
+++ b/src/limpetlift/state/steps.py
@@ -81,6 +81,11 @@
     """
 
 
+@structs.frozen
+class CheckEntry:
+    """Read this agent's directory entry; write it again if it is missing."""
+
+
 @structs.frozen
 class ProbeServer:
     """Probe whether the port of this agent's backend server has a listener."""
--- a/src/limpetlift/state/unlisted.py
+++ b/src/limpetlift/state/unlisted.py
@@ -32,6 +32,9 @@
     is_complete: bool = False
     # When the missing answers are not waited for any more.
     _complete_at: float = float("inf")
+    # Until then the list of the store may lack agents that are alive and that
+    # no balancer knows.
+    _unproven_until: float = float("-inf")
     _unanswered: set = attrs.field(factory=set)
     _ask_at: float = float("inf")
     # Ids of the agents that each balancer has named so far.
@@ -52,6 +55,22 @@
         self._ask_at = now
         return self.tick(now)
 
+    def on_unproven(self, now, until):
+        """Wait because the store may lack entries of agents that are alive.
+
+        :param until: when those that are alive have written them again.
+        :returns: steps.
+        """
+        if until <= max(now, self._unproven_until):
+            return []
+        self._unproven_until = until
+        self.is_complete = False
+        return [
+            steps.LogEvent(
+                "list_unproven", fields={"for_s": round(until - now, 3)}
+            )
+        ]
+
     def on_request(self, now, address):
         """Handle the question of another balancer.
 
@@ -94,7 +113,9 @@
         """
         if self.is_complete or self._complete_at == float("inf"):
             return []
-        if self._unanswered and now < self._complete_at:
+        if now < self._unproven_until or (
+            self._unanswered and now < self._complete_at
+        ):
             return self._ask(now)
         self.is_complete = True
         self._agent_ids_by_address.clear()
@@ -114,11 +135,16 @@
             for address in sorted(self._unanswered)
         ]
 
-    def answers(self, entries):
+    def answers(self, now, entries):
         """Return the messages that name some agents to another balancer.
 
+        While agents may be missing here, the messages announce one more than
+        they name, so that the other balancer goes on asking.
+
+        :param now: the current time in seconds (monotonic).
         :param entries: entries of the agents that the store does not have.
         """
+        total = len(entries) + (now < self._unproven_until)
         batches = [[]]
         size = 0
         for entry in entries:
@@ -131,6 +157,6 @@
             batches[-1].append(change)
             size += change.size
         return [
-            tunnel.UnlistedAgents(self.is_complete, len(entries), batch)
+            tunnel.UnlistedAgents(self.is_complete, total, batch)
             for batch in batches
         ]
--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -37,6 +37,8 @@
         self._value = value
         self._backoff = backoff.Backoff(reactor, rng)
         self._withdraw_backoff = backoff.Backoff(reactor, rng)
+        self._check_backoff = backoff.Backoff(reactor, rng)
+        self._is_checking = False
         self._lease_s = lease_s
         self._lease = 0
         self._revision = 0
@@ -65,6 +67,44 @@
         self._is_written = False
         self._wakeup.set_value()
 
+    def check_entry(self):
+        """Read the entry; write it again if it is missing or another one.
+
+        Further calls are ignored until the read has succeeded and
+        :data:`~limpetlift.defaults.ENTRY_CHECK_INTERVAL_S` has passed.
+        """
+        if self._is_written and not (
+            self._is_withdrawing or self._is_checking
+        ):
+            self._is_checking = True
+            self._reactor.spawn(self._check_entry())
+
+    async def _check_entry(self):
+        try:
+            entry = await self._read_entry()
+            if self._is_withdrawing or not self._is_written:
+                return
+            self._revision = entry.mod_revision if entry else 0
+            if entry is None or entry.value != self._value:
+                LOG.warning("entry_missing", key=self._key, lease=self._lease)
+                self._is_written = False
+                self._wakeup.set_value()
+            await self._reactor.sleep(defaults.ENTRY_CHECK_INTERVAL_S)
+        finally:
+            self._is_checking = False
+
+    async def _read_entry(self):
+        """Return the entry in the store, as soon as it can be read."""
+        self._check_backoff.reset()
+        while True:
+            try:
+                return await self._store.get(self._key)
+            except exceptions.CoordinationError as error:
+                if self._is_withdrawing:
+                    return None
+                LOG.warning("entry_unread", key=self._key, error=error)
+            await self._check_backoff.wait()
+
     async def run(self):
         """Keep the entry in the store until it is withdrawn."""
         while not self._is_withdrawing:
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -150,6 +150,9 @@
                 self._reset(step)
             elif isinstance(step, steps.Announce):
                 self._announce()
+            elif isinstance(step, steps.CheckEntry):
+                if self._is_announcing:
+                    self._announcer.check_entry()
             elif isinstance(step, steps.ProbeServer):
                 probing.PortProbe(
                     self.reactor, self.settings.server, self._on_probed
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -248,6 +248,7 @@
                 self._directory.agents(),
                 self._directory.balancers(),
                 self._directory.unlisted(),
+                self._directory.unproven_until,
             )
         )
         data_centres_by_address = {
