Follow the eras of a store that comes back from an older copy

Cause: such a store issues revisions again and has lost entries and leases. Processes compared revisions across the change, went on with leases that may be another's, and took the older list for complete.

Change: the client of the platform's store reads the header Store-Era and returns revisions as one value with the era, which raises when two of different eras are compared. In a new era all is read again, entries and leases are written again, nothing is proved lost for 2 s from the first list, and agents that report stay known. Messages between balancers carry the era; one of a later era makes them read. Answers and messages of a former era are ignored.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from limpetlift.coordination import revisions
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift.protocol import hashing
@@ -30,8 +31,9 @@
         processes.
     :param data_centre: name of its data centre.
     :param service: name of the service of an agent; empty for a balancer.
-    :param revision: the store's revision of the entry's last write; 0 for an
-        entry that was not read from the store.
+    :param revision: the store's revision of the entry's last write, see
+        :mod:`limpetlift.coordination.revisions`; 0 for an entry that was not
+        read from the store.
 
     ``service_id`` is the 8-byte hash of the service's name that messages
     carry.
@@ -41,7 +43,7 @@
     address: tuple
     data_centre: str
     service: str = ""
-    revision: int = attrs.field(default=0, eq=False)
+    revision: object = attrs.field(default=0, eq=False)
     service_id: bytes = attrs.field(init=False, repr=False)
 
     def __attrs_post_init__(self):
@@ -104,17 +106,21 @@
     """An entry of the directory and its state in the store.
 
     :param entry: the :class:`ProcessEntry`.
-    :param revision: the store's revision of the entry's last change.
+    :param revision: the store's revision of the entry's last change in the
+        present era.
     :param expires_at: when the entry expires after its removal from the
         store, or None while the store has it.
     :param kept_by_reports: whether the entry is kept beyond ``expires_at``
         for as long as the process itself reports.
+    :param older: the entry that a new era's first list had under the same
+        key, or None. It takes effect when ``entry`` expires.
     """
 
     entry: ProcessEntry
-    revision: int
+    revision: object
     expires_at: object = None
     kept_by_reports: bool = True
+    older: object = None
 
 
 @structs.define
@@ -128,18 +134,27 @@
     is kept for as long as the process itself reports, because the store may
     refuse the registration of a process that is alive.
 
+    A store that comes back from an older copy begins a new era. Its list may
+    lack entries, and have former ones. What is known is kept and counts as
+    not listed until the process has written it again, for the grace time and
+    then for as long as the process reports.
+
     .. versionadded:: 0.2
     """
 
     _tracked_by_key: dict = attrs.field(factory=dict)
-    # Until then an entry that is not listed proves nothing.
+    # Until then an entry that is not listed proves nothing. Infinite before
+    # the first list of a new era.
     unproven_until: float = float("-inf")
+    era: int = 0
+    # Revision of the first list of this era, until the grace time has ended.
+    _first_revision: object = None
     _has_snapshot: bool = False
     _store_reachable_since: float = float("-inf")
     _is_store_unreachable: bool = False
     # The latest revision of an entry that expired. All changes up to it have
     # been reported.
-    _expired_revision: int = 0
+    _expired_revision: revisions.Revision = revisions.Revision(0, 0)
     # Error messages of entries that could not be decoded. The caller removes
     # those that it has logged.
     unreadable_by_key: dict = attrs.field(factory=dict)
@@ -152,9 +167,17 @@
         :param snapshot: list of all
             :class:`~limpetlift.coordination.entries.Entry` in the store.
         :param revision: the store's revision of the read.
+        :returns: whether the list was used; one of an earlier era is not.
         """
+        revision = revisions.of(revision)
+        if revision.era < self.era:
+            return False
         self.on_reachable(now)
+        self.on_era(revision.era)
         self._has_snapshot = True
+        if self.unproven_until == float("inf"):
+            self.unproven_until = now + defaults.LAPSED_ENTRY_GRACE_S
+            self._first_revision = revision
         present_keys = {entry.key for entry in snapshot}
         for entry in snapshot:
             # An unknown entry in an outdated read was removed since.
@@ -166,6 +189,7 @@
         for key in set(self._tracked_by_key) - present_keys:
             if self._tracked_by_key[key].revision <= revision:
                 self._remove(now, key)
+        return True
 
     def on_changes(self, now, changes):
         """Update the directory from changes that a watch reported.
@@ -175,14 +199,40 @@
         """
         self.on_reachable(now)
         for change in changes:
+            revision = revisions.of(change.revision)
+            if revision.era != self.era:
+                continue
             if change.entry is not None:
                 self._put(now, change.entry)
                 continue
             tracked = self._tracked_by_key.get(change.key)
-            if tracked is not None and tracked.revision < change.revision:
-                tracked.revision = change.revision
+            if tracked is not None and tracked.revision < revision:
+                tracked.revision = revision
+                tracked.older = None
                 self._remove(now, change.key)
 
+    def on_era(self, era):
+        """Handle that the store is in an era.
+
+        The revisions of former eras are void in a new one, and until its
+        first list has been read and the grace time has passed, no missing
+        entry proves anything.
+
+        :param era: number of the era.
+        :returns: whether it is new.
+        """
+        if era <= self.era:
+            return False
+        self.era = era
+        self._expired_revision = revisions.Revision(era, 0)
+        if not (self._has_snapshot or self._tracked_by_key):
+            return True
+        self.unproven_until = float("inf")
+        for tracked in self._tracked_by_key.values():
+            tracked.revision = revisions.Revision(era, 0)
+            tracked.older = None
+        return True
+
     def on_unreachable(self):
         """Record that the store does not answer."""
         self._is_store_unreachable = True
@@ -208,20 +258,42 @@
         because it may be alive.
         """
         known = self._tracked_by_key.get(entry.key)
-        if known is not None and known.revision >= entry.mod_revision:
-            if known.expires_at is None or known.revision > entry.mod_revision:
+        revision = revisions.of(entry.mod_revision)
+        if known is not None and known.revision >= revision:
+            if (
+                known.expires_at is None
+                or known.older is not None
+                or known.revision > revision
+            ):
                 return
         process_id = entry.key.rpartition("/")[2]
         try:
-            decoded = decode_entry(process_id, entry.value, entry.mod_revision)
+            decoded = decode_entry(process_id, entry.value, revision)
         except exceptions.MalformedMessage as error:
             self.unreadable_by_key[entry.key] = str(error)
             if known is not None:
-                known.revision = entry.mod_revision
+                known.revision = revision
                 self._remove(now, entry.key)
             return
-        self._tracked_by_key[entry.key] = _TrackedEntry(
-            decoded, entry.mod_revision
+        if (
+            known is not None
+            and self._may_be_older(revision)
+            and decoded != known.entry
+        ):
+            known.revision = revision
+            known.older = decoded
+            self._remove(now, entry.key)
+            return
+        self._tracked_by_key[entry.key] = _TrackedEntry(decoded, revision)
+
+    def _may_be_older(self, revision):
+        """Whether a write may be from before the present era.
+
+        It is in the first list of the era, whose grace time has not ended.
+        """
+        return (
+            self._first_revision is not None
+            and revision <= self._first_revision
         )
 
     def _remove(self, now, key):
@@ -229,7 +301,8 @@
         tracked = self._tracked_by_key[key]
         if tracked.expires_at is None:
             tracked.expires_at = now + defaults.LAPSED_ENTRY_GRACE_S
-            tracked.kept_by_reports = (
+            # An older copy that lacks an entry does not show that it lapsed.
+            tracked.kept_by_reports = self._first_revision is not None or (
                 now - self._store_reachable_since
                 > defaults.LAPSED_ENTRY_GRACE_S
             )
@@ -241,7 +314,11 @@
         """
         self._tracked_by_key.setdefault(
             AGENTS_PREFIX + entry.process_id,
-            _TrackedEntry(entry, 0, now + defaults.LAPSED_ENTRY_GRACE_S),
+            _TrackedEntry(
+                entry,
+                revisions.Revision(self.era, 0),
+                now + defaults.LAPSED_ENTRY_GRACE_S,
+            ),
         )
 
     def expire(self, now, is_reporting):
@@ -249,8 +326,13 @@
 
         :param is_reporting: function of a :class:`ProcessEntry`; returns
             whether the process itself reported recently.
-        :returns: whether an entry was deleted.
+        :returns: whether an entry was deleted or replaced by an older one.
         """
+        has_settled = (
+            self._first_revision is not None and now >= self.unproven_until
+        )
+        if has_settled:
+            self._first_revision = None
         expired_keys = [
             key
             for key, tracked in self._tracked_by_key.items()
@@ -260,10 +342,15 @@
         ]
         for key in expired_keys:
             tracked = self._tracked_by_key.pop(key)
+            if tracked.older is not None:
+                self._tracked_by_key[key] = _TrackedEntry(
+                    tracked.older, tracked.revision
+                )
+                continue
             self._expired_revision = max(
                 self._expired_revision, tracked.revision
             )
-        return bool(expired_keys)
+        return has_settled or bool(expired_keys)
 
     def is_listed(self, key):
         """Whether the store has the entry ``key``, as far as is known."""
@@ -271,7 +358,10 @@
         return tracked is not None and tracked.expires_at is None
 
     def revision(self, key):
-        """Return the revision of the entry ``key``, or 0 if not listed."""
+        """Return the revision of the entry ``key``, or 0 if not listed.
+
+        It is of the present era, so that it is valid as a precondition.
+        """
         tracked = self._tracked_by_key.get(key)
         return (
             tracked.revision if tracked and tracked.expires_at is None else 0
@@ -289,8 +379,26 @@
         }
 
     def agents(self):
-        """Return the entries of the agents."""
-        return self._entries(AGENTS_PREFIX)
+        """Return the entries of the agents.
+
+        During the grace time of an era, an entry that may be older than it
+        yields to the one that is known at its address.
+        """
+        found = self._entries(AGENTS_PREFIX)
+        if self._first_revision is None:
+            return found
+        known_addresses = {
+            entry.address
+            for entry in found
+            if revisions.of(entry.revision).era != self.era
+        }
+        return [
+            entry
+            for entry in found
+            if revisions.of(entry.revision).era != self.era
+            or entry.address not in known_addresses
+            or not self._may_be_older(revisions.of(entry.revision))
+        ]
 
     def balancers(self):
         """Return the entries of the balancers."""
--- a/src/limpetlift/coordination/watching.py
+++ b/src/limpetlift/coordination/watching.py
@@ -11,6 +11,7 @@
 import attrs
 
 from limpetlift.coordination import entries
+from limpetlift.coordination import revisions
 from limpetlift import defaults
 from limpetlift.protocol import hashing
 from limpetlift.protocol import tunnel
@@ -94,8 +95,11 @@
     :param policy: name of a policy of this module, which decides whether the
         balancer watches.
     :param role: its :class:`Role`.
-    :param revision: the store's revision up to which all changes are known;
-        None before the first read.
+    :param revision: the
+        :class:`~limpetlift.coordination.revisions.Revision` up to which all
+        changes are known; None before the first read, and again in a new era
+        of the store.
+    :param era: the latest era of the store that is known.
     :raises StateError: when the policy does not exist.
 
     .. versionadded:: 0.2
@@ -108,6 +112,9 @@
     # Until the directory is known, a balancer watches for itself.
     role: Role = Role(True)
     revision: object = None
+    era: int = 0
+    # When all entries are read, while no revision is known.
+    _read_at: float = float("-inf")
     # When the store or a watcher last confirmed that all changes are known.
     _confirmed_at: float = float("-inf")
     # Whether a watcher knows changes that this balancer does not.
@@ -146,7 +153,9 @@
     @property
     def call_at(self):
         """When the store has to be called next."""
-        if self.role.is_watcher or self._is_behind or self.revision is None:
+        if self.revision is None:
+            return self._read_at
+        if self.role.is_watcher or self._is_behind:
             return float("-inf")
         return self._confirmed_at + defaults.SHARED_WATCH_MAX_AGE_S
 
@@ -165,9 +174,35 @@
         """Record that the store no longer has the changes to read next."""
         self.revision = None
 
+    def on_era(self, era, read_at):
+        """Handle that the store is in an era.
+
+        In a new one, all entries have to be read again. What was known of the
+        changes before confirms nothing.
+
+        :param era: number of the era.
+        :param read_at: when a balancer that does not watch reads the entries.
+        :returns: whether the era is new.
+        """
+        if era <= self.era:
+            return False
+        self.era = era
+        self.revision = None
+        self._confirmed_at = float("-inf")
+        self._is_behind = False
+        self._read_at = float("-inf") if self.role.is_watcher else read_at
+        return True
+
+    def is_outdated(self, revision):
+        """Whether a revision is of an earlier era than the latest one."""
+        return revisions.of(revision).era < self.era
+
     def on_read(self, now, began_at, after, revision, changes=()):
         """Record the answer of the store to a call.
 
+        The answer of an earlier era is ignored, and so are changes after a
+        revision of another era than that of the answer.
+
         :param began_at: when the call began.
         :param after: the revision after which the answer has all changes, or
             None for an answer that has all keys.
@@ -177,12 +212,26 @@
         :returns: ``(changes, messages)``: the changes that were not known,
             and the messages to the receivers.
         """
-        known = self.revision or 0
-        self.revision = max(known, revision)
+        revision = revisions.of(revision)
+        if self.is_outdated(revision):
+            return [], []
+        self.on_era(revision.era, now)
+        if after is not None:
+            after = revisions.of(after)
+            if after.era != revision.era:
+                self.revision = None
+                return [], []
+        known = self.revision
+        self.revision = revision if known is None else max(known, revision)
+        unknown = [
+            change
+            for change in changes
+            if known is None or revisions.of(change.revision) > known
+        ]
         if began_at < self._resumed_at:
             # The answer may have waited through the pause, and must not pass
             # for recent knowledge.
-            return [c for c in changes if c.revision > known], []
+            return unknown, []
         self._confirmed_at = now
         self._is_behind = False
         messages = []
@@ -193,7 +242,7 @@
                 revision,
                 changes,
             )
-        return [c for c in changes if c.revision > known], messages
+        return unknown, messages
 
     def on_message(self, now, message, is_outdated=False):
         """Handle what a watcher has learned.
@@ -204,38 +253,44 @@
         :returns: the :class:`~limpetlift.coordination.entries.Change` that
             were not known.
         """
+        if self.on_era(message.era, now) or message.era < self.era:
+            return []
         if self.revision is None:
             return []
-        if self.revision < message.after:
+        if self.revision.number < message.after:
             # A message was lost, or a change was too large for one.
             self._is_behind = True
             return []
         known = self.revision
-        self.revision = max(known, message.revision)
+        self.revision = max(
+            known, revisions.Revision(message.era, message.revision)
+        )
         if not is_outdated:
             self._confirmed_at = now
         return [
-            _decoded(change)
+            _decoded(change, message.era)
             for change in message.changes
-            if change.revision > known
+            if change.revision > known.number
         ]
 
 
-def _decoded(change):
+def _decoded(change, era):
     """Return the :class:`entries.Change` for a change in a message.
 
     Leases are not sent, because only the process that holds one needs it.
     """
+    revision = revisions.Revision(era, change.revision)
     entry = None
     if change.value is not None:
-        entry = entries.Entry(change.key, change.value, change.revision)
-    return entries.Change(change.key, entry, change.revision)
+        entry = entries.Entry(change.key, change.value, revision)
+    return entries.Change(change.key, entry, revision)
 
 
 def _encoded(change):
     """Return the :class:`~limpetlift.protocol.tunnel.KeyChange`."""
     value = None if change.entry is None else change.entry.value
-    return tunnel.KeyChange(change.key, value, change.revision)
+    number = revisions.of(change.revision).number
+    return tunnel.KeyChange(change.key, value, number)
 
 
 def _messages(topic, after, revision, changes):
@@ -243,14 +298,18 @@
 
     A change that is too large for a message is left out. The next message
     then begins after it, by which its receiver detects the gap.
+
+    :param after: a :class:`~limpetlift.coordination.revisions.Revision`.
+    :param revision: a later or the same one, of the same era.
     """
+    era, after, revision = revision.era, after.number, revision.number
     result = []
     batch = []
     size = 0
 
     def flush(until):
         nonlocal after, batch, size
-        result.append(tunnel.StoreChanges(topic, after, until, batch))
+        result.append(tunnel.StoreChanges(topic, after, until, batch, era))
         after, batch, size = until, [], 0
 
     for change in sorted(
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -450,6 +450,10 @@
 LAPSED_ENTRY_GRACE_S = 2.0
 ENTRY_LEASE_S = 6.0
 ENTRY_RENEW_INTERVAL_S = 2.0
+# In a new era of the store, processes spread their reads of all entries and
+# the writes of their own ones over this time. It is well below the time in
+# which entries are back.
+ERA_SPREAD_S = 0.5
 # After a failed call; doubled up to the maximum, with jitter.
 ANNOUNCE_RETRY_S = 0.2
 ANNOUNCE_RETRY_MAX_S = 1.0
--- a/src/limpetlift/exceptions.py
+++ b/src/limpetlift/exceptions.py
@@ -117,6 +117,12 @@
         self.entries_by_key = entries_by_key or {}
 
 
+class EraMismatch(CoordinationError):
+    """Revisions of different eras of the store were compared."""
+
+    code = "era_mismatch"
+
+
 class LeaseEnded(CoordinationError):
     """A write referred to a lease that has ended; it had no effect."""
 
--- a/src/limpetlift/platform/store.py
+++ b/src/limpetlift/platform/store.py
@@ -10,6 +10,8 @@
 
 from limpetlift import clock
 from limpetlift.coordination import entries
+from limpetlift.coordination import eras
+from limpetlift.coordination import revisions
 from limpetlift import exceptions
 from limpetlift.transport import http1
 
@@ -26,11 +28,18 @@
 # The store did nothing. With any other status from 500 on, a write may have
 # taken effect.
 _REFUSED_STATUS = 503
+_ERA_HEADER = "store-era"
+# Code of the errors that tell to read all entries again.
+_ERA_CHANGED = "era_changed"
 
 
 class PlatformStore:
     """Client of the store for balancers and agents.
 
+    Revisions are of the class
+    :class:`~limpetlift.coordination.revisions.Revision`. An answer of an
+    earlier era than the latest known one is treated as none.
+
     :param reactor: the event loop.
     :param address: ``ip:port`` of the store.
     :param measure: called with ``store_call`` and the duration of a call in
@@ -42,8 +51,29 @@
     def __init__(self, reactor, address, measure=lambda name, seconds: None):
         self._reactor = reactor
         self._measure = measure
+        self._eras = eras.EraTracker()
+        self._on_era_finding = lambda finding: None
         self.set_address(address)
 
+    def watch_era(self, on_finding):
+        """Call a function with what answers and messages tell of the era.
+
+        :param on_finding: called with each
+            :class:`~limpetlift.coordination.eras.Finding` that has an event,
+            before the answer is handled.
+        """
+        self._on_era_finding = on_finding
+
+    def learn_era(self, era):
+        """Take notice of an era that another process knows."""
+        if self._eras.era is None or era > self._eras.era:
+            self._report_era(self._eras.on_era(era, "message"))
+
+    def _report_era(self, finding):
+        if finding.event:
+            self._on_era_finding(finding)
+        return finding
+
     def set_address(self, address):
         """Use the store at ``address`` from the next call on."""
         ip, _, port = address.rpartition(":")
@@ -54,8 +84,10 @@
 
         :raises StoreUnavailable: when the read failed.
         """
-        status, response = await self._read("kv-key", {"key": key}, (404,))
-        return None if status == 404 else _decode_entry(response)
+        status, response, era = await self._read(
+            "kv-key", {"key": key}, (404,)
+        )
+        return None if status == 404 else _decode_entry(response, era)
 
     async def get_prefix(self, prefix):
         """Return ``(entries, revision)`` of the keys that begin with a prefix.
@@ -63,7 +95,8 @@
         The revision is that of the first page, so that a watch that starts
         after it reports changes made while further pages were read.
 
-        :raises StoreUnavailable: when the read failed.
+        :raises StoreUnavailable: when the read failed, or a new era began
+            between two pages.
         """
         found = []
         revision = None
@@ -72,13 +105,16 @@
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            _, response = await self._read("kv-range", query)
+            _, response, era = await self._read("kv-range", query)
+            if revision is not None and revision.era != era:
+                raise _era_changed(revision, era)
             found += [
-                _decode_entry(item)
+                _decode_entry(item, era)
                 for item in _typed_field(response, "items", list)
             ]
             if revision is None:
-                revision = _typed_field(response, "store_revision", int)
+                number = _typed_field(response, "store_revision", int)
+                revision = revisions.Revision(era, number)
             if not response.get("more_pages") or not found:
                 return found, revision
             after = found[-1].key
@@ -92,27 +128,34 @@
             the next call.
         :raises StoreUnavailable: when the read failed; with the code
             ``compacted`` when the store no longer has the changes after
-            ``revision``.
+            ``revision``, and with the code ``era_changed`` when it is in
+            another era than ``revision``.
         """
+        revision = revisions.of(revision)
+        if self._eras.era not in (None, revision.era):
+            raise _era_changed(revision, self._eras.era)
         query = {
             "prefix": prefix,
-            "after": revision,
+            "after": revision.number,
             "wait_ms": int(wait_s * 1000),
         }
-        status, response = await self._read(
+        status, response, era = await self._read(
             "kv-watch", query, (_COMPACTED_STATUS,), wait_s
         )
+        if era != revision.era:
+            raise _era_changed(revision, era)
         if status == _COMPACTED_STATUS:
             raise exceptions.StoreUnavailable(
-                "the store has compacted the changes after revision %d"
+                "the store has compacted the changes after revision %s"
                 % revision,
                 "compacted",
             )
         changes = [
-            _decode_change(item)
+            _decode_change(item, era)
             for item in _typed_field(response, "events", list)
         ]
-        return changes, _typed_field(response, "store_revision", int)
+        number = _typed_field(response, "store_revision", int)
+        return changes, revisions.Revision(era, number)
 
     async def compare_and_swap(self, key, mod_revision, value, lease=0):
         """Write ``key`` if its last write has the revision ``mod_revision``.
@@ -139,26 +182,31 @@
         await self._commit(key, mod_revision, [], [key])
 
     async def _commit(self, key, mod_revision, writes, removed_keys, lease=0):
+        expected = revisions.of(mod_revision)
+        if expected and self._eras.era not in (None, expected.era):
+            # The number may be that of another write by now.
+            raise _era_changed(expected, self._eras.era)
         body = {
-            "precondition": [{"key": key, "revision": mod_revision}],
+            "precondition": [{"key": key, "revision": expected.number}],
             "writes": writes,
             "remove": removed_keys,
         }
-        status, response = await self._write(
+        status, response, era = await self._write(
             "POST", "kv-txn", body, (_CONFLICT_STATUS, _LEASE_ENDED_STATUS)
         )
         if status == _LEASE_ENDED_STATUS:
             raise exceptions.LeaseEnded("lease %d has ended" % lease)
         if status == _CONFLICT_STATUS:
             found = [
-                _decode_entry(item)
+                _decode_entry(item, era)
                 for item in _typed_field(response, "items", list)
             ]
             raise exceptions.StoreConflict(
                 "key %s has been changed by another write" % key,
                 {entry.key: entry for entry in found if entry.mod_revision},
             )
-        return _acknowledged_field(response, "revision")
+        number = _acknowledged_field(response, "revision")
+        return revisions.Revision(era, number)
 
     async def grant(self, ttl_s):
         """Return the id of a new lease that expires after ``ttl_s`` seconds.
@@ -167,7 +215,7 @@
         :raises StoreOutcomeUnknown: when the call may have had an effect.
         """
         body = {"ttl_ms": int(ttl_s * 1000)}
-        _, response = await self._write("POST", "kv-lease", body)
+        _, response, _ = await self._write("POST", "kv-lease", body)
         return _acknowledged_field(response, "lease")
 
     async def keep_alive(self, lease):
@@ -178,7 +226,7 @@
         :raises StoreUnavailable: when the call had no effect.
         :raises StoreOutcomeUnknown: when the call may have had an effect.
         """
-        status, response = await self._write(
+        status, response, _ = await self._write(
             "POST", "kv-keep/%d" % lease, {}, (_LEASE_ENDED_STATUS,)
         )
         if status == _LEASE_ENDED_STATUS:
@@ -220,7 +268,7 @@
             raise exceptions.StoreOutcomeUnknown(str(error)) from error
 
     async def _call(self, method, path, data, expected_statuses, timeout_s):
-        """Return ``(status, decoded body)`` of one call.
+        """Return ``(status, decoded body, era)`` of one call.
 
         :param expected_statuses: statuses besides 200 that the caller handles.
         :raises StoreUnavailable: when the store refused the call.
@@ -238,7 +286,18 @@
         if timeout_s == _CALL_TIMEOUT_S:
             self._measure("store_call", clock.now() - started_at)
         status = response.status
-        if status != 200 and status not in expected_statuses:
+        is_refused = status != 200 and status not in expected_statuses
+        era_text = response.headers_by_name.get(_ERA_HEADER)
+        # Something between this process and the store may refuse a call,
+        # without the header.
+        if era_text is not None or not is_refused:
+            finding = self._report_era(self._eras.on_answer(era_text))
+            if finding.is_outdated:
+                raise exceptions.StoreOutcomeUnknown(
+                    "the answer is of era %d, the store is in era %d"
+                    % (finding.era, self._eras.era)
+                )
+        if is_refused:
             error = "the store answered with status %d" % status
             if status >= 500 and status != _REFUSED_STATUS:
                 raise exceptions.StoreOutcomeUnknown(error)
@@ -246,7 +305,14 @@
         fields = json.loads(response.body) if response.body else {}
         if not isinstance(fields, dict):
             raise ValueError("the response of the store is not a JSON object")
-        return status, fields
+        return status, fields, finding.era
+
+
+def _era_changed(revision, era):
+    """Return the error for a revision of another era than the store's."""
+    return exceptions.StoreUnavailable(
+        "revision %r is of another era than %d" % (revision, era), _ERA_CHANGED
+    )
 
 
 def _typed_field(response, name, kind):
@@ -277,12 +343,12 @@
     return base64.b64encode(value).decode("ascii")
 
 
-def _decode_entry(item):
+def _decode_entry(item, era):
     try:
         return entries.Entry(
             item["key"],
             base64.b64decode(item.get("value") or "", validate=True),
-            int(item.get("revision", 0)),
+            revisions.Revision(era, int(item.get("revision", 0))),
             int(item.get("lease", 0)),
         )
     except (KeyError, TypeError, ValueError) as error:
@@ -291,12 +357,13 @@
         ) from error
 
 
-def _decode_change(item):
+def _decode_change(item, era):
     try:
-        key, revision = item["key"], int(item["revision"])
+        key = item["key"]
+        revision = revisions.Revision(era, int(item["revision"]))
     except (KeyError, TypeError, ValueError) as error:
         raise exceptions.StoreUnavailable(
             "cannot decode an event of the store: %r" % error
         ) from error
-    entry = None if item.get("removed") else _decode_entry(item)
+    entry = None if item.get("removed") else _decode_entry(item, era)
     return entries.Change(key, entry, revision)
--- a/src/limpetlift/protocol/tunnel.py
+++ b/src/limpetlift/protocol/tunnel.py
@@ -49,6 +49,8 @@
 KEPT_RECORDS = 18
 UNLISTED_AGENTS_REQUEST = 19
 UNLISTED_AGENTS = 20
+# STORE_CHANGES with the era of the store.
+ERA_CHANGES = 21
 
 # Verdicts of an agent on a flow that a balancer searches for: whether its
 # backend server holds the flow.
@@ -89,6 +91,7 @@
 _QUERY = struct.Struct("!12sI")
 _VERDICT = struct.Struct("!12sB")
 _STORE_CHANGES = struct.Struct("!BQQ")
+_ERA = struct.Struct("!Q")
 # Flags of a load report.
 _ACCEPTING = 1
 _RECOVERING = 2
@@ -479,17 +482,26 @@
     :param after: a revision of the store.
     :param revision: a later or the same revision of the store.
     :param changes: list of :class:`KeyChange`, the oldest first.
+    :param era: the store's era that all these revisions belong to.
+
+    Without an era it is the message of earlier versions. With one it has a
+    kind that these versions reject, because they would compare revisions of
+    different eras; they then read the store themselves.
     """
 
     topic: int
     after: int
     revision: int
     changes: list
+    era: int = 0
 
     def encode(self):
         """Return the datagram."""
+        head = _HEADER.pack(_VERSION, STORE_CHANGES)
+        if self.era:
+            head = _HEADER.pack(_VERSION, ERA_CHANGES) + _ERA.pack(self.era)
         return (
-            _HEADER.pack(_VERSION, STORE_CHANGES)
+            head
             + _STORE_CHANGES.pack(self.topic, self.after, self.revision)
             + b"".join(change.encode() for change in self.changes)
         )
@@ -693,6 +705,17 @@
     return StoreChanges(topic, after, revision, changes)
 
 
+@registry.register(decoders_by_kind, ERA_CHANGES)
+def _decode_era_changes(body):
+    (era,) = _ERA.unpack_from(body)
+    if not era:
+        raise exceptions.MalformedMessage("changes of an era without a number")
+    message = _decode_store_changes(body[_ERA.size :])
+    return StoreChanges(
+        message.topic, message.after, message.revision, message.changes, era
+    )
+
+
 @registry.register(decoders_by_kind, UNLISTED_AGENTS_REQUEST)
 def _decode_unlisted_agents_request(_body):
     return UnlistedAgentsRequest()
--- a/src/limpetlift/state/knownagents.py
+++ b/src/limpetlift/state/knownagents.py
@@ -3,6 +3,7 @@
 import attrs
 
 from limpetlift.coordination import monitoring
+from limpetlift.coordination import revisions
 from limpetlift import defaults
 from limpetlift.protocol import hashing
 from limpetlift.protocol import tunnel
@@ -172,7 +173,9 @@
         newest_by_address = {}
         for entry in entries:
             other = newest_by_address.get(entry.address)
-            if other is None or entry.revision > other.revision:
+            if other is None or revisions.is_later_write(
+                entry.revision, other.revision
+            ):
                 newest_by_address[entry.address] = entry
         for entry in newest_by_address.values():
             agent = known.pop(entry.address, None)
@@ -183,8 +186,11 @@
                 replaced = agent
                 agent = KnownAgent(entry)
                 result.append(agent.event("agent_joined", replaced))
-            elif agent.has_left and entry.revision > agent.entry.revision:
-                # A later process has registered.
+            elif agent.has_left and revisions.is_later_in_era(
+                entry.revision, agent.entry.revision
+            ):
+                # A later process has registered. In another era it may be the
+                # entry of the one that has left.
                 agent.has_left = False
                 result.append(agent.event("agent_returned"))
             agent.entry = entry
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -155,6 +155,9 @@
     _pause_s: float = 0.0
     _is_catching_up: bool = False
     _swept_at: float = float("-inf")
+    # The routes in force as they were read, and the era of the store.
+    _routes_read: object = None
+    _routes_era: int = 0
     _choose: object = attrs.field(init=False)
     _admit: object = attrs.field(init=False)
 
@@ -222,9 +225,20 @@
 
     # Routes and directory.
 
-    def on_routes(self, now, routes):
-        """Put routes in force if they are newer than those in force."""
-        if routes.version <= self.routes.version:
+    def on_routes(self, now, routes, era=0):
+        """Put routes in force if they are newer than those in force.
+
+        In a later era of the store, other routes of the same version were
+        written since and are newer too.
+
+        :param era: era of the store in which they were read.
+        """
+        is_rewritten = (
+            routes.version == self.routes.version
+            and era > self._routes_era
+            and routes != self._routes_read
+        )
+        if routes.version <= self.routes.version and not is_rewritten:
             return [
                 steps.LogEvent(
                     "routes_ignored",
@@ -234,6 +248,8 @@
                     },
                 )
             ]
+        self._routes_era = era
+        self._routes_read = routes
         self.routes = routes.with_valid_fields_of(self.routes)
         return [
             steps.LogEvent(
@@ -241,6 +257,7 @@
                 fields={
                     "version": routes.version,
                     "routes": len(routes.routes_by_address),
+                    "era": era,
                 },
             )
         ] + [
--- a/src/limpetlift/state/unlisted.py
+++ b/src/limpetlift/state/unlisted.py
@@ -58,10 +58,11 @@
     def on_unproven(self, now, until):
         """Wait because the store may lack entries of agents that are alive.
 
-        :param until: when those that are alive have written them again.
+        :param until: when those that are alive have written them again;
+            infinite when that is not known yet.
         :returns: steps.
         """
-        if until <= max(now, self._unproven_until):
+        if until <= now or until == self._unproven_until:
             return []
         self._unproven_until = until
         self.is_complete = False
--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -39,6 +39,9 @@
         self._withdraw_backoff = backoff.Backoff(reactor, rng)
         self._check_backoff = backoff.Backoff(reactor, rng)
         self._is_checking = False
+        self._rng = rng
+        # Number of new eras of the store so far.
+        self._era_count = 0
         self._lease_s = lease_s
         self._lease = 0
         self._revision = 0
@@ -67,6 +70,28 @@
         self._is_written = False
         self._wakeup.set_value()
 
+    def on_era(self):
+        """Write the entry again, since the store has begun a new era.
+
+        The lease and the revision of the former era are void; another process
+        may have the same ones by now. The processes spread their writes over
+        :data:`~limpetlift.defaults.ERA_SPREAD_S`.
+        """
+        self._era_count += 1
+        self._revision = 0
+        self._lease = 0
+        if not self._is_written or self._is_withdrawing:
+            return
+        self._reactor.call_at(
+            clock.now() + self._rng.uniform(0.0, defaults.ERA_SPREAD_S),
+            self._write_again,
+        )
+
+    def _write_again(self):
+        if not self._is_withdrawing:
+            self._is_written = False
+            self._wakeup.set_value()
+
     def check_entry(self):
         """Read the entry; write it again if it is missing or another one.
 
@@ -151,6 +176,7 @@
             self._renew_at = now + defaults.ENTRY_RENEW_INTERVAL_S
 
     async def _write(self):
+        era_count = self._era_count
         try:
             self._revision = await self._store.compare_and_swap(
                 self._key, self._revision, self._value, self._lease
@@ -164,7 +190,8 @@
         except exceptions.LeaseEnded:
             self._lease = 0
             raise
-        self._is_written = True
+        # A lease of the former era may be in what was written.
+        self._is_written = era_count == self._era_count or not self._lease_s
         LOG.info(
             "entry_written",
             key=self._key,
--- a/src/limpetlift/tasks/following.py
+++ b/src/limpetlift/tasks/following.py
@@ -61,6 +61,9 @@
         self._on_unreachable = on_unreachable
         self._send = send
         self._observe = observe
+        self._rng = rng
+        # The revision after which a call in progress reads changes.
+        self._after = None
         self._is_reachable = True
         self._wakeup = reactors.Future()
 
@@ -69,9 +72,15 @@
         while True:
             await self._wait()
             next_call_at = clock.now() + defaults.FOLLOW_PAUSE_S
+            after = self.watch.revision
             try:
                 await self._update()
             except exceptions.CoordinationError as error:
+                if error.code == "era_changed":
+                    # The store answers, so it does not count as lost.
+                    self._on_era_changed(after)
+                    await self._reactor.sleep(next_call_at - clock.now())
+                    continue
                 self._log_transition(False, error)
                 if error.code == "compacted":
                     self.watch.on_compacted()
@@ -81,6 +90,41 @@
             self._backoff.reset()
             await self._reactor.sleep(next_call_at - clock.now())
 
+    def _on_era_changed(self, after):
+        """Read all entries again, unless that has been done meanwhile.
+
+        :param after: the revision that is of a former era, or None.
+        """
+        known = self.watch.revision
+        if known is not None and after is not None and known.era == after.era:
+            self.watch.on_compacted()
+
+    def on_era(self, era):
+        """Read all entries again when the store has begun a new era.
+
+        A call that waits for changes does not delay it. The balancers that
+        do not watch spread their reads over
+        :data:`~limpetlift.defaults.ERA_SPREAD_S`.
+
+        :param era: number of the era.
+        """
+        spread_s = self._rng.uniform(0.0, defaults.ERA_SPREAD_S)
+        if not self.watch.on_era(era, clock.now() + spread_s):
+            return
+        self.wake()
+        if self._after is not None:
+            self._reactor.spawn(self._read_anew())
+
+    async def _read_anew(self):
+        """Read all entries while a call that waits for changes hangs."""
+        await self._reactor.sleep(max(self.watch.call_at - clock.now(), 0.0))
+        if self.watch.revision is not None or self._after is None:
+            return
+        try:
+            await self._read_all()
+        except exceptions.CoordinationError as error:
+            LOG.warning("read_failed", prefix=self._prefix, error=error)
+
     def wake(self):
         """Check again whether the store has to be called now."""
         self._wakeup.set_value()
@@ -100,22 +144,32 @@
         after = self.watch.revision
         began_at = clock.now()
         if after is None:
-            entries, revision = await self._store.get_prefix(self._prefix)
-            _, messages = self.watch.on_read(
-                self._observe(), began_at, None, revision
-            )
-            self._on_snapshot(entries, revision)
-            self._send(messages, self.watch.role.receivers)
+            await self._read_all()
             return
-        changes, revision = await self._store.changes(
-            self._prefix, after, self.watch.wait_s
-        )
+        self._after = after
+        try:
+            changes, revision = await self._store.changes(
+                self._prefix, after, self.watch.wait_s
+            )
+        finally:
+            self._after = None
         new_changes, messages = self.watch.on_read(
             self._observe(), began_at, after, revision, changes
         )
         self._on_changes(new_changes)
         self._send(messages, self.watch.role.receivers)
 
+    async def _read_all(self):
+        """Read all entries and handle them, unless they are outdated."""
+        began_at = clock.now()
+        entries, revision = await self._store.get_prefix(self._prefix)
+        now = self._observe()
+        if self.watch.is_outdated(revision):
+            return
+        _, messages = self.watch.on_read(now, began_at, None, revision)
+        self._on_snapshot(entries, revision)
+        self._send(messages, self.watch.role.receivers)
+
     def on_message(self, message, is_outdated):
         """Handle changes that another balancer has read.
 
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -71,6 +71,10 @@
         self._is_announcing = False
         self.call_every(defaults.HOSTING_TICK_S, self.tick)
 
+    def on_era(self, era):
+        """Write the entry again in a new era of the store."""
+        self._announcer.on_era()
+
     # Messages, segments and reports.
 
     def _on_server_datagram(self, data, _address):
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -3,6 +3,7 @@
 from limpetlift import clock
 from limpetlift.coordination import directory as directories
 from limpetlift.coordination import entries
+from limpetlift.coordination import revisions
 from limpetlift.coordination import watching
 from limpetlift import defaults
 from limpetlift import exceptions
@@ -114,6 +115,18 @@
             follower.watch.on_pause(now)
             follower.wake()
 
+    def on_era(self, era):
+        """Read all entries again in a new era of the store.
+
+        Until they are back, no flow is proved lost.
+        """
+        self._directory.on_era(era)
+        self._announcer.on_era()
+        for follower in self._followers_by_topic.values():
+            follower.on_era(era)
+        if self._has_directory:
+            self._on_directory()
+
     # Segments and messages.
 
     def _on_segment(self, data, _address):
@@ -136,6 +149,7 @@
             LOG.warning("topic_unknown", topic=message.topic)
             return
         self.count("store_changes_received")
+        self.store.learn_era(message.era)
         follower.on_message(message, self.is_catching_up)
 
     def decide(self, decision):
@@ -211,14 +225,18 @@
                 "routes_unreadable", revision=entry.mod_revision, error=error
             )
             return False
-        self.perform(self.decisions.on_routes(clock.now(), routes))
+        era = revisions.of(entry.mod_revision).era
+        self.perform(self.decisions.on_routes(clock.now(), routes, era))
         return True
 
     def _on_entries(self, snapshot, revision):
-        self._directory.on_snapshot(
+        """Update the directory from a list; return whether it was used."""
+        is_used = self._directory.on_snapshot(
             clock.now(), [_strip_prefix(entry) for entry in snapshot], revision
         )
-        self._on_directory()
+        if is_used:
+            self._on_directory()
+        return is_used
 
     def _on_entry_changes(self, changes):
         self._directory.on_changes(
@@ -277,10 +295,12 @@
                 snapshot, revision = await self.store.get_prefix(
                     segmentprocess.KEY_PREFIX
                 )
-                self._on_entries(snapshot, revision)
-                self.perform(
-                    self.decisions.on_directory_read(clock.now(), started_at)
-                )
+                if self._on_entries(snapshot, revision):
+                    self.perform(
+                        self.decisions.on_directory_read(
+                            clock.now(), started_at
+                        )
+                    )
                 # The next read serves all searches that request one during
                 # this pause.
                 await self.reactor.sleep(defaults.DIRECTORY_READ_PAUSE_S)
@@ -338,6 +358,7 @@
             "routes_version": self.decisions.routes.version,
             "flows": len(self.decisions.flows_by_key),
             "agents": len(self._directory.agents()),
+            "store_era": self._directory.era,
         }
 
     async def stop(self):
--- a/src/limpetlift/tasks/segmentprocess.py
+++ b/src/limpetlift/tasks/segmentprocess.py
@@ -113,6 +113,7 @@
             self.store = self.deployment.connect_store(
                 self.reactor, self.settings.store, self.measure
             )
+            self.store.watch_era(self._on_era_finding)
             self.start()
             self.call_every(defaults.SETTINGS_POLL_INTERVAL_S, self._reload)
             LOG.info(
@@ -138,6 +139,21 @@
         finally:
             self.reactor.stop()
 
+    def _on_era_finding(self, finding):
+        """Log what is known of the store's era; handle a new one."""
+        self.count(finding.event)
+        log = LOG.info if finding.event == "store_era_known" else LOG.warning
+        log(finding.event, **finding.fields)
+        if finding.is_new:
+            self.on_era(finding.era)
+
+    def on_era(self, era):
+        """Handle that the store has begun a new era.
+
+        :param era: its number.
+        """
+        raise NotImplementedError
+
     def start(self):
         """Open sockets and start timers and tasks."""
         raise NotImplementedError
--- a/src/limpetlift/transport/http1.py
+++ b/src/limpetlift/transport/http1.py
@@ -276,21 +276,25 @@
     :param status: status code.
     :param body: body as bytes.
     :param content_type: media type of the body.
+    :param headers: ``(name, value)`` of each further header.
     """
 
     status: int
     body: bytes = b"{}"
     content_type: str = "application/json"
+    headers: tuple = ()
 
     def encode(self):
         """Return the response as bytes."""
         return (
-            "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n"
+            "HTTP/1.1 %d %s\r\n"
+            "Content-Type: %s\r\nContent-Length: %d\r\n%s\r\n"
             % (
                 self.status,
                 _REASONS_BY_STATUS.get(self.status, ""),
                 self.content_type,
                 len(self.body),
+                "".join("%s: %s\r\n" % header for header in self.headers),
             )
         ).encode("ascii") + self.body
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,7 +2,7 @@
 
     python tests/soak.py [--seed N] [--seconds S] [--runs N]
         [--without PROTECTION] [--keep FOLDER] [--freezes] [--keepers]
-        [--reuse [FAULT]]
+        [--reuse [FAULT]] [--restores [FAULT]]
 
 Balancers and agents run as processes; callers, backend servers, the fabric
 and the store are stand-ins in this process. Faults follow each other and
@@ -11,7 +11,9 @@
 refuses calls, ends leases, loses answers, removes entries or forgets its
 history; segments on the way to balancers are lost. With ``--reuse``, servers
 are lost for good and their addresses are given to servers of the other
-service. The same seed gives the same faults at the same times.
+service. With ``--restores``, the store is away for a moment and comes back
+from an older copy, in a new era. The same seed gives the same faults at the
+same times.
 
 The run checks what callers and servers observe:
 
@@ -57,6 +59,10 @@
 # from these.
 reuse_faults_by_name = {}
 
+# Faults of a store that comes back from an older copy; used with
+# ``restores``.
+restore_faults_by_name = {}
+
 _BALANCER_COUNT = 2
 # With more balancers than keepers, most of them do not know a flow.
 _BALANCER_COUNT_WITH_KEEPERS = 6
@@ -74,6 +80,11 @@
 # All balancers use a new configuration after this time.
 _CONFIG_DELAY_S = 3.0
 _CONFIG_KEY = "op/config"
+# Ages of the copies from which the store comes back, in seconds.
+_COPY_AGES_S = (1.0, 3.0, 10.0)
+_COPY_INTERVAL_S = 0.5
+# The operators write the configuration again within this time, in seconds.
+_REWRITE_AFTER_S = (0.0, 1.5)
 
 
 class SoakRun:
@@ -89,6 +100,8 @@
         hits those that keep the record of a flow or wait at the store.
     :param reuse: whether every second fault gives addresses of lost servers
         to the other service; or the name of the only such fault.
+    :param restores: whether every second fault lets the store come back from
+        an older copy; or the name of the only such fault.
     """
 
     def __init__(
@@ -100,6 +113,7 @@
         freezes=False,
         keepers=False,
         reuse=False,
+        restores=False,
     ):
         self.disabled_protection = disabled_protection
         self.reuse = reuse
@@ -107,8 +121,11 @@
         self._preferred_faults = {
             **(freezes_by_name if freezes else {}),
             **(keeper_faults_by_name if keepers else {}),
-            **_select_reuse_faults(reuse),
+            **_select_faults(reuse_faults_by_name, reuse),
+            **_select_faults(restore_faults_by_name, restores),
         }
+        self._restores = restores
+        self._config_value = b""
         # Faults have a generator of their own: how often traffic draws numbers
         # depends on the speed of the machine and must not change the faults.
         self.traffic_rng = random.Random(seed)
@@ -207,7 +224,12 @@
             "routes": routes,
             "limits": {"idle_timeout_ms": 15000},
         }
-        self.store.put(_CONFIG_KEY, json.dumps(value).encode())
+        self._config_value = json.dumps(value).encode()
+        self.store.put(_CONFIG_KEY, self._config_value)
+
+    def rewrite_config(self):
+        """Write the last version of the configuration again."""
+        self.store.put(_CONFIG_KEY, self._config_value)
 
     # Called by the stand-ins.
 
@@ -311,6 +333,10 @@
             )
             self.reactor.call_every(_PROBE_INTERVAL_S, self._probe_balancers)
             self.reactor.call_every(0.3, self._restart_programs)
+            if self._restores:
+                self.store.era = "3"
+                self.store.keep_copy()
+                self.reactor.call_every(_COPY_INTERVAL_S, self.store.keep_copy)
             self.reactor.call_at(clock.now() + 2.0, self._open_callers)
             self.reactor.spawn(self._inject_faults())
             self.reactor.run()
@@ -412,10 +438,11 @@
         self.reactor.stop()
 
 
-def _select_reuse_faults(reuse):
-    if reuse in (False, True):
-        return reuse_faults_by_name if reuse else {}
-    return {reuse: registry.lookup(reuse_faults_by_name, reuse, "fault")}
+def _select_faults(faults, selection):
+    """Return all faults of a registry, none, or the one that is named."""
+    if selection in (False, True):
+        return faults if selection else {}
+    return {selection: registry.lookup(faults, selection, "fault")}
 
 
 def _alternate(values, number):
@@ -725,6 +752,66 @@
     soak_run.store.oldest = soak_run.store.revision
 
 
+async def _restore(soak_run, age_s, away_s=0.0):
+    """Let the store come back from a copy; the operators write again."""
+    if away_s:
+        soak_run.store.status = 503
+        await soak_run.reactor.sleep(away_s)
+    soak_run.store.status = None
+    soak_run.store.restore(age_s)
+    await soak_run.reactor.sleep(soak_run.fault_rng.uniform(*_REWRITE_AFTER_S))
+    soak_run.rewrite_config()
+
+
+@registry.register(restore_faults_by_name, "restore")
+async def _restore_once(soak_run, duration_s):
+    age_s = soak_run.fault_rng.choice(_COPY_AGES_S)
+    await _restore(soak_run, age_s, duration_s)
+
+
+@registry.register(restore_faults_by_name, "restore_twice")
+async def _restore_twice(soak_run, _duration_s):
+    """Restore the store again before entries are back."""
+    for age_s in soak_run.fault_rng.sample(_COPY_AGES_S, 2):
+        await _restore(soak_run, age_s, 0.3)
+
+
+@registry.register(restore_faults_by_name, "restore_with_former_answers")
+async def _restore_with_former_answers(soak_run, duration_s):
+    """Let some reads be answered from the state before."""
+    age_s = soak_run.fault_rng.choice(_COPY_AGES_S)
+    soak_run.store.former_reads = 12
+    await _restore(soak_run, age_s, min(duration_s, 0.5))
+
+
+@registry.register(restore_faults_by_name, "restore_during_release")
+async def _restore_during_release(soak_run, duration_s):
+    """Replace all balancers and an agent around a restore."""
+    age_s = soak_run.fault_rng.choice(_COPY_AGES_S)
+    agent = soak_run.fault_rng.choice(soak_run.agents)
+    soak_run.reactor.spawn(_replace_balancers(soak_run, duration_s))
+    agent.send_signal(signal.SIGTERM)
+    await soak_run.reactor.sleep(1.0)
+    await _restore(soak_run, age_s, min(duration_s, 1.0))
+
+
+@registry.register(restore_faults_by_name, "restore_during_drain")
+async def _restore_during_drain(soak_run, duration_s):
+    age_s = soak_run.fault_rng.choice(_COPY_AGES_S)
+    server = soak_run.fault_rng.choice(soak_run.servers)
+    soak_run.reactor.spawn(_drain_and_restart(soak_run, server, duration_s))
+    await soak_run.reactor.sleep(1.0)
+    await _restore(soak_run, age_s, min(duration_s, 1.0))
+
+
+@registry.register(restore_faults_by_name, "restore_during_config")
+async def _restore_during_config(soak_run, duration_s):
+    """Restore a copy without the version that was written just before."""
+    soak_run.write_config()
+    await soak_run.reactor.sleep(0.3)
+    await _restore(soak_run, 1.0, min(duration_s, 1.0))
+
+
 @registry.register(faults_by_name, "config")
 async def _change_config(soak_run, _duration_s):
     soak_run.write_config()
@@ -759,6 +846,7 @@
     freezes=False,
     keepers=False,
     reuse=False,
+    restores=False,
 ):
     """Run the soak, print violations and exit with 1 if there are any.
 
@@ -772,6 +860,8 @@
         record of a flow or wait at the store.
     :param reuse: whether every second fault gives addresses of lost servers
         to the other service; or the name of the only such fault.
+    :param restores: whether every second fault lets the store come back from
+        an older copy; or the name of the only such fault.
     """
     first_seed = random.randrange(1 << 30) if seed is None else seed
     failed_runs = 0
@@ -785,6 +875,7 @@
                 freezes=freezes,
                 keepers=keepers,
                 reuse=reuse,
+                restores=restores,
             )
             requests_answered = sum(
                 caller.requests_answered for caller in soak_run.callers
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
 import segmentkit as kit
 
 from limpetlift import clock
+from limpetlift.coordination import revisions
 from limpetlift.coordination import watching
 from limpetlift import defaults
 from limpetlift import exceptions
@@ -416,7 +417,7 @@
     assert [entry.key for entry in entries] == [
         "x/%d" % number for number in range(5)
     ]
-    assert revision == standin.revision
+    assert revision == revisions.Revision(0, standin.revision)
 
 
 def test_changes_and_lost_history(reactor, standin):
@@ -430,7 +431,7 @@
     standin.remove("x/1")
     changes, revision = _run(reactor, client.changes("x/", start, 0.1))
     assert [change.entry is None for change in changes] == [False, True]
-    assert revision == standin.revision
+    assert revision == revisions.Revision(0, standin.revision)
     standin.oldest = standin.revision
     with pytest.raises(exceptions.StoreUnavailable) as caught:
         _run(reactor, client.changes("x/", start, 0.1))
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -9,6 +9,7 @@
 import pytest
 
 from limpetlift.coordination import entries
+from limpetlift.coordination import revisions
 from limpetlift.coordination import watching
 from limpetlift import defaults
 from limpetlift import exceptions
@@ -147,7 +148,7 @@
         tunnel.StoreChanges(1, 5, 7, [tunnel.KeyChange("x/1", None, 7)]),
     )
     changes, _ = watch.on_read(1.1, 0.9, 5, 6, [_change(6)])
-    assert changes == [] and watch.revision == 7
+    assert changes == [] and watch.revision == revisions.Revision(0, 7)
 
 
 def test_an_answer_that_waited_through_a_pause_confirms_nothing():
@@ -223,12 +224,13 @@
             for change in receiver.on_message(1.0, tunnel.decode(data)):
                 known.add(change.key)
     for change in changes:
-        assert (change.key in known) or receiver.revision < change.revision
+        revision_of_change = revisions.of(change.revision)
+        assert (change.key in known) or receiver.revision < revision_of_change
     is_last_known = messages and len(messages) - 1 not in lost
-    if is_last_known and receiver.revision < revision + tail:
+    if is_last_known and receiver.revision.number < revision + tail:
         assert receiver.call_at < 1.0
     for change in changes:
-        if change.revision <= receiver.revision:
+        if change.revision <= receiver.revision.number:
             assert change.key in known
 
 
@@ -336,7 +338,7 @@
             self.at(self.now + _CALL_TIMEOUT_S, self._call, balancer)
             return
         began_at = self.now
-        after = balancer.watch.revision
+        after = balancer.watch.revision.number
         is_answered = []
 
         def answer():
