Wait for entries in a balancer that starts while the era changes

Cause: a balancer that learns of a new era before its first list took that list for complete.

Change: the directory counts the first list as unproven when an era was raised before it; the era of a first list alone is not taken for new.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -173,7 +173,11 @@
         if revision.era < self.era:
             return False
         self.on_reachable(now)
-        self.on_era(revision.era)
+        if self._has_snapshot or self._tracked_by_key:
+            self.on_era(revision.era)
+        elif revision.era > self.era:
+            # The era of the first list is not known to be new.
+            self._enter_era(revision.era)
         self._has_snapshot = True
         if self.unproven_until == float("inf"):
             self.unproven_until = now + defaults.LAPSED_ENTRY_GRACE_S
@@ -223,15 +227,17 @@
         """
         if era <= self.era:
             return False
+        self.unproven_until = float("inf")
+        self._enter_era(era)
+        return True
+
+    def _enter_era(self, era):
+        """Replace all revisions, which are void, by one before any write."""
         self.era = era
         self._expired_revision = revisions.Revision(era, 0)
-        if not (self._has_snapshot or self._tracked_by_key):
-            return True
-        self.unproven_until = float("inf")
         for tracked in self._tracked_by_key.values():
             tracked.revision = revisions.Revision(era, 0)
             tracked.older = None
-        return True
 
     def on_unreachable(self):
         """Record that the store does not answer."""
--- a/tests/decoderfuzz.py
+++ b/tests/decoderfuzz.py
@@ -100,6 +100,9 @@
             2,
             [tunnel.KeyChange("agents/x", kit.agent(1).encode(), 0)],
         ),
+        tunnel.StoreChanges(
+            1, 5, 7, [tunnel.KeyChange("x/1", b"value", 7)], 4
+        ),
         tunnel.StoreChanges(
             1,
             5,
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -573,6 +573,23 @@
     assert balancer.is_proved(100.4 + _GRACE_S, 4, kit.agent(1))
 
 
+@pytest.mark.parametrize("has_seen_change", [True, False])
+def test_a_balancer_that_starts_during_the_change_waits(has_seen_change):
+    """It has no list of the former era, but an answer or a message of it.
+
+    One that has only seen the new era proves at once, as on a calm day.
+    """
+    agents_directory = directory.Directory()
+    if has_seen_change:
+        agents_directory.on_era(4)
+    agents_directory.on_snapshot(
+        10.0, [_entry(kit.agent(1), _at(4, 5))], _at(4, 5)
+    )
+    wait_until = 10.0 + _GRACE_S if has_seen_change else float("-inf")
+    assert agents_directory.unproven_until == wait_until
+    assert agents_directory.agents() == [kit.agent(1)]
+
+
 def test_an_entry_that_stays_missing_is_gone():
     """A dead agent must not keep callers of its flows from their proof."""
     fake_store = _FakeStore()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -79,6 +79,24 @@
     assert not soak_run.violations
 
 
+def test_no_promise_breaks_when_the_store_is_restored(tmp_path):
+    """A store that comes back from an older copy must cost no open flow.
+
+    Half of the faults restore it, twice in a row, beside former answers, and
+    during a release, a drain and a change of the configuration. Balancers
+    that do not know the flows are started between two of them.
+    """
+    soak_run = soak.SoakRun(7, 12.0, tmp_path, restores=True)
+    soak_run.first_faults = [
+        "restore",
+        "kill_balancers",
+        "restore_twice",
+        "restore_with_former_answers",
+    ]
+    assert not soak_run.run()
+    assert int(soak_run.store.era) >= 6
+
+
 def test_soak_detects_flows_of_another_service(tmp_path):
     """Agents that take flows of any service must break a promise.
 
