Keep what is known through two new eras in a row

Cause: the mark of entries that may be older than the era was derived from the first list of one era, and was lost when another one began before its grace time had ended. Entries that had lapsed before an era expired within its grace time.

Change: each tracked entry carries the mark; in the first list of an era the grace time of missing entries begins anew, and nothing expires before that list.

Measured: tests/test_eras.py, test_directory.py, test_unproven.py and test_unlisted.py pass; both new tests fail without the change.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -114,6 +114,8 @@
         for as long as the process itself reports.
     :param older: the entry that a new era's first list had under the same
         key, or None. It takes effect when ``entry`` expires.
+    :param may_be_older: whether it is known only from the first list of a new
+        era, whose grace time has not ended.
     """
 
     entry: ProcessEntry
@@ -121,6 +123,7 @@
     expires_at: object = None
     kept_by_reports: bool = True
     older: object = None
+    may_be_older: bool = False
 
 
 @structs.define
@@ -192,6 +195,7 @@
                 self._put(now, entry)
         for key in set(self._tracked_by_key) - present_keys:
             if self._tracked_by_key[key].revision <= revision:
+                self._tracked_by_key[key].older = None
                 self._remove(now, key)
         return True
 
@@ -234,6 +238,7 @@
     def _enter_era(self, era):
         """Replace all revisions, which are void, by one before any write."""
         self.era = era
+        self._first_revision = None
         self._expired_revision = revisions.Revision(era, 0)
         for tracked in self._tracked_by_key.values():
             tracked.revision = revisions.Revision(era, 0)
@@ -290,7 +295,12 @@
             known.older = decoded
             self._remove(now, entry.key)
             return
-        self._tracked_by_key[entry.key] = _TrackedEntry(decoded, revision)
+        self._tracked_by_key[entry.key] = _TrackedEntry(
+            decoded,
+            revision,
+            may_be_older=self._may_be_older(revision)
+            and (known is None or known.may_be_older),
+        )
 
     def _may_be_older(self, revision):
         """Whether a write may be from before the present era.
@@ -305,10 +315,15 @@
     def _remove(self, now, key):
         """Let an entry expire that is not in the store any more."""
         tracked = self._tracked_by_key[key]
-        if tracked.expires_at is None:
-            tracked.expires_at = now + defaults.LAPSED_ENTRY_GRACE_S
+        if self._first_revision is not None:
             # An older copy that lacks an entry does not show that it lapsed.
-            tracked.kept_by_reports = self._first_revision is not None or (
+            tracked.expires_at = max(
+                tracked.expires_at or now, self.unproven_until
+            )
+            tracked.kept_by_reports = True
+        elif tracked.expires_at is None:
+            tracked.expires_at = now + defaults.LAPSED_ENTRY_GRACE_S
+            tracked.kept_by_reports = (
                 now - self._store_reachable_since
                 > defaults.LAPSED_ENTRY_GRACE_S
             )
@@ -332,13 +347,18 @@
 
         :param is_reporting: function of a :class:`ProcessEntry`; returns
             whether the process itself reported recently.
-        :returns: whether an entry was deleted or replaced by an older one.
+        :returns: whether the result of :meth:`agents` or of
+            :meth:`balancers` may have changed.
         """
+        if self.unproven_until == float("inf"):
+            return False
         has_settled = (
             self._first_revision is not None and now >= self.unproven_until
         )
         if has_settled:
             self._first_revision = None
+            for tracked in self._tracked_by_key.values():
+                tracked.may_be_older = False
         expired_keys = [
             key
             for key, tracked in self._tracked_by_key.items()
@@ -390,29 +410,26 @@
         During the grace time of an era, an entry that may be older than it
         yields to the one that is known at its address.
         """
-        found = self._entries(AGENTS_PREFIX)
-        if self._first_revision is None:
-            return found
+        tracked_agents = self._of_prefix(AGENTS_PREFIX)
         known_addresses = {
-            entry.address
-            for entry in found
-            if revisions.of(entry.revision).era != self.era
+            tracked.entry.address
+            for tracked in tracked_agents
+            if not tracked.may_be_older
         }
         return [
-            entry
-            for entry in found
-            if revisions.of(entry.revision).era != self.era
-            or entry.address not in known_addresses
-            or not self._may_be_older(revisions.of(entry.revision))
+            tracked.entry
+            for tracked in tracked_agents
+            if not tracked.may_be_older
+            or tracked.entry.address not in known_addresses
         ]
 
     def balancers(self):
         """Return the entries of the balancers."""
-        return self._entries(BALANCERS_PREFIX)
+        return [tracked.entry for tracked in self._of_prefix(BALANCERS_PREFIX)]
 
-    def _entries(self, prefix):
+    def _of_prefix(self, prefix):
         return [
-            tracked.entry
+            tracked
             for key, tracked in self._tracked_by_key.items()
             if key.startswith(prefix)
         ]
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -675,6 +675,50 @@
     assert balancer.steering.agents.of_services(["photos"]) == []
 
 
+def test_a_replaced_address_stays_so_when_two_eras_follow():
+    """The second era begins before the grace time of the first has ended."""
+    fake_store = _FakeStore()
+    former = kit.agent(1, "photos")
+    present = attrs.evolve(kit.agent(1, "desk"), process_id="agent-7")
+    fake_store.write(0.0, former)
+    fake_store.remove(99.5, former)
+    fake_store.write(99.5, present)
+    balancer = _Balancer(fake_store, 100.0)
+    fake_store.restore(100.0, 1.0)
+    balancer.read(100.1)
+    fake_store.restore(101.0, 0.1)
+    balancer.directory.on_era(5)
+    balancer.update(101.1)
+    assert balancer.agent_ids == ["agent-7"]
+    balancer.read(101.2)
+    assert balancer.agent_ids == ["agent-7"]
+    balancer.update(101.3 + _GRACE_S)
+    assert balancer.agent_ids == ["agent-1"]
+
+
+def test_an_entry_that_lapsed_before_is_kept_through_a_new_era():
+    """What was known as lapsed in an outage may have been back in the store.
+
+    It is lost again with the copy, so its grace time begins anew.
+    """
+    fake_store = _FakeStore()
+    fake_store.write(0.0, kit.agent(1))
+    fake_store.write(0.0, kit.agent(2))
+    balancer = _Balancer(fake_store, 100.0)
+    balancer.directory.on_unreachable()
+    fake_store.remove(100.5, kit.agent(2))
+    balancer.read(101.0)
+    balancer.directory.on_era(4)
+    balancer.update(101.5 + _GRACE_S)
+    assert balancer.agent_ids == ["agent-1", "agent-2"]
+    fake_store.restore(103.0, 0.5)
+    balancer.read(104.0)
+    balancer.update(103.9 + _GRACE_S)
+    assert balancer.agent_ids == ["agent-1", "agent-2"]
+    balancer.update(104.1 + _GRACE_S)
+    assert balancer.agent_ids == ["agent-1"]
+
+
 def test_an_older_entry_of_a_process_waits_for_the_known_one():
     """The copy may have a process with the address that it had before.
 
