Mark eras in which entries had time to come back

Cause: a balancer that starts within 2 s after the store came back from an older copy, without a failed call, took its first list for complete. The balancers that knew better may be missing in it too.

Change: 2 s after the first list of an era the watchers write its number to limpetlift/era, once for each era. A balancer whose first list lacks that mark proves no flow lost for 2 s. Stores without eras have none.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -20,6 +20,9 @@
 
 AGENTS_PREFIX = "agents/"
 BALANCERS_PREFIX = "balancers/"
+# Key of the last era in which processes had time to write their entries again.
+# A copy of the store has that of an earlier era.
+ERA_KEY = "era"
 
 
 @structs.frozen
@@ -150,6 +153,8 @@
     # the first list of a new era.
     unproven_until: float = float("-inf")
     era: int = 0
+    # Entry of ERA_KEY, or None.
+    _mark: object = None
     # Revision of the first list of this era, until the grace time has ended.
     _first_revision: object = None
     _has_snapshot: bool = False
@@ -181,10 +186,21 @@
         elif revision.era > self.era:
             # The era of the first list is not known to be new.
             self._enter_era(revision.era)
+        is_first = not self._has_snapshot
         self._has_snapshot = True
         if self.unproven_until == float("inf"):
             self.unproven_until = now + defaults.LAPSED_ENTRY_GRACE_S
             self._first_revision = revision
+        self._mark = None
+        for entry in snapshot:
+            if entry.key == ERA_KEY:
+                self._mark = entry
+        snapshot = [entry for entry in snapshot if entry.key != ERA_KEY]
+        if is_first and not self._is_marked:
+            # The era may have begun a moment ago, and the balancers that saw
+            # it begin may be among the missing entries.
+            self.unproven_until = now + defaults.LAPSED_ENTRY_GRACE_S
+            self._first_revision = revision
         present_keys = {entry.key for entry in snapshot}
         for entry in snapshot:
             # An unknown entry in an outdated read was removed since.
@@ -210,6 +226,9 @@
             revision = revisions.of(change.revision)
             if revision.era != self.era:
                 continue
+            if change.key == ERA_KEY:
+                self._mark = change.entry
+                continue
             if change.entry is not None:
                 self._put(now, change.entry)
                 continue
@@ -235,6 +254,35 @@
         self._enter_era(era)
         return True
 
+    @property
+    def _is_marked(self):
+        """Whether the entries of this era are known to be back."""
+        return not self.era or (
+            self._mark is not None
+            and revisions.of(self._mark.mod_revision).era == self.era
+            and self._mark.value == b"%d" % self.era
+        )
+
+    def missing_mark(self, now):
+        """Return the write that marks this era, as its entries are back.
+
+        :returns: ``(revision, value)``: the revision of the last write of
+            :data:`ERA_KEY`, or 0, and the value as bytes; None when there is
+            nothing to write.
+        """
+        if (
+            not self._has_snapshot
+            or self._is_marked
+            or now < self.unproven_until
+        ):
+            return None
+        revision = 0
+        if self._mark is not None:
+            revision = revisions.of(self._mark.mod_revision)
+            if revision.era != self.era:
+                return None
+        return revision, b"%d" % self.era
+
     def _enter_era(self, era):
         """Replace all revisions, which are void, by one before any write."""
         self.era = era
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -38,6 +38,7 @@
         self._directory = directories.Directory()
         self._has_directory = False
         self._is_reading = False
+        self._is_marking = False
         self._is_read_requested = False
         self._is_flush_scheduled = False
         self._last_segment_at = clock.now()
@@ -338,6 +339,30 @@
             self._entry_key
         ):
             self._announcer.on_entry_missing()
+        watch = self._followers_by_topic[_DIRECTORY_TOPIC].watch
+        mark = self._directory.missing_mark(now)
+        if mark is not None and watch.role.is_watcher:
+            self.reactor.spawn(self._mark_era(*mark))
+
+    async def _mark_era(self, revision, value):
+        """Let balancers that start know that entries of this era are back."""
+        if self._is_marking:
+            return
+        self._is_marking = True
+        try:
+            await self.store.compare_and_swap(
+                segmentprocess.KEY_PREFIX + directories.ERA_KEY,
+                revision,
+                value,
+            )
+            LOG.info("store_era_marked", era=value.decode("ascii"))
+        except exceptions.StoreConflict:
+            # Another balancer was first; its write is read as a change.
+            pass
+        except exceptions.CoordinationError as error:
+            LOG.warning("mark_failed", error=error)
+        finally:
+            self._is_marking = False
 
     def _start_removing_silent(self):
         self.reactor.spawn(self._remove_silent())
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -464,7 +464,9 @@
 
     def list(self):
         """Return a list of all entries and its revision."""
-        return list(self._entries_by_id.values()), _at(self.era, self.number)
+        mark = entries.Entry(directory.ERA_KEY, b"%d" % 3, _at(self.era, 1))
+        found = [mark, *self._entries_by_id.values()]
+        return found, _at(self.era, self.number)
 
 
 class _Balancer:
@@ -577,19 +579,55 @@
 def test_a_balancer_that_starts_during_the_change_waits(has_seen_change):
     """It has no list of the former era, but an answer or a message of it.
 
-    One that has only seen the new era proves at once, as on a calm day.
+    One that has only seen the new era, in which entries had time to come
+    back, proves at once, as on a calm day.
     """
+    mark = entries.Entry(directory.ERA_KEY, b"4", _at(4, 4))
     agents_directory = directory.Directory()
     if has_seen_change:
         agents_directory.on_era(4)
     agents_directory.on_snapshot(
-        10.0, [_entry(kit.agent(1), _at(4, 5))], _at(4, 5)
+        10.0, [_entry(kit.agent(1), _at(4, 5)), mark], _at(4, 5)
     )
     wait_until = 10.0 + _GRACE_S if has_seen_change else float("-inf")
     assert agents_directory.unproven_until == wait_until
     assert agents_directory.agents() == [kit.agent(1)]
 
 
+# Guards against resets by a balancer that started 0.01 s after the store was
+# back, and whose list lacked nearly all agents and the other balancer.
+@pytest.mark.parametrize("mark", [None, b"3", b"x", b""])
+def test_a_balancer_that_starts_right_after_the_change_waits(mark):
+    """It saw no failed call, and nobody is left whom it could ask.
+
+    The copy has no mark of this era. After the wait the era is marked.
+    """
+    listed = [_entry(kit.agent(1), _at(4, 5))]
+    if mark is not None:
+        listed.append(entries.Entry(directory.ERA_KEY, mark, _at(4, 3)))
+    agents_directory = directory.Directory()
+    agents_directory.on_snapshot(10.0, listed, _at(4, 5))
+    settled_at = 10.0 + _GRACE_S
+    assert agents_directory.unproven_until == settled_at
+    assert not agents_directory.unreadable_by_key
+    assert agents_directory.missing_mark(settled_at - 0.1) is None
+    revision, value = agents_directory.missing_mark(settled_at)
+    assert value == b"4" and revision == (0 if mark is None else _at(4, 3))
+    written = entries.Entry(directory.ERA_KEY, value, _at(4, 6))
+    agents_directory.on_changes(
+        13.0, [entries.Change(directory.ERA_KEY, written, _at(4, 6))]
+    )
+    assert agents_directory.missing_mark(13.0) is None
+
+
+def test_a_store_without_eras_is_not_marked():
+    """Its deployments must neither wait nor write."""
+    agents_directory = directory.Directory()
+    agents_directory.on_snapshot(10.0, [_entry(kit.agent(1), 5)], 5)
+    assert agents_directory.unproven_until == float("-inf")
+    assert agents_directory.missing_mark(20.0) is None
+
+
 def test_an_entry_that_stays_missing_is_gone():
     """A dead agent must not keep callers of its flows from their proof."""
     fake_store = _FakeStore()
