--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -347,8 +347,13 @@
 HELLO_INTERVAL_S = 0.5
 # An agent that stops notifies the balancers that contacted it this recently.
 HELLO_MAX_AGE_S = 2.0
-# An agent that heard no balancer for this long announces itself again.
-REANNOUNCE_AFTER_S = 5.0
+# An agent that heard no balancer for this long reads its entry in the store,
+# and writes it again if it is missing. Two hellos may be lost. Balancers that
+# start in an outage know an agent by its entry alone and wait for it for
+# LAPSED_ENTRY_GRACE_S after the outage.
+ENTRY_CHECK_AFTER_S = 1.0
+# Between two such reads while no balancer is heard.
+ENTRY_CHECK_INTERVAL_S = 1.0
 # A balancer that heard no agent for this long cannot serve callers.
 AGENTS_SILENT_AFTER_S = 1.2
 # Flows placed this recently may be missing in an agent's answer, which the
@@ -462,6 +467,10 @@
 LAPSED_ENTRY_GRACE_S = 2.0
 ENTRY_LEASE_S = 6.0
 ENTRY_RENEW_INTERVAL_S = 2.0
+# In a new era of the store, processes spread their reads of all entries and
+# the writes of their own ones over this time. It is well below the time in
+# which entries are back.
+ERA_SPREAD_S = 0.5
 # After a failed call; doubled up to the maximum, with jitter.
 ANNOUNCE_RETRY_S = 0.2
 ANNOUNCE_RETRY_MAX_S = 1.0
--- a/src/limpetlift/scheduling/evacuation.py
+++ b/src/limpetlift/scheduling/evacuation.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from limpetlift.coordination import revisions
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift.state import steps
@@ -21,12 +22,13 @@
     """A change of the evacuation of one data centre in the store.
 
     :param data_centre: name of the data centre, as the operator wrote it.
-    :param revision: the store's revision of the change.
+    :param revision: the store's revision of the change, as of
+        :mod:`limpetlift.coordination.revisions`.
     :param is_evacuated: whether the evacuation began, or ended.
     """
 
     data_centre: str
-    revision: int
+    revision: object
     is_evacuated: bool = True
 
 
@@ -41,7 +43,7 @@
     :param is_checked: whether it was checked that the data centre is known.
     """
 
-    revision: int
+    revision: object
     began_at: float
     ends_at: object = None
     is_checked: bool = False
@@ -129,7 +131,9 @@
                 continue
             known = self.by_data_centre.get(change.data_centre)
             # A full read may have had later writes than its revision tells.
-            if known is not None and change.revision > known.revision:
+            if known is not None and revisions.is_later_write(
+                change.revision, known.revision
+            ):
                 result.append(
                     self._end(now, change.data_centre, "removed", change)
                 )
@@ -143,7 +147,9 @@
         data_centre = change.data_centre
         known = self.by_data_centre.get(data_centre)
         if known is not None:
-            if is_listed or change.revision > known.revision:
+            if is_listed or revisions.is_later_write(
+                change.revision, known.revision
+            ):
                 known.revision = change.revision
                 known.ends_at = None
             return []
--- a/src/limpetlift/scheduling/rotation.py
+++ b/src/limpetlift/scheduling/rotation.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from limpetlift.coordination import revisions
 from limpetlift import defaults
 from limpetlift import structs
 
@@ -194,7 +195,8 @@
     choice: Choice = attrs.field(default=Choice(None, "no_directory"))
     _known_until_by_id: dict = attrs.field(factory=dict)
     _listed: dict = attrs.field(factory=dict)
-    _revision: int = 0
+    # Of the newest entry, for logs.
+    _revision: object = 0
     _decided_at: object = None
     _excluded_since: object = None
 
@@ -215,7 +217,8 @@
             if entry.data_centre != self.data_centre:
                 continue
             self._known_until_by_id[entry.process_id] = known_until
-            self._revision = max(self._revision, entry.revision)
+            if revisions.is_later_write(entry.revision, self._revision):
+                self._revision = entry.revision
             if not entry.is_leaving and entry.process_id != self.process_id:
                 self._listed[entry.process_id] = entry.capacity
         if (
--- a/src/limpetlift/state/dryrun.py
+++ b/src/limpetlift/state/dryrun.py
@@ -327,7 +327,7 @@
         "data_centre": balancer.data_centre,
         "decision": events[-1].event if events else "none",
         "fields": {
-            name: value if isinstance(value, (int, float)) else str(value)
+            name: _plain(value)
             for name, value in (events[-1].fields if events else {}).items()
         },
         "reset": resets[-1] if resets else "",
@@ -347,7 +347,7 @@
         "evacuated": [
             {
                 "data_centre": data_centre,
-                "revision": evacuated.revision,
+                "revision": _plain(evacuated.revision),
                 "known_s": round(now - evacuated.began_at, 3),
             }
             for data_centre, evacuated in sorted(
@@ -359,6 +359,11 @@
     }
 
 
+def _plain(value):
+    """Return a value that JSON has: a number as it is, others as text."""
+    return value if isinstance(value, (int, float)) else str(value)
+
+
 def _finite(seconds):
     """Return a time, or None for one without a limit, which JSON lacks."""
     if not isinstance(seconds, (int, float)) or seconds == float("inf"):
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -176,6 +176,9 @@
     # evacuated during the last pause.
     _placeable_at: float = float("-inf")
     _swept_at: float = float("-inf")
+    # The routes in force as they were read, and the era of the store.
+    _routes_read: object = None
+    _routes_era: int = 0
     _choose: object = attrs.field(init=False)
     _admission: admitting.Admission = attrs.field(init=False)
 
@@ -241,9 +244,20 @@
 
     # Routes and directory.
 
-    def on_routes(self, now, routes):
-        """Put routes in force if they are newer than those in force."""
-        if routes.version <= self.routes.version:
+    def on_routes(self, now, routes, era=0):
+        """Put routes in force if they are newer than those in force.
+
+        In a later era of the store, other routes of the same version were
+        written since and are newer too.
+
+        :param era: era of the store in which they were read.
+        """
+        is_rewritten = (
+            routes.version == self.routes.version
+            and era > self._routes_era
+            and routes != self._routes_read
+        )
+        if routes.version <= self.routes.version and not is_rewritten:
             return [
                 steps.LogEvent(
                     "routes_ignored",
@@ -253,6 +267,8 @@
                     },
                 )
             ]
+        self._routes_era = era
+        self._routes_read = routes
         self.routes = routes.with_valid_fields_of(self.routes)
         self._admission.on_routes(self.routes.routes_by_address.values())
         if self.tells_warmup:
@@ -266,6 +282,7 @@
                     "version": routes.version,
                     "routes": len(routes.routes_by_address),
                     "ranked": self.ranked_routes,
+                    "era": era,
                 },
             )
         ] + [
@@ -330,13 +347,17 @@
         """Number of the routes that compete with one of another priority."""
         return len(self._admission.standings_by_address)
 
-    def on_entries(self, now, agents, balancers, unlisted=()):
+    def on_entries(
+        self, now, agents, balancers, unlisted=(), unproven_until=-math.inf
+    ):
         """Update the known agents and balancers from the directory.
 
         :param agents: entries of the agents.
         :param balancers: entries of the balancers.
         :param unlisted: ids of the agents whose entries the store does not
             have any more.
+        :param unproven_until: until then an agent that is not listed may be
+            alive.
         """
         result = self.agents.on_entries(agents, unlisted)
         result += self.searches.on_agents(
@@ -347,6 +368,7 @@
             for entry in balancers
             if entry.data_centre == self.data_centre
         )
+        result += self._unlisted.on_unproven(now, unproven_until)
         result += self._unlisted.on_balancers(
             now, [entry.address for entry in balancers]
         )
@@ -356,8 +378,11 @@
         return result + self.agents.update_monitored(now, balancers)
 
     def _resume_searches(self, now):
-        """Let flows be proved lost once all agents are known."""
-        if self.searches.are_agents_known or not self._unlisted.is_complete:
+        """Let flows be proved lost while all agents are known."""
+        if not self._unlisted.is_complete:
+            self.searches.are_agents_known = False
+            return []
+        if self.searches.are_agents_known:
             return []
         return self.searches.on_agents_known(now)
 
@@ -1289,7 +1314,7 @@
         result += self._resume_searches(now)
         return result + [
             steps.SendToPeer(address, message)
-            for message in self._unlisted.answers(self.agents.unlisted())
+            for message in self._unlisted.answers(now, self.agents.unlisted())
         ]
 
     @registry.register(_handlers_by_type, tunnel.UnlistedAgents)
--- a/src/limpetlift/tasks/announcing.py
+++ b/src/limpetlift/tasks/announcing.py
@@ -37,6 +37,11 @@
         self._value = value
         self._backoff = backoff.Backoff(reactor, rng)
         self._withdraw_backoff = backoff.Backoff(reactor, rng)
+        self._check_backoff = backoff.Backoff(reactor, rng)
+        self._is_checking = False
+        self._rng = rng
+        # Number of new eras of the store so far.
+        self._era_count = 0
         self._lease_s = lease_s
         self._lease = 0
         self._revision = 0
@@ -75,6 +80,66 @@
         # A write in progress is followed by one of the new value.
         self._wakeup.set_value()
 
+    def on_era(self):
+        """Write the entry again, since the store has begun a new era.
+
+        The lease and the revision of the former era are void; another process
+        may have the same ones by now. The processes spread their writes over
+        :data:`~limpetlift.defaults.ERA_SPREAD_S`.
+        """
+        self._era_count += 1
+        self._revision = 0
+        self._lease = 0
+        if not self._is_written or self._is_withdrawing:
+            return
+        self._reactor.call_at(
+            clock.now() + self._rng.uniform(0.0, defaults.ERA_SPREAD_S),
+            self._write_again,
+        )
+
+    def _write_again(self):
+        if not self._is_withdrawing:
+            self._is_written = False
+            self._wakeup.set_value()
+
+    def check_entry(self):
+        """Read the entry; write it again if it is missing or another one.
+
+        Further calls are ignored until the read has succeeded and
+        :data:`~limpetlift.defaults.ENTRY_CHECK_INTERVAL_S` has passed.
+        """
+        if self._is_written and not (
+            self._is_withdrawing or self._is_checking
+        ):
+            self._is_checking = True
+            self._reactor.spawn(self._check_entry())
+
+    async def _check_entry(self):
+        try:
+            entry = await self._read_entry()
+            if self._is_withdrawing or not self._is_written:
+                return
+            self._revision = entry.mod_revision if entry else 0
+            if entry is None or entry.value != self._value:
+                LOG.warning("entry_missing", key=self._key, lease=self._lease)
+                self._is_written = False
+                self._wakeup.set_value()
+            await self._reactor.sleep(defaults.ENTRY_CHECK_INTERVAL_S)
+        finally:
+            self._is_checking = False
+
+    async def _read_entry(self):
+        """Return the entry in the store, as soon as it can be read."""
+        self._check_backoff.reset()
+        while True:
+            try:
+                return await self._store.get(self._key)
+            except exceptions.CoordinationError as error:
+                if self._is_withdrawing:
+                    return None
+                LOG.warning("entry_unread", key=self._key, error=error)
+            await self._check_backoff.wait()
+
     async def run(self):
         """Keep the entry in the store until it is withdrawn."""
         while not self._is_withdrawing:
@@ -121,7 +186,7 @@
             self._renew_at = now + defaults.ENTRY_RENEW_INTERVAL_S
 
     async def _write(self):
-        value = self._value
+        value, era_count = self._value, self._era_count
         try:
             self._revision = await self._store.compare_and_swap(
                 self._key, self._revision, value, self._lease
@@ -135,7 +200,10 @@
         except exceptions.LeaseEnded:
             self._lease = 0
             raise
-        self._is_written = self._value == value
+        # A lease of the former era may be in what was written.
+        self._is_written = self._value == value and (
+            era_count == self._era_count or not self._lease_s
+        )
         LOG.info(
             "entry_written",
             key=self._key,
--- a/src/limpetlift/tasks/segmentagent.py
+++ b/src/limpetlift/tasks/segmentagent.py
@@ -79,6 +79,10 @@
         self._is_announcing = False
         self.call_every(defaults.HOSTING_TICK_S, self.tick)
 
+    def on_era(self, era):
+        """Write the entry again in a new era of the store."""
+        self._announcer.on_era()
+
     # Messages, segments and reports.
 
     def _on_server_datagram(self, data, _address):
@@ -158,6 +162,9 @@
                 self._reset(step)
             elif isinstance(step, steps.Announce):
                 self._announce()
+            elif isinstance(step, steps.CheckEntry):
+                if self._is_announcing:
+                    self._announcer.check_entry()
             elif isinstance(step, steps.ProbeServer):
                 probing.PortProbe(
                     self.reactor, self.settings.server, self._on_probed
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -5,6 +5,7 @@
 from limpetlift import clock
 from limpetlift.coordination import directory as directories
 from limpetlift.coordination import entries
+from limpetlift.coordination import revisions
 from limpetlift.coordination import watching
 from limpetlift import defaults
 from limpetlift import exceptions
@@ -44,6 +45,7 @@
         self._directory = directories.Directory()
         self._has_directory = False
         self._is_reading = False
+        self._is_marking = False
         self._is_read_requested = False
         self._is_flush_scheduled = False
         self._last_segment_at = clock.now()
@@ -141,6 +143,18 @@
             follower.watch.on_pause(now)
             follower.wake()
 
+    def on_era(self, era):
+        """Read all entries again in a new era of the store.
+
+        Until they are back, no flow is proved lost.
+        """
+        self._directory.on_era(era)
+        self._announcer.on_era()
+        for follower in self._followers_by_topic.values():
+            follower.on_era(era)
+        if self._has_directory:
+            self._on_directory()
+
     # Segments and messages.
 
     def _on_segment(self, data, _address):
@@ -163,6 +177,7 @@
             LOG.warning("topic_unknown", topic=message.topic)
             return
         self.count("store_changes_received")
+        self.store.learn_era(message.era)
         follower.on_message(message, self.is_catching_up)
 
     def decide(self, decision):
@@ -272,14 +287,18 @@
                 "routes_unreadable", revision=entry.mod_revision, error=error
             )
             return False
-        self.perform(self.decisions.on_routes(clock.now(), routes))
+        era = revisions.of(entry.mod_revision).era
+        self.perform(self.decisions.on_routes(clock.now(), routes, era))
         return True
 
     def _on_entries(self, snapshot, revision):
-        self._directory.on_snapshot(
+        """Update the directory from a list; return whether it was used."""
+        is_used = self._directory.on_snapshot(
             clock.now(), [_strip_prefix(entry) for entry in snapshot], revision
         )
-        self._on_directory()
+        if is_used:
+            self._on_directory()
+        return is_used
 
     def _on_entry_changes(self, changes):
         self._directory.on_changes(
@@ -309,6 +328,7 @@
                 self._directory.agents(),
                 self._directory.balancers(),
                 self._directory.unlisted(),
+                self._directory.unproven_until,
             )
         )
         balancers = self._directory.balancers()
@@ -343,10 +363,12 @@
                 snapshot, revision = await self.store.get_prefix(
                     segmentprocess.KEY_PREFIX
                 )
-                self._on_entries(snapshot, revision)
-                self.perform(
-                    self.decisions.on_directory_read(clock.now(), started_at)
-                )
+                if self._on_entries(snapshot, revision):
+                    self.perform(
+                        self.decisions.on_directory_read(
+                            clock.now(), started_at
+                        )
+                    )
                 # The next read serves all searches that request one during
                 # this pause.
                 await self.reactor.sleep(defaults.DIRECTORY_READ_PAUSE_S)
@@ -387,6 +409,30 @@
         self._log_rotation(
             self._rotation.tick(now, self._directory.is_store_reachable)
         )
+        watch = self._followers_by_topic[_DIRECTORY_TOPIC].watch
+        mark = self._directory.missing_mark(now)
+        if mark is not None and watch.role.is_watcher:
+            self.reactor.spawn(self._mark_era(*mark))
+
+    async def _mark_era(self, revision, value):
+        """Let balancers that start know that entries of this era are back."""
+        if self._is_marking:
+            return
+        self._is_marking = True
+        try:
+            await self.store.compare_and_swap(
+                segmentprocess.KEY_PREFIX + directories.ERA_KEY,
+                revision,
+                value,
+            )
+            LOG.info("store_era_marked", era=value.decode("ascii"))
+        except exceptions.StoreConflict:
+            # Another balancer was first; its write is read as a change.
+            pass
+        except exceptions.CoordinationError as error:
+            LOG.warning("mark_failed", error=error)
+        finally:
+            self._is_marking = False
 
     def _start_removing_silent(self):
         self.reactor.spawn(self._remove_silent())
@@ -418,6 +464,7 @@
             "agents_ejected": len(self.decisions.ejections.ejected),
             "in_rotation": int(self._rotation.is_in),
             "rotation_members": self._rotation.member_count,
+            "store_era": self._directory.era,
         }
 
     def explain_placement(self, flow, copy_number):
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -12,6 +12,7 @@
 import soak
 
 from limpetlift import clock
+from limpetlift.coordination import revisions
 from limpetlift.coordination import watching
 from limpetlift import defaults
 from limpetlift.platform import deployment
@@ -681,3 +682,21 @@
     soak_run = soak.SoakRun(3, 4.0, tmp_path, "evacuation", evacuations=True)
     soak_run.first_faults = ["evacuate"]
     assert any("the evacuation of" in text for text in soak_run.run())
+
+
+def test_evacuations_follow_the_store_into_a_new_era():
+    """Revisions start over when the store comes back from an older copy.
+
+    Compared with those of before they would raise, or hide the removal.
+    """
+    known = evacuation.Evacuations()
+    before, after = revisions.Revision(1, 90), revisions.Revision(2, 5)
+    known.on_snapshot(0.0, [_change("a", before), _change("b", before)], {})
+    known.on_snapshot(1.0, [_change("a", after)], {})
+    assert known.covers("b")
+    known.on_changes(1.1, [_change("b", revisions.Revision(2, 6))], {})
+    known.tick(9.0)
+    assert known.covers("a") and known.covers("b")
+    ended = _change("a", revisions.Revision(2, 7), is_evacuated=False)
+    known.on_changes(9.1, [ended], {})
+    assert not known.covers("a")
--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -12,6 +12,7 @@
 import pytest
 
 from limpetlift.coordination import directory
+from limpetlift.coordination import revisions
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift.scheduling import rotation
@@ -490,3 +491,23 @@
         "cores": 0.12,
         "revision": 6,
     }
+
+
+def test_entries_of_two_eras_are_compared_by_capacity_only():
+    """Entries from before the store came back may be kept for some seconds.
+
+    Comparing their revisions with those of the new era would raise.
+    """
+    own = rotation.Rotation("b1", "a", rotation.Capacity(100.0))
+    entries = [
+        directory.ProcessEntry(
+            "b%d" % number,
+            ("10.0.0.%d" % number, 70),
+            "a",
+            revision=revisions.Revision(number, 50 - number),
+            capacity=rotation.Capacity(100.0),
+        )
+        for number in (1, 2)
+    ]
+    assert not own.on_entries(0.0, entries)
+    assert own.is_in and own.member_count == 2
