Mend faults where the decisions under load meet

* a request that ended without an answer kept its slot in the estimate of run times; rejections, stalls and pauses counted as run times or failures;
* uploads that were refused, or that opened elsewhere, kept their place, and a held one could be placed a second time or after its caller had given up;
* a route that was removed during a poll raised in the deferral; a duplicate of a first segment reset a flow that an evacuated agent may have accepted, and so did a deferral of one that may be open;
* when only failing agents had room, one of them was chosen;
* a second outage within the grace time proved flows lost; a list that was older than what is known ended an evacuation or dropped the mark of the era; a missing evacuation ended while the store was away;
* whereto failed while a data centre was evacuated.

Each has a test (test_merged_parts, test_uploads) that failed on and passes now.

--- a/src/limpetlift/coordination/directory.py
+++ b/src/limpetlift/coordination/directory.py
@@ -174,6 +174,8 @@
     _has_snapshot: bool = False
     _store_reachable_since: float = float("-inf")
     _is_store_unreachable: bool = False
+    # When the store answered last.
+    _answered_at: float = float("-inf")
     # The latest revision of an entry that expired. All changes up to it have
     # been reported.
     _expired_revision: revisions.Revision = revisions.Revision(0, 0)
@@ -205,9 +207,20 @@
         if self.unproven_until == float("inf"):
             self.unproven_until = now + defaults.LAPSED_ENTRY_GRACE_S
             self._first_revision = revision
-        self._mark = None
+        mark = self._mark
+        if (
+            mark is None
+            or revisions.of(mark.mod_revision).era != revision.era
+            or revisions.of(mark.mod_revision) <= revision
+        ):
+            self._mark = None
         for entry in snapshot:
-            if entry.key == ERA_KEY:
+            # A change that was reported while the list was on its way counts.
+            if entry.key == ERA_KEY and (
+                self._mark is None
+                or revisions.of(entry.mod_revision)
+                > revisions.of(self._mark.mod_revision)
+            ):
                 self._mark = entry
         snapshot = [entry for entry in snapshot if entry.key != ERA_KEY]
         if is_first and not self._is_marked:
@@ -320,8 +333,14 @@
         if self._is_store_unreachable:
             self._is_store_unreachable = False
             self._store_reachable_since = now
-            if not self._has_snapshot:
+            if not self._has_snapshot or (
+                # No process could write its entry since the answer.
+                self._answered_at
+                < self.unproven_until
+                < float("inf")
+            ):
                 self.unproven_until = now + defaults.LAPSED_ENTRY_GRACE_S
+        self._answered_at = now
 
     def _put(self, now, entry):
         """Add or replace an entry, unless a newer state of it is known.
--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -517,8 +517,9 @@
 
 # An evacuation that a full read of the store does not have lasts for this much
 # longer. A store that comes back from an older copy is written to again
-# within 2 s, and bounds.evacuate_ms (5 s) leaves time for it.
-EVACUATION_MISSING_GRACE_S = 2.0
+# within 2 s, and balancers learn of it SHARED_WATCH_MAX_AGE_S (2.5 s) and a
+# call later at the latest.
+EVACUATION_MISSING_GRACE_S = 5.0
 # After a pause this long, what a balancer knows of evacuations may be older
 # than bounds.evacuate_ms (5 s): it may have been 2.5 s and a call old before.
 EVACUATION_RECHECK_PAUSE_S = 2.0
@@ -667,7 +668,8 @@
 # A balancer whose entry is gone counts for this long as one that the fabric
 # still knows; a restart or repair of an instance takes minutes at most.
 ROTATION_MEMORY_S = 600.0
-# Larger capacities are mistakes.
+# Smaller and larger capacities are mistakes, in Mbit/s and in cores.
+MIN_CAPACITY = 0.001
 MAX_LINK_MBPS = 1_000_000.0
 MAX_CORES = 4096.0
 # Pace of new flows at servers that have started or recovered.
@@ -742,6 +744,9 @@
 USUAL_RUN_QUANTILE = 0.3
 USUAL_RUN_SAMPLES = 32
 USUAL_RUN_MIN_SAMPLES = 8
+# An answer that takes less than this share of the usual run time is taken for
+# the rejection of a server that is full; run times vary by factors of 2 to 4.
+REJECTION_RUN_SHARE = 0.1
 # A request counts half after this time: some tens of requests count at the
 # usual rates, and a server that works again is used again within 20 s.
 EVIDENCE_HALF_LIFE_S = 5.0
--- a/src/limpetlift/scheduling/ejection.py
+++ b/src/limpetlift/scheduling/ejection.py
@@ -120,7 +120,7 @@
         if due_at is None:
             # It has been judged, or may have been delayed by a pause.
             return ""
-        if now > due_at and self._is_stalled(now):
+        if now > due_at and self.is_stalled(now):
             return ""
         if now > due_at:
             return self.on_failure(now, OVERDUE)
@@ -163,7 +163,7 @@
 
         :param is_known: function of a flow; whether it still exists.
         """
-        is_stalled = self._is_stalled(now)
+        is_stalled = self.is_stalled(now)
         self._ticked_at = now
         if is_stalled:
             self.on_pause()
@@ -176,7 +176,8 @@
                 overdue.append(flow)
         return overdue
 
-    def _is_stalled(self, now):
+    def is_stalled(self, now):
+        """Whether this agent has not run for a while until now."""
         return now - self._ticked_at > defaults.EVIDENCE_STALL_S
 
     def on_pause(self):
--- a/src/limpetlift/scheduling/evacuation.py
+++ b/src/limpetlift/scheduling/evacuation.py
@@ -8,6 +8,8 @@
 empties a data centre, and the copies of their first segments.
 """
 
+import math
+
 import attrs
 
 from limpetlift.coordination import revisions
@@ -86,6 +88,21 @@
         """Whether a data centre is evacuated."""
         return data_centre in self.by_data_centre
 
+    def on_unreachable(self):
+        """Keep the evacuations that are missing while the store is away.
+
+        Operators cannot write them again meanwhile.
+        """
+        for known in self.by_data_centre.values():
+            if known.ends_at is not None:
+                known.ends_at = math.inf
+
+    def on_reachable(self, now):
+        """Wait for missing evacuations again once the store answers."""
+        for known in self.by_data_centre.values():
+            if known.ends_at == math.inf:
+                known.ends_at = now + defaults.EVACUATION_MISSING_GRACE_S
+
     def on_snapshot(self, now, changes, agents_by_data_centre):
         """Replace the evacuations by those of a full read of the store.
 
@@ -97,6 +114,7 @@
         :param changes: a :class:`Change` for each evacuation that was read.
         """
         self.is_known = True
+        self.on_reachable(now)
         result = []
         listed = set()
         for change in changes:
@@ -124,6 +142,7 @@
 
         :param changes: list of :class:`Change`, the oldest first.
         """
+        self.on_reachable(now)
         result = []
         for change in changes:
             if change.is_evacuated:
--- a/src/limpetlift/scheduling/rotation.py
+++ b/src/limpetlift/scheduling/rotation.py
@@ -19,7 +19,7 @@
 
 
 def positive_number(value, highest):
-    """Return a positive number that is given as a number or a text.
+    """Return a capacity that is given as a number or a text.
 
     :param value: anything.
     :param highest: largest valid value.
@@ -31,7 +31,7 @@
         number = float(value)
     except (TypeError, ValueError, OverflowError):
         return None
-    return number if 0 < number <= highest else None
+    return number if defaults.MIN_CAPACITY <= number <= highest else None
 
 
 @structs.frozen
--- a/src/limpetlift/scheduling/uploads.py
+++ b/src/limpetlift/scheduling/uploads.py
@@ -34,20 +34,22 @@
     :param segment: the last copy of its first segment.
     :param flow: what the balancer knows of the flow.
     :param release_at: when it is released in any case.
+    :param copies: numbers of the copies of its first segment that came here.
     """
 
     segment: object
     flow: object
     release_at: float
+    copies: set = attrs.field(factory=set)
 
 
 @structs.define
 class UploadAdmission:
     """Decides when the uploads of one balancer begin.
 
-    They begin in the order of their arrival. One that has waited for
-    :data:`~limpetlift.defaults.MAX_UPLOAD_HOLD_S` begins in any case, because
-    its caller gives up the try otherwise.
+    They begin in the order of their arrival. One whose caller began its try
+    :data:`~limpetlift.defaults.MAX_UPLOAD_HOLD_S` ago begins in any case,
+    because the caller gives up the try otherwise.
 
     Methods take ``now`` in seconds (monotonic).
 
@@ -87,8 +89,14 @@
         if not self._held_by_key and self.active_count < self.limit:
             self._start(now, segment.key)
             return True
+        delay_s = defaults.COPY_DELAYS_S[
+            min(segment.ack, defaults.LAST_COPY_NUMBER)
+        ]
         self._held_by_key[segment.key] = HeldUpload(
-            segment, flow, now + defaults.MAX_UPLOAD_HOLD_S
+            segment,
+            flow,
+            now + defaults.MAX_UPLOAD_HOLD_S - delay_s,
+            {segment.ack},
         )
         return False
 
@@ -100,10 +108,14 @@
         held = self._held_by_key.get(segment.key)
         if held is not None:
             held.segment = segment
+            held.copies.add(segment.ack)
         return held is not None
 
     def on_segment(self, now, segment):
         """Record that a segment of an upload uses the link."""
+        if not segment.opens_flow:
+            # The flow was placed elsewhere, or its caller has given up.
+            self._held_by_key.pop(segment.key, None)
         if segment.key not in self._idle_at_by_key:
             return
         if segment.is_final or segment.is_reset:
@@ -122,10 +134,9 @@
             if idle_at <= now:
                 del self._idle_at_by_key[key]
         released = []
-        while self._held_by_key:
-            held = next(iter(self._held_by_key.values()))
+        for held in list(self._held_by_key.values()):
             if self.active_count >= self.limit and held.release_at > now:
-                break
+                continue
             del self._held_by_key[held.segment.key]
             self._start(now, held.segment.key)
             released.append(held)
--- a/src/limpetlift/state/dryrun.py
+++ b/src/limpetlift/state/dryrun.py
@@ -80,6 +80,7 @@
         replaced = {
             "decode": balancer.decode,
             "routes": balancer.routes,
+            "_routes_read": balancer._routes_read,
             "rng": rng,
             "agents": agents,
             "flows_by_key": {key: copy.deepcopy(flow)} if flow else {},
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -82,6 +82,8 @@
     _stopping_at: float = float("inf")
     _warmed_up_at: float = 0.0
     _reported_at: float = float("-inf")
+    # When this agent was announced for the first time.
+    _announced_at: float = float("-inf")
     # Time of the last report or segment of the server.
     _last_heard_at: float = float("-inf")
     # Time of the last report or payload of the server. Other segments don't
@@ -176,6 +178,7 @@
                 "run_time_dropped", self._run_time.on_restart()
             )
         if known_report is None:
+            self._announced_at = now
             result.append(steps.Announce())
         elif not self.knows_all_flows and _are_first_two(known_report, report):
             result += self._on_all_flows_known("first_reports")
@@ -500,7 +503,13 @@
             return self._accept_or_decline(now, balancer, forward, segment)
         if segment.opens_flow:
             reason = self._copy_decline_reason(now, forward.service, flow)
-            if not reason and self.pace.is_of_former_server(flow.created_at):
+            is_new_to_server = (
+                not flow.is_accepted and flow.server_initial_sequence is None
+            )
+            if not reason and (
+                is_new_to_server
+                or self.pace.is_of_former_server(flow.created_at)
+            ):
                 if self.pace.admits(now, self._pace_load(), is_copy=True):
                     self.pace.on_accepted(now)
                     flow.created_at = now
@@ -597,6 +606,7 @@
         failure = ""
         if segment.is_reset:
             failure = self.evidence.on_given_up(now, flow)
+            self._abandon_request(now, flow)
             self.flows.remove(segment.key)
         elif segment.length:
             if flow.advance_caller(segment):
@@ -654,18 +664,35 @@
 
         :returns: steps.
         """
-        self.pace.on_answer(
-            now, now - flow.requested_at, flow.turn, self._pace_load()
+        if not self._is_catching_up:
+            self.pace.on_answer(
+                now, now - flow.requested_at, flow.turn, self._pace_load()
+            )
+        is_rejection = now - flow.requested_at < (
+            defaults.REJECTION_RUN_SHARE * self.evidence.usual_run_s
         )
+        if is_rejection:
+            # Neither a proper answer nor a failure.
+            flow.verdict_due_at = None
         flow.is_awaiting_answer = False
         if flow.run_started_at is None:
             return []
+        if is_rejection and self.estimate == "robust":
+            self._run_time.on_slot_free(now, self._is_waiting_for_slot)
+            return []
         run_s = now - flow.run_started_at
-        self.evidence.on_run(run_s)
+        if flow.run_started_at == flow.requested_at:
+            # It did not wait for a slot.
+            self.evidence.on_run(run_s)
         learned = self._run_time.add(now, run_s, self._is_warming(now))
         self._run_time.on_slot_free(now, self._is_waiting_for_slot)
         return self._run_time_event("run_time_learned", learned)
 
+    def _abandon_request(self, now, flow):
+        """Let the next request start when one ends without an answer."""
+        if flow.is_awaiting_answer and flow.run_started_at is not None:
+            self._run_time.on_slot_free(now, self._is_waiting_for_slot)
+
     def _is_waiting_for_slot(self, flow):
         return (
             self.flows.by_key.get(flow.key) is flow
@@ -942,11 +969,13 @@
             failure = self.evidence.on_failure(
                 now, ejection.RESET, None if is_refused else flow
             )
+            self._abandon_request(now, flow)
             self.flows.remove(segment.key)
         elif segment.is_final:
             failure = failure or self.evidence.on_failure(
                 now, ejection.FINISHED, flow
             )
+            self._abandon_request(now, flow)
             flow.server_finished = True
             flow.is_awaiting_answer = False
             flow.close_if_finished(now)
@@ -1048,7 +1077,8 @@
         last_hello_at = max(
             self._hello_at_by_address.values(), default=self._started_at
         )
-        if now - last_hello_at < defaults.ENTRY_CHECK_AFTER_S:
+        last_known_at = max(last_hello_at, self._announced_at)
+        if now - last_known_at < defaults.ENTRY_CHECK_AFTER_S:
             return []
         return [steps.CheckEntry()]
 
@@ -1081,12 +1111,15 @@
         Tentative flows are kept, and count as unanswered once.
         """
         result = []
+        # After a stall of this agent the answer may wait unread.
+        is_stalled = self.evidence.is_stalled(now)
         for flow in self.flows.pop_overdue(now):
             if flow.is_tentative:
                 self._unanswered_tentative_flows += 1
                 continue
             self._unanswered_flows += 1
-            self.evidence.on_failure(now, ejection.SILENT)
+            if not is_stalled:
+                self.evidence.on_failure(now, ejection.SILENT)
             self.flows.remove(flow.key)
             result += self._decline(
                 now,
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -239,6 +239,7 @@
         A first segment would only open a connection that nobody uses.
         """
         self.flows_by_key.pop(key, None)
+        self.upload_admission.end(key)
         fields = {"pause_s": round(self._pause_s, 3)}
         return [steps.LogEvent("flow_outdated", key, fields)]
 
@@ -450,6 +451,7 @@
                 self._polls.end(segment.key)
                 self.upload_admission.end(segment.key)
                 return []
+            self.upload_admission.on_segment(now, segment)
             return self._search(now, segment)
         flow.active_at = now
         self.upload_admission.on_segment(now, segment)
@@ -521,6 +523,8 @@
             return self._place(now, segment, flow)
         if self._is_evacuated(agent):
             flow.tried.add(flow.address)
+            # Its server may have accepted the flow.
+            flow.may_be_open = True
             return [
                 self._evacuated(now, segment, flow.address, flow.known_at)
             ] + self._place(now, segment, flow)
@@ -636,6 +640,7 @@
         if (
             route is not None
             and route.kind == routing.UPLOAD
+            and not self._are_all_evacuated(route)
             and not self.upload_admission.begin(now, segment, flow)
         ):
             return [
@@ -652,13 +657,17 @@
             ]
         return self._query_and_place(now, segment, flow)
 
-    def _query_and_place(self, now, segment, flow):
-        """Place a flow; ask its keepers first if copies went elsewhere."""
+    def _query_and_place(self, now, segment, flow, sent=0):
+        """Place a flow; ask its keepers first if copies went elsewhere.
+
+        :param sent: number of copies that the caller has sent by now, as far
+            as its first segment's age tells.
+        """
         deferral = self._deferrals_by_key.get(segment.key)
         copies = len(deferral.copies) if deferral else 0
         queries = []
         placeable_at = -math.inf
-        if segment.ack > copies:
+        if max(segment.ack, sent) > copies:
             queries = self._query_keepers(segment.key)
         if queries:
             placeable_at = now + defaults.RECORD_QUERY_TIMEOUT_S
@@ -685,9 +694,21 @@
                 # Another balancer has placed an earlier copy meanwhile.
                 result += self.on_segment(now, held.segment)
             else:
-                result += self._query_and_place(now, held.segment, held.flow)
+                result += self._place_held(now, held)
         return result
 
+    def _place_held(self, now, held):
+        """Place a released upload; copies may have gone elsewhere."""
+        key = held.segment.key
+        deferral = self._deferrals_by_key.setdefault(
+            key, _Deferral(now + defaults.OPENING_TIMEOUT_S)
+        )
+        deferral.copies |= held.copies
+        # Since the caller's first copy, wherever it went.
+        age_s = now - held.release_at + defaults.MAX_UPLOAD_HOLD_S
+        sent = sum(delay_s <= age_s for delay_s in defaults.COPY_DELAYS_S)
+        return self._query_and_place(now, held.segment, held.flow, sent)
+
     def _query_keepers(self, key):
         """Return steps that ask the keepers of a flow where it is."""
         message = tunnel.RecordsQuery([key])
@@ -897,6 +918,12 @@
             return None
         # A trial costs a caller time, and requests that may not run twice
         # their answer.
+        if poll.can_widen() and all(
+            candidate.failure_share >= defaults.EJECTION_SHARE
+            for candidate in candidates
+        ):
+            # More agents are compared first; others may have no room.
+            return None
         may_try = poll.route.kind != routing.UNSAFE and not poll.segment.ack
         candidates = self.ejections.select(candidates, self.rng, may_try)
         chosen = self._choose(candidates, self.rng)
@@ -954,6 +981,7 @@
         """
         key = segment.key
         self.flows_by_key.pop(key, None)
+        self.upload_admission.end(key)
         deferral = self._deferrals_by_key.get(key)
         if deferral is None:
             deferral = _Deferral(now + defaults.OPENING_TIMEOUT_S)
@@ -966,8 +994,11 @@
         is_last = len(deferral.copies) > defaults.LAST_COPY_NUMBER
         if not is_last and len(deferral.copies) > segment.ack:
             # All copies so far arrived here, and no server received one.
-            is_last = self._admission.is_hopeless(
-                self._route(key), segment.ack
+            route = self._route(key)
+            is_last = (
+                route is not None
+                and not flow.may_be_open
+                and self._admission.is_hopeless(route, segment.ack)
             )
         if not is_last:
             return [log_event]
@@ -986,6 +1017,7 @@
         key = segment.key
         declined = len(flow.tried)
         self.flows_by_key.pop(key, None)
+        self.upload_admission.end(key)
         if segment.ack or flow.may_be_open:
             return [
                 self._not_placed("copy_dropped", segment, reason, declined)
@@ -1243,6 +1275,7 @@
             # The other balancer does not know of the evacuation yet. The copy
             # is placed here, like one of a flow that is known already.
             poll.flow.tried.add(record.address)
+            poll.flow.may_be_open = True
             self._polls.add(poll)
             return [self._evacuated(now, poll.segment, record.address, now)]
         flow = self.flows_by_key[key] = _Flow(
--- a/src/limpetlift/tasks/following.py
+++ b/src/limpetlift/tasks/following.py
@@ -1,6 +1,7 @@
 """Task that follows the changes of keys under a prefix in the store."""
 
 from limpetlift import clock
+from limpetlift.coordination import revisions
 from limpetlift import defaults
 from limpetlift import exceptions
 from limpetlift import logs
@@ -166,6 +167,10 @@
         now = self._observe()
         if self.watch.is_outdated(revision):
             return
+        known = self.watch.revision
+        if known is not None and revisions.of(revision) < revisions.of(known):
+            # A read that began later, or a message, has told more.
+            return
         _, messages = self.watch.on_read(now, began_at, None, revision)
         self._on_snapshot(entries, revision)
         self._send(messages, self.watch.role.receivers)
--- a/src/limpetlift/tasks/segmentbalancer.py
+++ b/src/limpetlift/tasks/segmentbalancer.py
@@ -96,7 +96,7 @@
             self.deployment.operator_prefix,
             self._on_operator_entries,
             self._on_operator_changes,
-            lambda: None,
+            self.decisions.evacuations.on_unreachable,
         )
         self._follow(
             _DIRECTORY_TOPIC,
@@ -256,7 +256,7 @@
             for change in changes
             if change.key.startswith(prefix)
         ]
-        if evacuations:
+        if evacuations or self.decisions.evacuations.by_data_centre:
             self.perform(
                 self.decisions.on_evacuation_changes(clock.now(), evacuations)
             )
--- a/src/limpetlift/whereto.py
+++ b/src/limpetlift/whereto.py
@@ -99,7 +99,7 @@
             % ("open" if answer["is_open"] else "not open")
         )
     lines += [
-        "evacuated: %s, revision %d, known for %.1f s"
+        "evacuated: %s, revision %s, known for %.1f s"
         % (item["data_centre"], item["revision"], item["known_s"])
         for item in answer["evacuated"]
     ]
