Let three callers a slot wait at a server whose pace is learned

The tests of the pace had been given bounds of 0.95 of the served requests and 0.05 of the answered ones after the first measurements.

--- a/src/limpetlift/defaults.py
+++ b/src/limpetlift/defaults.py
@@ -681,8 +681,9 @@
 # 2 s.
 MAX_COLD_S = 30.0
 # Callers that may wait at a time for each slot of a server at the least: one
-# runs, and one waits so that the slot has work when it ends.
-PACE_MIN_PER_SLOT = 2
+# runs, and two wait, because one that is turned away comes back after 200 ms
+# only. With one that waits, slots were idle at loads of 0.9.
+PACE_MIN_PER_SLOT = 3
 # Wait at the lowest limit; half of the 200 ms after which a caller that was
 # turned away comes back. Servers queue a few requests, so not more than
 # PACE_MAX_FLOOR_PER_SLOT may wait however short they are.
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -693,18 +693,17 @@
     """Neither a flood nor idle servers when all of them start at once.
 
     The servers must answer as many callers as without a pace, and many more
-    in time than with a fixed ramp, which leaves them idle. The bounds allow
-    for two deviations of the mean of six runs, and for 5% of the answers while
-    the servers are slow, as a shorter queue empties more often.
+    in time than with a fixed ramp, which leaves them idle. A deployment may
+    lose 0.03 at the most, which is the bound for each figure.
     """
     none, ramp, learned = (
         pacesim.figures(pace, load, **_SIMULATION)
         for pace in ("none", "ramp", "learned")
     )
-    assert learned["served"] >= 0.95 * none["served"]
+    assert learned["served"] >= 0.97 * none["served"]
     assert learned["in_time"] >= none["in_time"] - 0.03
     assert learned["in_time"] >= 1.3 * ramp["in_time"]
-    assert learned["answered"] >= none["answered"] - 0.05
+    assert learned["answered"] >= none["answered"] - 0.03
 
 
 def test_servers_that_are_in_fact_fast_lose_no_throughput():
