Give later requests of long flows their deadline in the model of the pace

The merged load model takes the aim and the deadline from the request, and the model of the pace created the later requests of a flow without them, so that none counted as answered.

--- a/tests/pacesim.py
+++ b/tests/pacesim.py
@@ -222,7 +222,11 @@
         if left:
             self._flows[number] += 1
             later = loadsim.Request(
-                now + self.think_s, self._rng.expovariate(1 / self.mean_s)
+                now + self.think_s,
+                self._rng.expovariate(1 / self.mean_s),
+                aim_s=request.aim_s,
+                deadline_s=request.deadline_s,
+                route=request.route,
             )
             later.tries, later.is_open = loadsim.MAX_TRIES, True
             self._flow[id(later)] = (number, left - 1)
