Rename a timeout, a log event and a check of the decisions under load

answer_timeout_s, server_recovered and expires_before_next_copy say what they are in the terms of the field. Behaviour stays; test_priority, test_ejection and test_segmentmetrics pass.

--- a/src/limpetlift/scheduling/admitting.py
+++ b/src/limpetlift/scheduling/admitting.py
@@ -239,7 +239,7 @@
             return own_wait_s, "floor"
         return None, "priority"
 
-    def is_hopeless(self, route, copy):
+    def expires_before_next_copy(self, route, copy):
         """Whether the caller gives up before it sends another copy.
 
         A flow that is left to the next copy then certainly fails. It is not
--- a/src/limpetlift/scheduling/ejection.py
+++ b/src/limpetlift/scheduling/ejection.py
@@ -75,7 +75,7 @@
             index = int(len(ordered) * defaults.USUAL_RUN_QUANTILE)
             self._usual_s = ordered[index]
 
-    def patience_s(self, has_parts, ahead_per_slot):
+    def answer_timeout_s(self, has_parts, ahead_per_slot):
         """Return the time after which an answer is overdue, in seconds.
 
         :param has_parts: whether the request came in several parts, so that
@@ -100,13 +100,15 @@
         :param is_whole: whether the request looks complete. The answer to
             another one is never overdue: a link on the way may be cut, which
             says nothing of the server.
-        :param has_parts: as of :meth:`patience_s`.
-        :param ahead_per_slot: as of :meth:`patience_s`.
+        :param has_parts: as of :meth:`answer_timeout_s`.
+        :param ahead_per_slot: as of :meth:`answer_timeout_s`.
         """
         if not is_whole:
             flow.verdict_due_at = math.inf
             return
-        flow.verdict_due_at = now + self.patience_s(has_parts, ahead_per_slot)
+        flow.verdict_due_at = now + self.answer_timeout_s(
+            has_parts, ahead_per_slot
+        )
         heapq.heappush(
             self._due, (flow.verdict_due_at, next(self._sequence), flow)
         )
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -766,7 +766,7 @@
             "usual_ms": round(evidence.usual_run_s * 1000),
             "report": self.report.number if self.report else "none",
         }
-        event = "server_failing" if evidence.is_failing else "server_mended"
+        event = "server_failing" if evidence.is_failing else "server_recovered"
         return [steps.LogEvent(event, fields=fields)]
 
     def decline_reason(self, now, service_id):
--- a/src/limpetlift/state/steering.py
+++ b/src/limpetlift/state/steering.py
@@ -998,7 +998,9 @@
             is_last = (
                 route is not None
                 and not flow.may_be_open
-                and self._admission.is_hopeless(route, segment.ack)
+                and self._admission.expires_before_next_copy(
+                    route, segment.ack
+                )
             )
         if not is_last:
             return [log_event]
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -306,7 +306,7 @@
 
 
 def test_a_restart_discards_the_evidence():
-    """A server that was mended must get flows at once."""
+    """A server that has recovered must get flows at once."""
     server = _warm()
     for _ in range(10):
         server.open()
