Share three pieces that the new parts wrote twice

The fraction of open flows whose caller waits stood in two placing policies, the number of requests ahead was counted twice for each request at an agent, and two test modules had the same loop that waits for a condition. Behaviour, the tests' assertions and their time limits stay.

--- a/src/limpetlift/scheduling/placing.py
+++ b/src/limpetlift/scheduling/placing.py
@@ -93,6 +93,13 @@
     )
 
 
+def _busy_per_flow(candidates):
+    """Return the fraction of the open flows whose caller waits."""
+    flows = sum(candidate.flows for candidate in candidates)
+    busy = sum(candidate.busy for candidate in candidates)
+    return min(busy / flows, 1.0) if flows else 0.0
+
+
 @registry.register(policies_by_name, "random")
 def choose_random(candidates, rng):
     """Return a random candidate; a baseline for comparisons."""
@@ -115,9 +122,7 @@
     Random jitter keeps balancers with the same load reports from all choosing
     the same agent.
     """
-    flows = sum(candidate.flows for candidate in candidates)
-    busy = sum(candidate.busy for candidate in candidates)
-    busy_per_flow = min(busy / flows, 1.0) if flows else 0.0
+    busy_per_flow = _busy_per_flow(candidates)
 
     bonus_if_near = near_bonus(candidates)
 
@@ -172,9 +177,7 @@
     run_times = _run_times(candidates)
     if run_times is None:
         return choose_least(candidates, rng)
-    flows = sum(candidate.flows for candidate in candidates)
-    busy = sum(candidate.busy for candidate in candidates)
-    busy_per_flow = min(busy / flows, 1.0) if flows else 0.0
+    busy_per_flow = _busy_per_flow(candidates)
     mean_s = sum(run_times) / len(run_times)
     bonus_s = near_bonus(candidates) * mean_s
     jitter_s = defaults.PLACING_JITTER * mean_s
--- a/src/limpetlift/state/hosting.py
+++ b/src/limpetlift/state/hosting.py
@@ -629,11 +629,9 @@
         """
         slots = self.report.slots if self.report else 1
         flow.requested_at = now
-        flow.turn = self.pace.on_request(
-            self.flows.awaiting_count - flow.is_awaiting_answer, slots
-        )
+        ahead = self.flows.awaiting_count - flow.is_awaiting_answer
+        flow.turn = self.pace.on_request(ahead, slots)
         if not flow.is_tentative:
-            ahead = self.flows.awaiting_count - flow.is_awaiting_answer
             is_whole = not (
                 flow.has_gap or segment.length >= defaults.FULL_SEGMENT_BYTES
             )
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -252,3 +252,22 @@
 
 def _json_response(**fields):
     return http1.Response(200, json.dumps(fields).encode("utf-8"))
+
+
+def run_until(reactor, is_done, timeout_s=5.0):
+    """Run until ``is_done`` returns true; fail when it does not in time.
+
+    :param reactor: the event loop.
+    :param is_done: function without arguments.
+    :param timeout_s: in seconds.
+    """
+    ends_at = clock.now() + timeout_s
+
+    def check():
+        if is_done() or clock.now() > ends_at:
+            reactor.stop()
+
+    cancel = reactor.call_every(0.005, check)
+    reactor.run()
+    cancel()
+    assert is_done()
--- a/tests/test_entrycheck.py
+++ b/tests/test_entrycheck.py
@@ -25,19 +25,6 @@
     standin.close()
 
 
-def _run_until(reactor, is_done, timeout_s=5.0):
-    ends_at = clock.now() + timeout_s
-
-    def check():
-        if is_done() or clock.now() > ends_at:
-            reactor.stop()
-
-    cancel = reactor.call_every(0.005, check)
-    reactor.run()
-    cancel()
-    assert is_done()
-
-
 def _announced(reactor, standin):
     """Return an announcer whose entry is in the store."""
     client = store.PlatformStore(reactor, standin.address)
@@ -45,8 +32,8 @@
         reactor, client, "x/1", b"me", random.Random(1)
     )
     reactor.spawn(announcer.run())
-    _run_until(reactor, lambda: "x/1" in standin.items_by_key)
-    _run_until(reactor, lambda: len(standin.calls) == 1)
+    platformstandin.run_until(reactor, lambda: "x/1" in standin.items_by_key)
+    platformstandin.run_until(reactor, lambda: len(standin.calls) == 1)
     return announcer
 
 
@@ -60,10 +47,10 @@
     standin.remove("x/1")
     standin.status = 503
     announcer.check_entry()
-    _run_until(reactor, lambda: len(standin.calls) >= 3)
+    platformstandin.run_until(reactor, lambda: len(standin.calls) >= 3)
     standin.status = None
     regained_at = clock.now()
-    _run_until(reactor, lambda: "x/1" in standin.items_by_key)
+    platformstandin.run_until(reactor, lambda: "x/1" in standin.items_by_key)
     assert clock.now() - regained_at < 2.0
 
 
@@ -76,7 +63,7 @@
     revision = standin.revision
     for _ in range(5):
         announcer.check_entry()
-    _run_until(reactor, lambda: len(standin.calls) == 2)
+    platformstandin.run_until(reactor, lambda: len(standin.calls) == 2)
     announcer.check_entry()
     reactor.call_at(clock.now() + 0.3, reactor.stop)
     reactor.run()
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -1,5 +1,6 @@
 """A store that comes back from an older copy, in a new era."""
 
+import functools
 import random
 import statistics
 import time
@@ -166,17 +167,7 @@
     return value
 
 
-def _run_until(reactor, is_done, timeout_s=6.0):
-    ends_at = clock.now() + timeout_s
-
-    def check():
-        if is_done() or clock.now() > ends_at:
-            reactor.stop()
-
-    cancel = reactor.call_every(0.005, check)
-    reactor.run()
-    cancel()
-    assert is_done()
+_run_until = functools.partial(platformstandin.run_until, timeout_s=6.0)
 
 
 def _client(reactor, standin):
