--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -67,4 +68,9 @@
     return sum(caller.answered for caller in world.callers) > 80
 
 
-worlds.play(FOLDER, scenario)
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# What was sent, answered and run.
+RECORD = FOLDER / "record.txt"
+
+worlds.play(scenario, RECORD, TROUBLE)
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -40,8 +40,6 @@
 
 def turn_away(world, programs):
     """The store turns machines away and takes their keys."""
-    if not world.trouble:
-        return
     machines = len(world.balancers) + len(world.servers)
     assert len(programs) <= TURNED_AWAY_SHARE * machines
     for program in programs:
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -765,13 +765,12 @@
 class World:
     """All parts of one run."""
 
-    def __init__(self, case_folder):
-        self.case_folder = pathlib.Path(case_folder)
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+    def __init__(self, record_path, trouble):
+        self.trouble = trouble
         self.rng = random.Random()
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.folder = pathlib.Path(tempfile.mkdtemp())
-        self.record = open(self.case_folder / "record.txt", "w")
+        self.record = open(record_path, "w")
         self.began_at = time.monotonic()
         self.programs = []
         self.servers = []
@@ -931,13 +930,15 @@
         self.record.close()
 
 
-def play(case_folder, scenario, limit_s=100):
+def play(scenario, record_path, trouble, limit_s=100):
     """Run a scenario; exit with 1 for a broken rule, 0, or 2 for no run.
 
     :param scenario: coroutine function of a :class:`World`; returns whether
         the case could run.
+    :param record_path: file for what was sent, answered and run.
+    :param trouble: whether the disruption happens.
     """
-    world = World(case_folder)
+    world = World(record_path, trouble)
 
     def give_up(*_):
         world.log("the time limit is over")
